--- /dev/null
+++ b/Makefile
@@ -0,0 +1,74 @@
+# Builds into $(BUILD); SANITIZE=address,undefined or SANITIZE=thread instruments the build.
+BUILD ?= build
+CC = gcc
+PACKAGES = glib-2.0 libprotobuf-c libxxhash libzstd
+DAEMON_PACKAGES = $(PACKAGES) libzmq libmicrohttpd neon liburcu-memb jansson
+CFLAGS ?= -O2 -g
+WARNINGS = -std=gnu11 -Wall -Wextra -Werror -Wshadow -Wstrict-prototypes -Wmissing-prototypes
+CPPFLAGS += -D_GNU_SOURCE -Ilibcaraway -Idaemon $(shell pkg-config --cflags $(DAEMON_PACKAGES))
+LIB_LIBS = $(shell pkg-config --libs $(PACKAGES))
+DAEMON_LIBS = $(shell pkg-config --libs $(DAEMON_PACKAGES)) -pthread -lm
+ifdef SANITIZE
+CFLAGS += -fsanitize=$(SANITIZE) -fno-omit-frame-pointer
+LDFLAGS += -fsanitize=$(SANITIZE)
+endif
+
+LIB_SOURCES = $(wildcard libcaraway/*.c) libcaraway/gen/caraway.pb-c.c
+DAEMON_SOURCES = $(filter-out daemon/carawayd.c,$(wildcard daemon/*.c))
+CLI_SOURCES = $(filter-out cli/carawayctl.c,$(wildcard cli/*.c))
+TOOL_SOURCES = $(wildcard tests/tools/*.c) $(wildcard bench/*.c)
+UNIT_SOURCES = $(wildcard tests/unit/test_*.c)
+OWN_SOURCES = $(filter-out libcaraway/gen/%,$(wildcard libcaraway/*.[ch] daemon/*.[ch] cli/*.[ch] tests/*/*.[ch] bench/*.[ch] examples/*.[ch]))
+
+object = $(patsubst %.c,$(BUILD)/%.o,$(1))
+LIBRARY = $(BUILD)/libcaraway.a
+DAEMON_OBJECTS = $(call object,$(DAEMON_SOURCES))
+PROGRAMS = $(BUILD)/carawayd $(BUILD)/carawayctl
+TOOLS = $(patsubst %.c,$(BUILD)/%,$(TOOL_SOURCES))
+UNITS = $(patsubst %.c,$(BUILD)/%,$(UNIT_SOURCES))
+
+all: $(LIBRARY) $(PROGRAMS) $(TOOLS)
+
+$(LIBRARY): $(call object,$(LIB_SOURCES))
+	rm -f $@
+	ar rcs $@ $^
+
+$(BUILD)/carawayd: $(BUILD)/daemon/carawayd.o $(DAEMON_OBJECTS) $(LIBRARY)
+	$(CC) $(LDFLAGS) -o $@ $^ $(DAEMON_LIBS)
+
+$(BUILD)/carawayctl: $(BUILD)/cli/carawayctl.o $(call object,$(CLI_SOURCES)) $(DAEMON_OBJECTS) $(LIBRARY)
+	$(CC) $(LDFLAGS) -o $@ $^ $(DAEMON_LIBS)
+
+$(TOOLS): $(BUILD)/%: $(BUILD)/%.o $(DAEMON_OBJECTS) $(LIBRARY)
+	$(CC) $(LDFLAGS) -o $@ $^ $(DAEMON_LIBS)
+
+$(UNITS): $(BUILD)/%: $(BUILD)/%.o $(BUILD)/tests/unit/script.o $(DAEMON_OBJECTS) $(LIBRARY)
+	$(CC) $(LDFLAGS) -o $@ $^ $(DAEMON_LIBS) $(shell pkg-config --libs check)
+
+$(BUILD)/%.o: %.c
+	@mkdir -p $(@D)
+	$(CC) $(CPPFLAGS) $(CFLAGS) $(if $(findstring gen/,$<),-w,$(WARNINGS)) -MMD -MP -c -o $@ $<
+
+units: $(UNITS)
+
+generate:
+	cd proto && protoc-c --c_out=../libcaraway/gen caraway.proto
+
+format:
+	clang-format -i $(OWN_SOURCES)
+
+check-format:
+	clang-format --dry-run --Werror $(OWN_SOURCES)
+
+TIDY_SOURCES ?= $(filter %.c,$(OWN_SOURCES))
+check-lint:
+	printf '%s\n' $(TIDY_SOURCES) | xargs -P 8 -n 4 sh -c \
+		'clang-tidy --quiet "$$@" -- $(CPPFLAGS) -std=gnu11 2>/dev/null' tidy
+
+clean:
+	rm -rf $(BUILD)
+
+-include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
+
+.PHONY: all units generate format check-format check-lint clean
+.SECONDARY:
--- /dev/null
+++ b/daemon/link.h
@@ -0,0 +1,44 @@
+/* ZeroMQ sockets with this project's options, and messages over them. */
+#ifndef LINK_H
+#define LINK_H
+
+#include "libcaraway.h"
+
+/* One per process; holds the ZeroMQ context. */
+typedef struct link_context link_context_t;
+
+link_context_t *link_context_new(void);
+void link_context_free(link_context_t *context);
+
+/* A bound ROUTER: hears from many peers, answers by their identity. */
+typedef struct link_server link_server_t;
+/* DEALERs to many addresses, opened when first sent to and closed when idle. */
+typedef struct link_clients link_clients_t;
+
+/* Binds HOST:PORT; port 0 takes a free one. CW_ERR_IO when the address cannot be bound. */
+cw_status_t link_server_open(link_context_t *context, const char *address, link_server_t **server);
+void link_server_close(link_server_t *server);
+const char *link_server_address(const link_server_t *server); /* HOST:PORT as bound */
+int link_server_fd(const link_server_t *server);       /* readable: call link_server_receive() until NULL */
+void *link_server_socket(const link_server_t *server); /* for zmq_poll() */
+/* Returns the next message and its sender's identity, or NULL when none waits; undecodable ones are counted. */
+Caraway__Message *link_server_receive(link_server_t *server, GBytes **peer);
+/* CW_ERR_IO when the peer is gone or its queue is full: nothing was queued. */
+cw_status_t link_server_send(link_server_t *server, GBytes *peer, const Caraway__Message *message);
+
+link_clients_t *link_clients_new(link_context_t *context);
+void link_clients_free(link_clients_t *clients);
+/*
+ * Queues a message for HOST:PORT.  CW_ERR_IO when no connection stands or its
+ * queue is full: the message was handed to nobody.  CW_OK is no proof of delivery.
+ */
+cw_status_t link_clients_send(link_clients_t *clients, const char *address, const Caraway__Message *message);
+/* Opens the connection to an address ahead of its first message. */
+void link_clients_connect(link_clients_t *clients, const char *address);
+void link_clients_drop(link_clients_t *clients, const char *address);
+/* Returns the next answer and the address it came from (borrowed), or NULL when none waits. */
+Caraway__Message *link_clients_receive(link_clients_t *clients, const char **address);
+/* Fills items for zmq_poll() with every open socket; returns how many. */
+size_t link_clients_sockets(const link_clients_t *clients, void **sockets, size_t capacity);
+
+#endif
--- /dev/null
+++ b/daemon/settings.h
@@ -0,0 +1,60 @@
+/* Settings of a daemon, read from one INI file and validated as a whole. */
+#ifndef SETTINGS_H
+#define SETTINGS_H
+
+#include "libcaraway.h"
+
+typedef enum { ROLE_CONTROL, ROLE_PROXY } role_t;
+
+/* A control replica as named in the settings: "1=127.0.0.1:7101". */
+typedef struct {
+	uint32_t id;
+	char *address;
+} control_address_t;
+
+typedef struct {
+	uint32_t id;
+	char *listen; /* HOST:PORT */
+	char *data_folder;
+	uint32_t heartbeat_ms;
+	uint32_t election_ms;
+	uint32_t leader_lease_ms;
+	uint32_t endpoint_lease_ms;
+	uint32_t snapshot_entries; /* applied entries between snapshots */
+	uint32_t feed_keep_records;
+	uint32_t children; /* most proxies that pull from this replica */
+} control_settings_t;
+
+typedef struct {
+	char *vm;
+	char *zone;
+	char *region;
+	char *service;	       /* of the target beside this proxy */
+	char *listen;	       /* HOST:PORT for callers, HTTP */
+	char *call_listen;     /* HOST:PORT for calls from other proxies */
+	char *feed_listen;     /* HOST:PORT for children and queries */
+	char *target;	       /* HOST:PORT of the target beside this proxy */
+	uint32_t slots;	       /* calls the target runs at once */
+	uint32_t connections;  /* most callers' connections */
+	uint32_t queue;	       /* calls that may wait for a slot */
+	uint32_t timeout_ms;   /* of a call whose caller and service give none */
+	uint32_t freshness_ms; /* a parent without a newer stamp for this long is left */
+	uint32_t hold_ms;      /* longest time a pull is held without news */
+	uint32_t children;     /* most proxies that pull from this one */
+	uint32_t feed_keep_records;
+	uint32_t drain_ms;	/* longest time a planned stop waits for calls in flight */
+	uint32_t retry_percent; /* retries allowed, as a share of calls */
+} proxy_settings_t;
+
+typedef struct {
+	role_t role;
+	GArray *controls; /* control_address_t, every replica */
+	char *log_level;
+	control_settings_t control;
+	proxy_settings_t proxy;
+} settings_t;
+
+cw_status_t settings_load(const char *file, settings_t **settings);
+void settings_free(settings_t *settings);
+
+#endif
--- /dev/null
+++ b/daemon/traffic.h
@@ -0,0 +1,28 @@
+/*
+ * Traffic of a proxy: calls from callers (HTTP) and from other proxies
+ * (ZeroMQ) to the target beside it.  Runs in threads of its own.
+ */
+#ifndef TRAFFIC_H
+#define TRAFFIC_H
+
+#include "link.h"
+#include "settings.h"
+#include "view.h"
+
+typedef struct traffic traffic_t;
+
+/* Opens the ports and starts the threads. */
+cw_status_t traffic_start(link_context_t *context, const proxy_settings_t *settings, uint64_t incarnation,
+			  view_slot_t *views, traffic_t **traffic);
+const char *traffic_http_address(const traffic_t *traffic); /* HOST:PORT as bound */
+const char *traffic_call_address(const traffic_t *traffic); /* HOST:PORT as bound */
+/* Refuses new work to the target from now on ("draining"); calls in flight go on. */
+void traffic_drain(traffic_t *traffic);
+/* Calls in flight at this proxy, as origin and as receiver. */
+uint32_t traffic_in_flight(const traffic_t *traffic);
+/* True when the target takes work as far as answers show. */
+bool traffic_target_ready(const traffic_t *traffic);
+/* Stops the threads and closes the ports. */
+void traffic_stop(traffic_t *traffic);
+
+#endif
--- /dev/null
+++ b/tests/unit/script.c
@@ -0,0 +1,87 @@
+/* Scripted runs with expected output. */
+#include "script.h"
+
+#include <string.h>
+
+/* Runs one command line and appends its text and output to the transcript. */
+static void run_line(const char *line, script_command_t command, void *data, GString *transcript)
+{
+	int argc;
+	char **argv;
+	GError *error = NULL;
+
+	g_string_append_printf(transcript, "%s\n", line);
+	if (!g_shell_parse_argv(line + 2, &argc, &argv, &error)) {
+		g_string_append_printf(transcript, "bad command: %s\n", error->message);
+		g_error_free(error);
+		return;
+	}
+	command(data, argc, argv, transcript);
+	g_strfreev(argv);
+}
+
+/* Returns the first line in which two texts differ, with its number. */
+static char *first_difference(const char *file, const char *expected, const char *actual)
+{
+	char **want = g_strsplit(expected, "\n", -1);
+	char **have = g_strsplit(actual, "\n", -1);
+	char *text = NULL;
+	size_t i;
+
+	for (i = 0; want[i] && have[i] && !strcmp(want[i], have[i]); i++)
+		;
+	if (want[i] || have[i])
+		text = g_strdup_printf("%s:%zu: expected \"%s\", got \"%s\"", file, i + 1,
+				       want[i] ? want[i] : "end of file", have[i] ? have[i] : "end of file");
+	g_strfreev(want);
+	g_strfreev(have);
+	return text;
+}
+
+char *script_run(const char *file, script_command_t command, void *data)
+{
+	GString *transcript = g_string_new(NULL);
+	char *text = NULL;
+	char *difference;
+	char **lines;
+
+	if (!g_file_get_contents(file, &text, NULL, NULL)) {
+		g_string_free(transcript, TRUE);
+		return g_strdup_printf("%s: cannot be read", file);
+	}
+	lines = g_strsplit(text, "\n", -1);
+	for (size_t i = 0; lines[i]; i++) {
+		if (g_str_has_prefix(lines[i], "> "))
+			run_line(lines[i], command, data, transcript);
+		else if (g_str_has_prefix(lines[i], "#"))
+			g_string_append_printf(transcript, "%s\n", lines[i]);
+		else if (!*lines[i] && lines[i + 1])
+			g_string_append_c(transcript, '\n');
+	}
+	difference = first_difference(file, text, transcript->str);
+	g_strfreev(lines);
+	g_free(text);
+	g_string_free(transcript, TRUE);
+	return difference;
+}
+
+/* Orders file names. */
+static gint compare_names(gconstpointer a, gconstpointer b)
+{
+	return strcmp(*(char *const *)a, *(char *const *)b);
+}
+
+GPtrArray *script_list(const char *folder)
+{
+	GPtrArray *names = g_ptr_array_new_with_free_func(g_free);
+	GDir *dir = g_dir_open(folder, 0, NULL);
+	const char *name;
+
+	while (dir && (name = g_dir_read_name(dir)))
+		if (g_str_has_suffix(name, ".script"))
+			g_ptr_array_add(names, g_build_filename(folder, name, NULL));
+	if (dir)
+		g_dir_close(dir);
+	g_ptr_array_sort(names, compare_names);
+	return names;
+}
