Send messages between processes over ZeroMQ sockets

Cause: the roles need one place that sets the socket options and tells whether a message was handed on. Change: a ROUTER that answers by identity and DEALERs that queue only while a connection stands; undecodable messages are dropped and counted. Ruled out: the socket's descriptor for epoll, which is edge-triggered and stalls a reader that does not drain it; zmq_poll() is used instead.

--- /dev/null
+++ b/daemon/link.c
@@ -0,0 +1,343 @@
+/* ZeroMQ sockets with this project's options, and messages over them. */
+#include "link.h"
+
+#include <errno.h>
+#include <string.h>
+#include <zmq.h>
+
+#include "counters.h"
+
+enum {
+	MAX_SOCKETS = 4096,
+	QUEUE_MESSAGES = 10000,
+	MAX_MESSAGE_BYTES = 64 << 20,
+	HANDSHAKE_MS = 2000,
+	HEARTBEAT_MS = 1000,
+	HEARTBEAT_TIMEOUT_MS = 3000,
+	RECONNECT_MS = 50,
+	RECONNECT_MAX_MS = 1000,
+	NO_LINGER = 0,
+	ADDRESS_BYTES = 256
+};
+
+struct link_context {
+	void *zmq;
+};
+
+struct link_server {
+	void *socket;
+	char *address;
+};
+
+struct link_clients {
+	link_context_t *context;
+	GHashTable *sockets;  /* address -> socket */
+	GPtrArray *addresses; /* borrowed keys, in the order of opening */
+	size_t next;	      /* address to receive from first */
+};
+
+/* Creates the process's ZeroMQ context; aborts when the library refuses. */
+link_context_t *link_context_new(void)
+{
+	link_context_t *context = g_new0(link_context_t, 1);
+
+	context->zmq = zmq_ctx_new();
+	if (!context->zmq)
+		g_error("zmq_ctx_new: %s", zmq_strerror(errno));
+	zmq_ctx_set(context->zmq, ZMQ_MAX_SOCKETS, MAX_SOCKETS);
+	return context;
+}
+
+/* Frees the context; every socket must be closed before. */
+void link_context_free(link_context_t *context)
+{
+	if (!context)
+		return;
+	zmq_ctx_term(context->zmq);
+	g_free(context);
+}
+
+/* Sets one integer option; the options used here cannot fail on an open socket. */
+static void set_option(void *socket, int option, int value)
+{
+	zmq_setsockopt(socket, option, &value, sizeof(value));
+}
+
+/* Opens a socket with the options common to servers and clients; NULL when the library refuses. */
+static void *open_socket(link_context_t *context, int type)
+{
+	void *socket = zmq_socket(context->zmq, type);
+	int64_t max_bytes = MAX_MESSAGE_BYTES;
+
+	if (!socket)
+		return NULL;
+	set_option(socket, ZMQ_LINGER, NO_LINGER);
+	set_option(socket, ZMQ_SNDHWM, QUEUE_MESSAGES);
+	set_option(socket, ZMQ_RCVHWM, QUEUE_MESSAGES);
+	set_option(socket, ZMQ_HANDSHAKE_IVL, HANDSHAKE_MS);
+	set_option(socket, ZMQ_HEARTBEAT_IVL, HEARTBEAT_MS);
+	set_option(socket, ZMQ_HEARTBEAT_TIMEOUT, HEARTBEAT_TIMEOUT_MS);
+	zmq_setsockopt(socket, ZMQ_MAXMSGSIZE, &max_bytes, sizeof(max_bytes));
+	return socket;
+}
+
+/* Binds HOST:PORT for many peers; port 0 takes a free one.  CW_ERR_IO when the address cannot be bound. */
+cw_status_t link_server_open(link_context_t *context, const char *address, link_server_t **server)
+{
+	char bound[ADDRESS_BYTES];
+	size_t length = sizeof(bound);
+	void *socket = open_socket(context, ZMQ_ROUTER);
+	char *endpoint;
+
+	if (!socket)
+		return cw_fail(CW_ERR_IO, "%s: cannot open a socket: %s", address, zmq_strerror(errno));
+	set_option(socket, ZMQ_ROUTER_MANDATORY, 1);
+	endpoint = g_strdup_printf("tcp://%s", address);
+	if (zmq_bind(socket, endpoint)) {
+		cw_fail(CW_ERR_IO, "%s: cannot bind: %s", address, zmq_strerror(errno));
+		g_free(endpoint);
+		zmq_close(socket);
+		return CW_ERR_IO;
+	}
+	g_free(endpoint);
+	zmq_getsockopt(socket, ZMQ_LAST_ENDPOINT, bound, &length);
+	*server = g_new0(link_server_t, 1);
+	(*server)->socket = socket;
+	(*server)->address = g_strdup(bound + strlen("tcp://"));
+	return CW_OK;
+}
+
+/* Closes a server at once; what is still queued is dropped.  NULL is allowed. */
+void link_server_close(link_server_t *server)
+{
+	if (!server)
+		return;
+	zmq_close(server->socket);
+	g_free(server->address);
+	g_free(server);
+}
+
+/* Returns HOST:PORT as bound. */
+const char *link_server_address(const link_server_t *server)
+{
+	return server->address;
+}
+
+/* Returns the socket, for zmq_poll() only. */
+void *link_server_socket(const link_server_t *server)
+{
+	return server->socket;
+}
+
+/* Reads one frame without waiting; false when none waits. */
+static bool receive_frame(void *socket, zmq_msg_t *frame)
+{
+	zmq_msg_init(frame);
+	if (zmq_msg_recv(frame, socket, ZMQ_DONTWAIT) >= 0)
+		return true;
+	zmq_msg_close(frame);
+	return false;
+}
+
+/* Reads and drops the frames left of a message; returns how many there were. */
+static size_t drop_frames(void *socket, bool more)
+{
+	size_t dropped = 0;
+	zmq_msg_t frame;
+
+	while (more && receive_frame(socket, &frame)) {
+		more = zmq_msg_more(&frame);
+		zmq_msg_close(&frame);
+		dropped++;
+	}
+	return dropped;
+}
+
+/* Decodes the last frame of a message; NULL, and a count, when it does not decode or is not the last. */
+static Caraway__Message *decode_frame(void *socket, zmq_msg_t *frame)
+{
+	Caraway__Message *message = NULL;
+
+	if (!drop_frames(socket, zmq_msg_more(frame)))
+		message = caraway__message__unpack(NULL, zmq_msg_size(frame), zmq_msg_data(frame));
+	if (message && message->body_case == CARAWAY__MESSAGE__BODY__NOT_SET) {
+		cw_message_free(message);
+		message = NULL;
+	}
+	if (!message)
+		counter_add(COUNTER_MESSAGE_UNDECODABLE, 1);
+	zmq_msg_close(frame);
+	return message;
+}
+
+/* Returns the next message and its sender's identity, or NULL when none waits. */
+Caraway__Message *link_server_receive(link_server_t *server, GBytes **peer)
+{
+	Caraway__Message *message = NULL;
+	zmq_msg_t identity;
+	zmq_msg_t frame;
+
+	while (!message && receive_frame(server->socket, &identity)) {
+		if (zmq_msg_more(&identity) && receive_frame(server->socket, &frame))
+			message = decode_frame(server->socket, &frame);
+		else
+			counter_add(COUNTER_MESSAGE_UNDECODABLE, 1);
+		if (message)
+			*peer = g_bytes_new(zmq_msg_data(&identity), zmq_msg_size(&identity));
+		zmq_msg_close(&identity);
+	}
+	return message;
+}
+
+/* Sends a packed message as one frame without waiting. */
+static cw_status_t send_packed(void *socket, const Caraway__Message *message)
+{
+	GBytes *packed = cw_message_pack(&message->base);
+	gsize length;
+	const void *data = g_bytes_get_data(packed, &length);
+	int sent = zmq_send(socket, data, length, ZMQ_DONTWAIT);
+
+	g_bytes_unref(packed);
+	if (sent >= 0)
+		return CW_OK;
+	counter_add(COUNTER_SEND_REFUSED, 1);
+	return cw_fail(CW_ERR_IO, "message not queued: %s", zmq_strerror(errno));
+}
+
+/* Queues an answer for a peer.  CW_ERR_IO when the peer is gone or its queue is full: nothing was queued. */
+cw_status_t link_server_send(link_server_t *server, GBytes *peer, const Caraway__Message *message)
+{
+	gsize length;
+	const void *identity = g_bytes_get_data(peer, &length);
+
+	if (zmq_send(server->socket, identity, length, ZMQ_SNDMORE | ZMQ_DONTWAIT) < 0) {
+		counter_add(COUNTER_SEND_REFUSED, 1);
+		return cw_fail(CW_ERR_IO, "peer is gone or its queue is full: %s", zmq_strerror(errno));
+	}
+	return send_packed(server->socket, message);
+}
+
+/* Closes a socket; for the table of clients. */
+static void close_socket(gpointer socket)
+{
+	zmq_close(socket);
+}
+
+/* Creates an empty set of clients. */
+link_clients_t *link_clients_new(link_context_t *context)
+{
+	link_clients_t *clients = g_new0(link_clients_t, 1);
+
+	clients->context = context;
+	clients->sockets = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, close_socket);
+	clients->addresses = g_ptr_array_new();
+	return clients;
+}
+
+/* Closes every client at once.  NULL is allowed. */
+void link_clients_free(link_clients_t *clients)
+{
+	if (!clients)
+		return;
+	g_ptr_array_free(clients->addresses, TRUE);
+	g_hash_table_destroy(clients->sockets);
+	g_free(clients);
+}
+
+/* Opens a socket that reconnects by itself and queues only while a connection stands. */
+static void *open_client(link_clients_t *clients, const char *address)
+{
+	void *socket = open_socket(clients->context, ZMQ_DEALER);
+	char *endpoint;
+	int failed;
+
+	if (!socket)
+		return NULL;
+	set_option(socket, ZMQ_IMMEDIATE, 1);
+	set_option(socket, ZMQ_RECONNECT_IVL, RECONNECT_MS);
+	set_option(socket, ZMQ_RECONNECT_IVL_MAX, RECONNECT_MAX_MS);
+	endpoint = g_strdup_printf("tcp://%s", address);
+	failed = zmq_connect(socket, endpoint);
+	g_free(endpoint);
+	if (!failed)
+		return socket;
+	zmq_close(socket);
+	return NULL;
+}
+
+/* Returns the socket of an address, opened if need be; NULL when the address is unusable. */
+static void *client_socket(link_clients_t *clients, const char *address)
+{
+	void *socket = g_hash_table_lookup(clients->sockets, address);
+	char *key;
+
+	if (socket)
+		return socket;
+	socket = open_client(clients, address);
+	if (!socket)
+		return NULL;
+	key = g_strdup(address);
+	g_hash_table_insert(clients->sockets, key, socket);
+	g_ptr_array_add(clients->addresses, key);
+	return socket;
+}
+
+/* Queues a message for HOST:PORT.  CW_ERR_IO: the message was handed to nobody.  CW_OK proves no delivery. */
+cw_status_t link_clients_send(link_clients_t *clients, const char *address, const Caraway__Message *message)
+{
+	void *socket = client_socket(clients, address);
+
+	if (socket)
+		return send_packed(socket, message);
+	counter_add(COUNTER_SEND_REFUSED, 1);
+	return cw_fail(CW_ERR_IO, "%s: no such address", address);
+}
+
+/* Opens the connection to an address ahead of its first message. */
+void link_clients_connect(link_clients_t *clients, const char *address)
+{
+	client_socket(clients, address);
+}
+
+/* Closes the connection to an address; what is queued on it is dropped. */
+void link_clients_drop(link_clients_t *clients, const char *address)
+{
+	gpointer key;
+
+	if (!g_hash_table_lookup_extended(clients->sockets, address, &key, NULL))
+		return;
+	g_ptr_array_remove(clients->addresses, key);
+	g_hash_table_remove(clients->sockets, address);
+}
+
+/* Returns the next answer and the address it came from, or NULL when none waits; addresses take turns. */
+Caraway__Message *link_clients_receive(link_clients_t *clients, const char **address)
+{
+	size_t count = clients->addresses->len;
+
+	for (size_t tried = 0; tried < count; tried++) {
+		const char *from = g_ptr_array_index(clients->addresses, clients->next++ % count);
+		void *socket = g_hash_table_lookup(clients->sockets, from);
+		Caraway__Message *message;
+		zmq_msg_t frame;
+
+		if (!receive_frame(socket, &frame))
+			continue;
+		message = decode_frame(socket, &frame);
+		if (!message)
+			continue;
+		*address = from;
+		return message;
+	}
+	return NULL;
+}
+
+/* Fills in the open sockets, for zmq_poll() only; returns how many were filled in. */
+size_t link_clients_sockets(const link_clients_t *clients, void **sockets, size_t capacity)
+{
+	size_t count = MIN(capacity, clients->addresses->len);
+
+	for (size_t i = 0; i < count; i++)
+		sockets[i] = g_hash_table_lookup(clients->sockets, g_ptr_array_index(clients->addresses, i));
+	return count;
+}
--- a/daemon/link.h
+++ b/daemon/link.h
@@ -12,15 +12,14 @@
 
 /* A bound ROUTER: hears from many peers, answers by their identity. */
 typedef struct link_server link_server_t;
-/* DEALERs to many addresses, opened when first sent to and closed when idle. */
+/* DEALERs to many addresses, opened when first sent to. */
 typedef struct link_clients link_clients_t;
 
 /* Binds HOST:PORT; port 0 takes a free one. CW_ERR_IO when the address cannot be bound. */
 cw_status_t link_server_open(link_context_t *context, const char *address, link_server_t **server);
 void link_server_close(link_server_t *server);
 const char *link_server_address(const link_server_t *server); /* HOST:PORT as bound */
-int link_server_fd(const link_server_t *server);       /* readable: call link_server_receive() until NULL */
-void *link_server_socket(const link_server_t *server); /* for zmq_poll() */
+void *link_server_socket(const link_server_t *server);	      /* for zmq_poll() */
 /* Returns the next message and its sender's identity, or NULL when none waits; undecodable ones are counted. */
 Caraway__Message *link_server_receive(link_server_t *server, GBytes **peer);
 /* CW_ERR_IO when the peer is gone or its queue is full: nothing was queued. */
