Read settings strictly and log JSON lines

Cause: GLib's key files merge a doubled section or key without a word, so a setting could be lost unseen. Ruled out: host names as addresses; processes find each other by IPv4 numbers only, so a name would be refused late.

--- a/Makefile
+++ b/Makefile
@@ -23,7 +23,8 @@
 object = $(patsubst %.c,$(BUILD)/%.o,$(1))
 LIBRARY = $(BUILD)/libcaraway.a
 DAEMON_OBJECTS = $(call object,$(DAEMON_SOURCES))
-PROGRAMS = $(BUILD)/carawayd $(BUILD)/carawayctl
+PROGRAMS = $(if $(and $(wildcard daemon/control.c),$(wildcard daemon/proxy.c)),$(BUILD)/carawayd) \
+	$(if $(and $(wildcard cli/carawayctl.c),$(wildcard daemon/link.c)),$(BUILD)/carawayctl)
 TOOLS = $(patsubst %.c,$(BUILD)/%,$(TOOL_SOURCES))
 UNITS = $(patsubst %.c,$(BUILD)/%,$(UNIT_SOURCES))
 
--- /dev/null
+++ b/daemon/carawayd.c
@@ -0,0 +1,138 @@
+/* The daemon: one role per process, set in its settings file. */
+#include <argp.h>
+#include <signal.h>
+#include <stdio.h>
+
+#include "log.h"
+#include "run.h"
+
+const char *argp_program_version = "carawayd 0.1";
+
+typedef enum { TASK_NONE, TASK_RUN, TASK_CHECK, TASK_FORMAT } task_t;
+
+typedef struct {
+	task_t task;
+	const char *file;
+} arguments_t;
+
+enum { OPTION_CHECK = 'k', OPTION_CONFIG = 'c', OPTION_FORMAT = 'f' };
+
+static const struct argp_option options[] = {
+	{"config", OPTION_CONFIG, "FILE", 0, "Run with the settings of FILE", 0},
+	{"check-config", OPTION_CHECK, "FILE", 0, "Check the settings of FILE and exit", 0},
+	{"format", OPTION_FORMAT, "FILE", 0,
+	 "Write the first state of a control replica into its empty data folder and exit", 0},
+	{0},
+};
+
+static volatile sig_atomic_t stop;
+
+/* Asks the role to stop as planned. */
+static void request_stop(int signal_number)
+{
+	(void)signal_number;
+	stop = 1;
+}
+
+/* Takes one option of the command line; exactly one task may be given. */
+static error_t parse_option(int key, char *value, struct argp_state *state)
+{
+	arguments_t *arguments = state->input;
+	task_t task;
+
+	switch (key) {
+	case OPTION_CONFIG:
+		task = TASK_RUN;
+		break;
+	case OPTION_CHECK:
+		task = TASK_CHECK;
+		break;
+	case OPTION_FORMAT:
+		task = TASK_FORMAT;
+		break;
+	case ARGP_KEY_ARG:
+		argp_error(state, "unexpected argument \"%s\"", value);
+		return 0;
+	case ARGP_KEY_END:
+		if (arguments->task == TASK_NONE)
+			argp_error(state, "give --config, --check-config or --format");
+		return 0;
+	default:
+		return ARGP_ERR_UNKNOWN;
+	}
+	if (arguments->task != TASK_NONE)
+		argp_error(state, "give only one of --config, --check-config and --format");
+	arguments->task = task;
+	arguments->file = value;
+	return 0;
+}
+
+/* Installs the handlers: SIGTERM and SIGINT are a planned stop, SIGPIPE is left to the writer. */
+static void install_signals(void)
+{
+	struct sigaction action = {.sa_handler = request_stop};
+
+	sigemptyset(&action.sa_mask);
+	sigaction(SIGTERM, &action, NULL);
+	sigaction(SIGINT, &action, NULL);
+	action.sa_handler = SIG_IGN;
+	sigaction(SIGPIPE, &action, NULL);
+}
+
+/* Runs the role of the settings until a planned stop. */
+static cw_status_t run_role(const settings_t *settings)
+{
+	switch (settings->role) {
+	case ROLE_CONTROL:
+		return control_run(settings, &stop);
+	case ROLE_PROXY:
+		return proxy_run(settings, &stop);
+	}
+	return CW_ERR_INTERNAL;
+}
+
+/* Writes the first state of a control replica. */
+static cw_status_t format_folder(const settings_t *settings, const char *file)
+{
+	if (settings->role != ROLE_CONTROL)
+		return cw_fail(CW_ERR_SETTINGS,
+			       "%s: [process] role: only a control replica has a data folder", file);
+	return control_format(settings);
+}
+
+/* Carries out the task of the command line with checked settings. */
+static cw_status_t run_task(const arguments_t *arguments, const settings_t *settings)
+{
+	cw_status_t status = log_init("carawayd", settings->log_level);
+
+	if (status != CW_OK || arguments->task == TASK_CHECK)
+		return status;
+	if (arguments->task == TASK_FORMAT)
+		return format_folder(settings, arguments->file);
+	install_signals();
+	return run_role(settings);
+}
+
+/* Exits with the number of the status that ended the run. */
+int main(int argc, char **argv)
+{
+	const struct argp argp = {
+		.options = options,
+		.parser = parse_option,
+		.doc = "Control replica or proxy of a carawaygrade mesh, by the role in its settings.\v"
+		       "Example: carawayd --check-config /etc/caraway/proxy.ini",
+	};
+	arguments_t arguments = {0};
+	settings_t *settings = NULL;
+
+	argp_err_exit_status = CW_ERR_USAGE;
+	argp_parse(&argp, argc, argv, 0, NULL, &arguments);
+
+	cw_status_t status = settings_load(arguments.file, &settings);
+	if (status == CW_OK)
+		status = run_task(&arguments, settings);
+	if (status != CW_OK)
+		fprintf(stderr, "carawayd: %s: %s\n", cw_status_word(status), cw_last_message());
+	settings_free(settings);
+	return (int)status;
+}
--- /dev/null
+++ b/daemon/ini.h
@@ -0,0 +1,10 @@
+/* INI files read strictly: GLib's key files with doubled groups and keys refused. */
+#ifndef INI_H
+#define INI_H
+
+#include "libcaraway.h"
+
+/* Reads a file; CW_ERR_SETTINGS names the file and, where there is one, the line's section and key. */
+cw_status_t ini_load(const char *file, GKeyFile **keys);
+
+#endif
--- /dev/null
+++ b/daemon/log.c
@@ -0,0 +1,205 @@
+/* Structured logs: one JSON object a line on standard error, through GLib. */
+#include "log.h"
+
+#include <jansson.h>
+#include <stdarg.h>
+#include <string.h>
+#include <unistd.h>
+
+/* Name of the opaque GLib log field that carries the typed fields, a json_t object. */
+#define FIELDS_KEY "CARAWAY_FIELDS"
+
+static char *program_name;
+static GLogLevelFlags least_level = G_LOG_LEVEL_INFO;
+
+/* A log level as settings and log lines name it; a smaller flag is more urgent. */
+typedef struct {
+	const char *word;
+	GLogLevelFlags flag;
+} level_word_t;
+
+static const level_word_t level_words[] = {
+	{"error", G_LOG_LEVEL_CRITICAL},
+	{"warning", G_LOG_LEVEL_WARNING},
+	{"info", G_LOG_LEVEL_INFO},
+	{"debug", G_LOG_LEVEL_DEBUG},
+};
+
+/* Returns the word for a level; levels that have none get the nearest more urgent one's. */
+static const char *level_word(GLogLevelFlags level)
+{
+	const char *word = level_words[0].word;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(level_words); i++)
+		if ((level & G_LOG_LEVEL_MASK) >= level_words[i].flag)
+			word = level_words[i].word;
+	return word;
+}
+
+/* Returns the present UTC time in ISO 8601 with milliseconds; the caller frees it. */
+static char *time_text(void)
+{
+	g_autoptr(GDateTime) now = g_date_time_new_now_utc();
+	g_autofree char *seconds = g_date_time_format(now, "%Y-%m-%dT%H:%M:%S");
+
+	return g_strdup_printf("%s.%03dZ", seconds, g_date_time_get_microsecond(now) / 1000);
+}
+
+/* Adds one GLib log field to the object of a line; fields that GLib adds for its own use are left out. */
+static void add_field(json_t *line, const GLogField *field)
+{
+	if (strcmp(field->key, FIELDS_KEY) == 0)
+		json_object_update(line, (json_t *)field->value);
+	else if (strcmp(field->key, "MESSAGE") == 0 && field->length < 0)
+		json_object_set_new(line, "event", json_string(field->value));
+	else if (strcmp(field->key, "GLIB_DOMAIN") == 0 && field->length < 0)
+		json_object_set_new(line, "domain", json_string(field->value));
+}
+
+/* Writes a whole buffer to standard error; a log that cannot be written is dropped. */
+static void write_line(const char *text, size_t length)
+{
+	size_t done = 0;
+
+	while (done < length) {
+		ssize_t count = write(STDERR_FILENO, text + done, length - done);
+		if (count <= 0)
+			return;
+		done += (size_t)count;
+	}
+}
+
+/* GLib's log writer: renders an entry as one line of JSON. */
+static GLogWriterOutput write_entry(GLogLevelFlags level, const GLogField *fields, gsize field_count,
+				    gpointer data)
+{
+	(void)data;
+	if ((level & G_LOG_LEVEL_MASK) > least_level)
+		return G_LOG_WRITER_HANDLED;
+
+	g_autofree char *time = time_text();
+	json_t *line = json_object();
+
+	json_object_set_new(line, "time", json_string(time));
+	json_object_set_new(line, "level", json_string(level_word(level)));
+	json_object_set_new(line, "program", json_string(program_name));
+	for (gsize i = 0; i < field_count; i++)
+		add_field(line, &fields[i]);
+
+	char *text = json_dumps(line, JSON_COMPACT);
+	if (text) {
+		g_autofree char *whole = g_strconcat(text, "\n", NULL);
+		write_line(whole, strlen(whole));
+	}
+	free(text);
+	json_decref(line);
+	return G_LOG_WRITER_HANDLED;
+}
+
+/* Returns the flag of a level's word, or 0 for an unknown word. */
+static GLogLevelFlags level_flag(const char *word)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(level_words); i++)
+		if (strcmp(level_words[i].word, word) == 0)
+			return level_words[i].flag;
+	return 0;
+}
+
+/*
+ * Installs the writer and sets the least urgent level that is written.  Call
+ * once, before other threads start.  CW_ERR_SETTINGS for an unknown level.
+ */
+cw_status_t log_init(const char *program, const char *level)
+{
+	GLogLevelFlags flag = level_flag(level);
+
+	if (!flag)
+		return cw_fail(CW_ERR_SETTINGS, "unknown log level \"%s\": use error, warning, info or debug",
+			       level);
+	g_free(program_name);
+	program_name = g_strdup(program);
+	least_level = flag;
+	g_log_set_writer_func(write_entry, NULL, NULL);
+	return CW_OK;
+}
+
+/* Collects the typed fields of a log call into a JSON object. */
+static json_t *collect_fields(va_list list)
+{
+	json_t *fields = json_object();
+
+	for (;;) {
+		log_field_t kind = (log_field_t)va_arg(list, int);
+		if (kind == LOG_FIELD_END)
+			return fields;
+		const char *name = va_arg(list, const char *);
+		switch (kind) {
+		case LOG_FIELD_STR: {
+			const char *value = va_arg(list, const char *);
+			json_object_set_new(fields, name, value ? json_string(value) : json_null());
+			break;
+		}
+		case LOG_FIELD_INT:
+			json_object_set_new(fields, name, json_integer(va_arg(list, int64_t)));
+			break;
+		case LOG_FIELD_UINT:
+			json_object_set_new(fields, name, json_integer((json_int_t)va_arg(list, uint64_t)));
+			break;
+		case LOG_FIELD_END:
+			break;
+		}
+	}
+}
+
+/* Hands an event with its fields to GLib, unless its level is not written. */
+static void log_event(GLogLevelFlags level, const char *event, va_list list)
+{
+	if (level > least_level)
+		return;
+
+	json_t *values = collect_fields(list);
+	const GLogField fields[] = {{"MESSAGE", event, -1}, {FIELDS_KEY, values, 0}};
+
+	g_log_structured_array(level, fields, G_N_ELEMENTS(fields));
+	json_decref(values);
+}
+
+/* Logs an event that only a developer follows. */
+void log_debug(const char *event, ...)
+{
+	va_list list;
+
+	va_start(list, event);
+	log_event(G_LOG_LEVEL_DEBUG, event, list);
+	va_end(list);
+}
+
+/* Logs an event of normal running. */
+void log_info(const char *event, ...)
+{
+	va_list list;
+
+	va_start(list, event);
+	log_event(G_LOG_LEVEL_INFO, event, list);
+	va_end(list);
+}
+
+/* Logs an event that an operator should look at. */
+void log_warning(const char *event, ...)
+{
+	va_list list;
+
+	va_start(list, event);
+	log_event(G_LOG_LEVEL_WARNING, event, list);
+	va_end(list);
+}
+
+/* Logs a failure that stops the process or a part of it. */
+void log_error(const char *event, ...)
+{
+	va_list list;
+
+	va_start(list, event);
+	log_event(G_LOG_LEVEL_CRITICAL, event, list);
+	va_end(list);
+}
--- a/daemon/settings.h
+++ b/daemon/settings.h
@@ -55,6 +55,8 @@
 } settings_t;
 
 cw_status_t settings_load(const char *file, settings_t **settings);
+/* Reads only the list of control replicas, control_address_t items. */
+cw_status_t settings_load_controls(const char *file, GArray **controls);
 void settings_free(settings_t *settings);
 
 #endif
