--- /dev/null
+++ b/daemon/settings_controls.c
@@ -0,0 +1,100 @@
+/* The list of control replicas in a settings file. */
+#include "settings_controls.h"
+
+#include "ini.h"
+#include "settings_rules.h"
+
+/* Frees the text of an address in a list. */
+static void control_address_clear(void *data)
+{
+	control_address_t *address = data;
+
+	g_free(address->address);
+}
+
+/* Makes an empty list of control replicas. */
+GArray *controls_new(void)
+{
+	GArray *controls = g_array_new(FALSE, TRUE, sizeof(control_address_t));
+
+	g_array_set_clear_func(controls, control_address_clear);
+	return controls;
+}
+
+/* Finds a replica's address by id; NULL when the list has none. */
+const char *controls_find(const GArray *controls, uint32_t id)
+{
+	for (guint i = 0; i < controls->len; i++) {
+		const control_address_t *control = &g_array_index(controls, control_address_t, i);
+		if (control->id == id)
+			return control->address;
+	}
+	return NULL;
+}
+
+/* Refuses an address that another replica of the list has already. */
+static bool address_taken(const GArray *controls, const char *address)
+{
+	for (guint i = 0; i < controls->len; i++)
+		if (g_strcmp0(g_array_index(controls, control_address_t, i).address, address) == 0)
+			return true;
+	return false;
+}
+
+/* Adds one line of the replica list. */
+static cw_status_t add_control(const char *file, GKeyFile *keys, const char *key, GArray *controls)
+{
+	control_address_t control = {0};
+	g_autofree char *value = g_key_file_get_string(keys, REPLICAS_GROUP, key, NULL);
+
+	if (!value_parse_number(key, 1, MAX_REPLICA_ID, &control.id) || controls_find(controls, control.id))
+		return cw_fail(CW_ERR_SETTINGS, "%s: [" REPLICAS_GROUP "] %s: use each id from 1 to %d once",
+			       file, key, MAX_REPLICA_ID);
+	if (!value || !value_is_address(value, 1))
+		return cw_fail(CW_ERR_SETTINGS,
+			       "%s: [" REPLICAS_GROUP
+			       "] %s = \"%s\": give an IPv4 number and a port, as in 10.0.0.5:7101",
+			       file, key, value ? value : "");
+	if (address_taken(controls, value))
+		return cw_fail(CW_ERR_SETTINGS,
+			       "%s: [" REPLICAS_GROUP "] %s = \"%s\": another replica has this address", file,
+			       key, value);
+	control.address = g_steal_pointer(&value);
+	g_array_append_val(controls, control);
+	return CW_OK;
+}
+
+/* Reads the replica list of an opened file. */
+cw_status_t controls_load(const char *file, GKeyFile *keys, GArray *controls)
+{
+	g_auto(GStrv) names = g_key_file_get_keys(keys, REPLICAS_GROUP, NULL, NULL);
+	cw_status_t status = CW_OK;
+
+	if (!names || !names[0])
+		return cw_fail(CW_ERR_SETTINGS, "%s: [" REPLICAS_GROUP "] is missing; list each replica",
+			       file);
+	for (size_t i = 0; names[i] && status == CW_OK; i++)
+		status = add_control(file, keys, names[i], controls);
+	if (status == CW_OK && controls->len > MAX_CONTROLS)
+		status =
+			cw_fail(CW_ERR_SETTINGS, "%s: [" REPLICAS_GROUP "] lists %u replicas; use at most %d",
+				file, controls->len, MAX_CONTROLS);
+	return status;
+}
+
+/*
+ * Reads only the list of control replicas of a settings file, for programs
+ * that talk to them.  The caller frees *controls with g_array_unref().
+ */
+cw_status_t settings_load_controls(const char *file, GArray **controls)
+{
+	g_autoptr(GKeyFile) keys = NULL;
+	g_autoptr(GArray) loaded = controls_new();
+	cw_status_t status = ini_load(file, &keys);
+
+	if (status == CW_OK)
+		status = controls_load(file, keys, loaded);
+	if (status == CW_OK)
+		*controls = g_steal_pointer(&loaded);
+	return status;
+}
