Carry configuration as a feed of records and endpoints as a table of members

Cause: proxies need the whole configuration in order, from any parent, and the endpoints under lease.

A leader that followed the one before goes on from its copy, so a new election does not send the whole table again. Pull.floor and News.floor carry a numbered question for a stamp confirmed after it was asked. Ruled out: dropping the endpoints that a whole table of a newer epoch does not name. Control replicas that lost their tables together would take every endpoint away from every proxy; unnamed ones are kept for one lease instead.

--- /dev/null
+++ b/libcaraway/feed.c
@@ -0,0 +1,214 @@
+/*
+ * The feed: ordered records that carry the catalog from the control replicas
+ * to every proxy.  Records are numbered without gaps and chained by hash.
+ */
+#include "feed_internal.h"
+
+void cw_feed_drop_cache(const cw_feed_t *feed)
+{
+	if (feed->cache->bytes)
+		g_bytes_unref(feed->cache->bytes);
+	feed->cache->bytes = NULL;
+}
+
+/* Frees the records, staged content and cache of a feed, not the feed itself. */
+static void feed_clear(cw_feed_t *feed)
+{
+	cw_catalog_free(feed->catalog);
+	g_ptr_array_unref(feed->records);
+	g_hash_table_unref(feed->staged);
+	cw_feed_drop_cache(feed);
+}
+
+GHashTable *cw_feed_staged_new(void)
+{
+	return g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, cw_message_free);
+}
+
+/* Returns an empty feed that keeps the last keep_records records for its readers. */
+cw_feed_t *cw_feed_new(size_t keep_records)
+{
+	cw_feed_t *feed = g_new0(cw_feed_t, 1);
+
+	feed->keep_records = keep_records;
+	feed->catalog = cw_catalog_new();
+	feed->records = g_ptr_array_new_with_free_func((GDestroyNotify)g_bytes_unref);
+	feed->staged = cw_feed_staged_new();
+	feed->cache = g_new0(feed_cache_t, 1);
+	return feed;
+}
+
+/* Frees a feed; NULL is allowed. */
+void cw_feed_free(cw_feed_t *feed)
+{
+	if (!feed)
+		return;
+	feed_clear(feed);
+	g_free(feed->cache);
+	g_free(feed);
+}
+
+/* Returns the catalog as of the last record; it changes with the next one. */
+const cw_catalog_t *cw_feed_catalog(const cw_feed_t *feed)
+{
+	return feed->catalog;
+}
+
+/* Returns the index of the last record; 0 for an empty feed. */
+uint64_t cw_feed_index(const cw_feed_t *feed)
+{
+	return feed->index;
+}
+
+/* Returns the chain value of the last record. */
+uint64_t cw_feed_chain(const cw_feed_t *feed)
+{
+	return feed->chain;
+}
+
+/* Returns the configuration version; activations and VM records raise it. */
+uint64_t cw_feed_version(const cw_feed_t *feed)
+{
+	return feed->version;
+}
+
+uint64_t cw_feed_record_chain(const Caraway__FeedRecord *record, uint64_t previous)
+{
+	Caraway__FeedRecord unchained = *record;
+	GBytes *packed;
+	gsize length;
+	const void *data;
+	uint64_t chain;
+
+	unchained.chain = 0;
+	packed = cw_message_pack(&unchained.base);
+	data = g_bytes_get_data(packed, &length);
+	chain = cw_hash(data, length, previous);
+	g_bytes_unref(packed);
+	return chain;
+}
+
+/* Drops the oldest records beyond the number to keep. */
+static void trim_records(cw_feed_t *feed)
+{
+	size_t excess;
+	gsize length;
+	const void *data;
+	Caraway__FeedRecord *last;
+
+	/* Trimming in steps keeps the cost of moving the rest small. */
+	if (feed->records->len <= feed->keep_records + feed->keep_records / 4)
+		return;
+	excess = feed->records->len - feed->keep_records;
+	data = g_bytes_get_data(g_ptr_array_index(feed->records, excess - 1), &length);
+	last = caraway__feed_record__unpack(NULL, length, data);
+	feed->base_index = last->index;
+	feed->base_chain = last->chain;
+	cw_message_free(last);
+	g_ptr_array_remove_range(feed->records, 0, excess);
+}
+
+/* Puts staged content in force and forgets it as staged. */
+static void apply_activate(cw_feed_t *feed, uint64_t number, uint64_t version)
+{
+	const Caraway__StageRecord *stage = g_hash_table_lookup(feed->staged, &number);
+
+	cw_catalog_apply(feed->catalog, stage->content, number, version);
+	g_hash_table_remove(feed->staged, &number);
+}
+
+void cw_feed_apply(cw_feed_t *feed, const Caraway__FeedRecord *record)
+{
+	Caraway__StageRecord *stage;
+
+	switch (record->body_case) {
+	case CARAWAY__FEED_RECORD__BODY_STAGE:
+		stage = cw_message_copy(&record->stage->base);
+		g_hash_table_replace(feed->staged, &stage->number, stage);
+		break;
+	case CARAWAY__FEED_RECORD__BODY_ACTIVATE:
+		apply_activate(feed, record->activate->number, record->version);
+		break;
+	case CARAWAY__FEED_RECORD__BODY_DROP:
+		g_hash_table_remove(feed->staged, &record->drop->number);
+		break;
+	case CARAWAY__FEED_RECORD__BODY_VM:
+		cw_catalog_set_vm(feed->catalog, record->vm->vm, record->version);
+		break;
+	default:
+		g_assert_not_reached();
+	}
+	feed->index = record->index;
+	feed->chain = record->chain;
+	feed->version = record->version;
+	g_ptr_array_add(feed->records, cw_message_pack(&record->base));
+	trim_records(feed);
+}
+
+/* Numbers and chains a record made at the source, then applies it. */
+static void append_record(cw_feed_t *feed, Caraway__FeedRecord *record, bool raises_version)
+{
+	record->index = feed->index + 1;
+	record->version = feed->version + (raises_version ? 1 : 0);
+	record->chain = cw_feed_record_chain(record, feed->chain);
+	cw_feed_apply(feed, record);
+}
+
+/* Stages the content of a change, to be activated later. */
+void cw_feed_stage(cw_feed_t *feed, uint64_t number, const Caraway__Content *content)
+{
+	Caraway__FeedRecord record = CARAWAY__FEED_RECORD__INIT;
+	Caraway__StageRecord stage = CARAWAY__STAGE_RECORD__INIT;
+
+	stage.number = number;
+	stage.digest = cw_content_digest(content);
+	stage.content = (Caraway__Content *)content;
+	record.body_case = CARAWAY__FEED_RECORD__BODY_STAGE;
+	record.stage = &stage;
+	append_record(feed, &record, false);
+}
+
+/* Puts a staged change in force; times are UTC ms.  CW_ERR_STATE when it is not staged. */
+cw_status_t cw_feed_activate(cw_feed_t *feed, uint64_t number, int64_t due_ms, int64_t at_ms)
+{
+	Caraway__FeedRecord record = CARAWAY__FEED_RECORD__INIT;
+	Caraway__ActivateRecord activate = CARAWAY__ACTIVATE_RECORD__INIT;
+	const Caraway__StageRecord *stage = g_hash_table_lookup(feed->staged, &number);
+
+	if (!stage)
+		return cw_fail(CW_ERR_STATE, "change %" G_GUINT64_FORMAT " is not staged", number);
+	activate.number = number;
+	activate.digest = stage->digest;
+	activate.due_ms = due_ms;
+	activate.at_ms = at_ms;
+	record.body_case = CARAWAY__FEED_RECORD__BODY_ACTIVATE;
+	record.activate = &activate;
+	append_record(feed, &record, true);
+	return CW_OK;
+}
+
+/* Forgets a staged change that will not be activated; nothing happens when it is not staged. */
+void cw_feed_drop(cw_feed_t *feed, uint64_t number)
+{
+	Caraway__FeedRecord record = CARAWAY__FEED_RECORD__INIT;
+	Caraway__DropRecord drop = CARAWAY__DROP_RECORD__INIT;
+
+	if (!g_hash_table_contains(feed->staged, &number))
+		return;
+	drop.number = number;
+	record.body_case = CARAWAY__FEED_RECORD__BODY_DROP;
+	record.drop = &drop;
+	append_record(feed, &record, false);
+}
+
+/* Records a VM and its labels; this raises the configuration version. */
+void cw_feed_set_vm(cw_feed_t *feed, const Caraway__Vm *vm)
+{
+	Caraway__FeedRecord record = CARAWAY__FEED_RECORD__INIT;
+	Caraway__VmRecord vm_record = CARAWAY__VM_RECORD__INIT;
+
+	vm_record.vm = (Caraway__Vm *)vm;
+	record.body_case = CARAWAY__FEED_RECORD__BODY_VM;
+	record.vm = &vm_record;
+	append_record(feed, &record, true);
+}
--- /dev/null
+++ b/libcaraway/feed_accept.c
@@ -0,0 +1,126 @@
+/* Accepting news from a parent: everything is checked before anything changes. */
+#include "feed_internal.h"
+
+/* What the records of one news checked so far have staged (a digest) or removed (NULL). */
+typedef struct {
+	const cw_feed_t *feed;
+	GHashTable *changed; /* number -> Caraway__StageRecord * or NULL */
+} check_t;
+
+/* Returns the staged record of a number as of the records checked so far, or NULL. */
+static const Caraway__StageRecord *check_lookup(const check_t *check, const uint64_t *number)
+{
+	void *stage;
+
+	if (g_hash_table_lookup_extended(check->changed, number, NULL, &stage))
+		return stage;
+	return g_hash_table_lookup(check->feed->staged, number);
+}
+
+/* Checks the content of a stage record against its digest. */
+static cw_status_t check_stage(check_t *check, Caraway__StageRecord *stage)
+{
+	if (!stage->content)
+		return cw_fail(CW_ERR_DAMAGED, "change %" G_GUINT64_FORMAT " is staged without content",
+			       stage->number);
+	if (stage->digest != cw_content_digest(stage->content))
+		return cw_fail(CW_ERR_DAMAGED,
+			       "content of change %" G_GUINT64_FORMAT " differs from its digest",
+			       stage->number);
+	g_hash_table_insert(check->changed, &stage->number, stage);
+	return CW_OK;
+}
+
+/* Checks that the content to activate is staged with the digest the record names. */
+static cw_status_t check_activate(check_t *check, Caraway__ActivateRecord *activate)
+{
+	const Caraway__StageRecord *stage = check_lookup(check, &activate->number);
+
+	if (!stage)
+		return cw_fail(CW_ERR_DAMAGED, "change %" G_GUINT64_FORMAT " is activated but not staged",
+			       activate->number);
+	if (stage->digest != activate->digest)
+		return cw_fail(CW_ERR_DAMAGED,
+			       "change %" G_GUINT64_FORMAT " is activated with another digest",
+			       activate->number);
+	g_hash_table_insert(check->changed, &activate->number, NULL);
+	return CW_OK;
+}
+
+/* Checks the body of a record and the version it claims. */
+static cw_status_t check_body(check_t *check, const Caraway__FeedRecord *record, uint64_t version)
+{
+	bool raises = record->body_case == CARAWAY__FEED_RECORD__BODY_ACTIVATE ||
+		      record->body_case == CARAWAY__FEED_RECORD__BODY_VM;
+
+	if (record->version != version + (raises ? 1 : 0))
+		return cw_fail(CW_ERR_DAMAGED, "record %" G_GUINT64_FORMAT " has version %" G_GUINT64_FORMAT,
+			       record->index, record->version);
+	switch (record->body_case) {
+	case CARAWAY__FEED_RECORD__BODY_STAGE:
+		return check_stage(check, record->stage);
+	case CARAWAY__FEED_RECORD__BODY_ACTIVATE:
+		return check_activate(check, record->activate);
+	case CARAWAY__FEED_RECORD__BODY_DROP:
+		g_hash_table_insert(check->changed, &record->drop->number, NULL);
+		return CW_OK;
+	case CARAWAY__FEED_RECORD__BODY_VM:
+		if (record->vm->vm && *record->vm->vm->name)
+			return CW_OK;
+		return cw_fail(CW_ERR_DAMAGED, "record %" G_GUINT64_FORMAT " names no VM", record->index);
+	default:
+		return cw_fail(CW_ERR_DAMAGED, "record %" G_GUINT64_FORMAT " is of an unknown kind",
+			       record->index);
+	}
+}
+
+/* Checks the records of a news from the first new one on; changes nothing. */
+static cw_status_t check_records(const cw_feed_t *feed, const Caraway__News *news, size_t first)
+{
+	check_t check = {feed, g_hash_table_new(g_int64_hash, g_int64_equal)};
+	uint64_t index = feed->index;
+	uint64_t chain = feed->chain;
+	uint64_t version = feed->version;
+	cw_status_t status = CW_OK;
+
+	for (size_t i = first; i < news->n_records && status == CW_OK; i++) {
+		const Caraway__FeedRecord *record = news->records[i];
+
+		if (record->index != index + 1)
+			status = cw_fail(CW_ERR_POSITION,
+					 "record %" G_GUINT64_FORMAT " does not follow %" G_GUINT64_FORMAT,
+					 record->index, index);
+		else if (record->chain != cw_feed_record_chain(record, chain))
+			status =
+				cw_fail(CW_ERR_DAMAGED, "chain of record %" G_GUINT64_FORMAT " does not hold",
+					record->index);
+		else
+			status = check_body(&check, record, version);
+		index = record->index;
+		chain = record->chain;
+		version = record->version;
+	}
+	g_hash_table_unref(check.changed);
+	return status;
+}
+
+/*
+ * Accepts all of the news or none of it.  Records already held are passed
+ * over.  CW_ERR_POSITION: the records do not follow what is held;
+ * CW_ERR_DAMAGED: a chain value, digest, version or staged content does not
+ * hold; CW_ERR_STALE: a snapshot not newer than what is held.
+ */
+cw_status_t cw_feed_accept(cw_feed_t *feed, const Caraway__News *news)
+{
+	size_t first = 0;
+	cw_status_t status;
+
+	if (news->snapshot.len)
+		return cw_feed_accept_snapshot(feed, news);
+	while (first < news->n_records && news->records[first]->index <= feed->index)
+		first++;
+	status = check_records(feed, news, first);
+	for (size_t i = first; status == CW_OK && i < news->n_records; i++)
+		cw_feed_apply(feed, news->records[i]);
+	return status;
+}
--- /dev/null
+++ b/libcaraway/feed_internal.h
@@ -0,0 +1,37 @@
+/* The feed's state, shared by its files. */
+#ifndef LIBCARAWAY_FEED_INTERNAL_H
+#define LIBCARAWAY_FEED_INTERNAL_H
+
+#include "internal.h"
+
+/* The packed snapshot last made, kept while the feed stays at its index. */
+typedef struct {
+	uint64_t index;
+	GBytes *bytes; /* zstd; NULL: none made */
+} feed_cache_t;
+
+struct cw_feed {
+	size_t keep_records;
+	cw_catalog_t *catalog;
+	uint64_t index;
+	uint64_t chain;
+	uint64_t version;
+	uint64_t base_index; /* records kept are those after it */
+	uint64_t base_chain;
+	GPtrArray *records;  /* GBytes *, packed records, base_index + 1 first */
+	GHashTable *staged;  /* number -> Caraway__StageRecord * */
+	feed_cache_t *cache; /* written by readers too */
+};
+
+/* Returns the chain value of a record that follows the value given; the record's own value is left out. */
+uint64_t cw_feed_record_chain(const Caraway__FeedRecord *record, uint64_t previous);
+/* Forgets the packed snapshot. */
+void cw_feed_drop_cache(const cw_feed_t *feed);
+/* Returns an empty table of staged content. */
+GHashTable *cw_feed_staged_new(void);
+/* Applies a record that has been checked, and keeps it for readers. */
+void cw_feed_apply(cw_feed_t *feed, const Caraway__FeedRecord *record);
+/* Takes over catalog, position and staged content of a snapshot, or changes nothing. */
+cw_status_t cw_feed_accept_snapshot(cw_feed_t *feed, const Caraway__News *news);
+
+#endif
--- /dev/null
+++ b/libcaraway/feed_read.c
@@ -0,0 +1,246 @@
+/* Reading the feed for children, and its snapshots. */
+#include "feed_internal.h"
+
+#include <string.h>
+#include <zstd.h>
+
+enum { SNAPSHOT_LEVEL = 3, SNAPSHOT_MAX_BYTES = 256 << 20 };
+
+/* Orders staged content by number. */
+static gint compare_staged(gconstpointer a, gconstpointer b)
+{
+	const Caraway__StageRecord *left = *(Caraway__StageRecord *const *)a;
+	const Caraway__StageRecord *right = *(Caraway__StageRecord *const *)b;
+
+	return left->number < right->number ? -1 : left->number > right->number;
+}
+
+/* Returns the staged content of a feed, borrowed, by number. */
+static GPtrArray *staged_by_number(const cw_feed_t *feed)
+{
+	GPtrArray *staged = g_ptr_array_new();
+	GHashTableIter iter;
+	void *stage;
+
+	g_hash_table_iter_init(&iter, feed->staged);
+	while (g_hash_table_iter_next(&iter, NULL, &stage))
+		g_ptr_array_add(staged, stage);
+	g_ptr_array_sort(staged, compare_staged);
+	return staged;
+}
+
+/* Returns the state of a feed, to be freed with cw_message_free(). */
+Caraway__FeedSnapshot *cw_feed_save(const cw_feed_t *feed)
+{
+	Caraway__FeedSnapshot *saved = g_malloc(sizeof(*saved));
+	GPtrArray *staged = staged_by_number(feed);
+
+	caraway__feed_snapshot__init(saved);
+	saved->index = feed->index;
+	saved->chain = feed->chain;
+	saved->catalog = cw_catalog_save(feed->catalog);
+	saved->n_staged = staged->len;
+	saved->staged = g_new0(Caraway__StageRecord *, staged->len);
+	for (guint i = 0; i < staged->len; i++) {
+		Caraway__StageRecord *stage = g_ptr_array_index(staged, i);
+
+		saved->staged[i] = cw_message_copy(&stage->base);
+	}
+	g_ptr_array_unref(staged);
+	return saved;
+}
+
+/* Copies staged content out of a snapshot; CW_ERR_DAMAGED when a digest does not hold. */
+static cw_status_t load_staged(const Caraway__FeedSnapshot *saved, GHashTable *staged)
+{
+	for (size_t i = 0; i < saved->n_staged; i++) {
+		Caraway__StageRecord *stage = saved->staged[i];
+
+		if (!stage->content || stage->digest != cw_content_digest(stage->content))
+			return cw_fail(CW_ERR_DAMAGED,
+				       "staged content of change %" G_GUINT64_FORMAT
+				       " differs from its digest",
+				       stage->number);
+		stage = cw_message_copy(&stage->base);
+		g_hash_table_replace(staged, &stage->number, stage);
+	}
+	return CW_OK;
+}
+
+/* Replaces the whole state of a feed, or changes nothing when the snapshot is damaged. */
+cw_status_t cw_feed_load(cw_feed_t *feed, const Caraway__FeedSnapshot *saved)
+{
+	cw_catalog_t *catalog = NULL;
+	GHashTable *staged = cw_feed_staged_new();
+	cw_status_t status = load_staged(saved, staged);
+
+	if (status == CW_OK && !saved->catalog)
+		status = cw_fail(CW_ERR_DAMAGED, "snapshot has no catalog");
+	if (status == CW_OK)
+		status = cw_catalog_load(saved->catalog, &catalog);
+	if (status != CW_OK) {
+		g_hash_table_unref(staged);
+		return status;
+	}
+	cw_catalog_free(feed->catalog);
+	g_hash_table_unref(feed->staged);
+	g_ptr_array_set_size(feed->records, 0);
+	cw_feed_drop_cache(feed);
+	feed->catalog = catalog;
+	feed->staged = staged;
+	feed->index = feed->base_index = saved->index;
+	feed->chain = feed->base_chain = saved->chain;
+	feed->version = cw_catalog_version(catalog);
+	return CW_OK;
+}
+
+/* Returns the compressed snapshot of a feed, made once for each index. */
+static GBytes *snapshot_bytes(const cw_feed_t *feed)
+{
+	feed_cache_t *cache = feed->cache;
+	Caraway__FeedSnapshot *saved;
+	GBytes *packed;
+	gsize length;
+	const void *data;
+	size_t bound;
+	void *compressed;
+
+	if (cache->bytes && cache->index == feed->index)
+		return cache->bytes;
+	saved = cw_feed_save(feed);
+	packed = cw_message_pack(&saved->base);
+	cw_message_free(saved);
+	data = g_bytes_get_data(packed, &length);
+	bound = ZSTD_compressBound(length);
+	compressed = g_malloc(bound);
+	length = ZSTD_compress(compressed, bound, data, length, SNAPSHOT_LEVEL);
+	g_bytes_unref(packed);
+	cw_feed_drop_cache(feed);
+	cache->bytes = g_bytes_new_take(g_realloc(compressed, length), length);
+	cache->index = feed->index;
+	return cache->bytes;
+}
+
+/* Puts the snapshot of a feed into a news. */
+static void read_snapshot(const cw_feed_t *feed, Caraway__News *news)
+{
+	gsize length;
+	const void *data = g_bytes_get_data(snapshot_bytes(feed), &length);
+
+	news->snapshot.data = g_memdup2(data, length);
+	news->snapshot.len = length;
+	news->snapshot_digest = cw_hash(data, length, 0);
+}
+
+/* Unpacks the kept record at a position in the array of records. */
+static Caraway__FeedRecord *record_at(const cw_feed_t *feed, guint position)
+{
+	gsize length;
+	const void *data = g_bytes_get_data(g_ptr_array_index(feed->records, position), &length);
+
+	return caraway__feed_record__unpack(NULL, length, data);
+}
+
+/* Returns true when the records after a position are kept and the chain value there is the one given. */
+static bool holds_position(const cw_feed_t *feed, uint64_t index, uint64_t chain)
+{
+	Caraway__FeedRecord *record;
+	bool equal;
+
+	if (index < feed->base_index)
+		return false;
+	if (index == feed->base_index)
+		return chain == feed->base_chain;
+	record = record_at(feed, (guint)(index - feed->base_index - 1));
+	equal = record->chain == chain;
+	cw_message_free(record);
+	return equal;
+}
+
+/* Puts the records after an index into a news, at least one and at most max_bytes. */
+static void read_records(const cw_feed_t *feed, uint64_t index, size_t max_bytes, Caraway__News *news)
+{
+	guint first = (guint)(index - feed->base_index);
+	guint end = first;
+	size_t bytes = 0;
+
+	while (end < feed->records->len) {
+		bytes += g_bytes_get_size(g_ptr_array_index(feed->records, end));
+		if (end > first && bytes > max_bytes)
+			break;
+		end++;
+	}
+	news->n_records = end - first;
+	news->records = g_new0(Caraway__FeedRecord *, end - first);
+	for (guint i = first; i < end; i++)
+		news->records[i - first] = record_at(feed, i);
+}
+
+/*
+ * Fills a news with what follows the position of a child: records while they
+ * are kept and the chain holds, otherwise the whole snapshot.  Nothing is
+ * filled in for a child that is at the end of the feed.  CW_ERR_POSITION when
+ * the child is ahead of this feed or differs from it at its end.
+ */
+cw_status_t cw_feed_read(const cw_feed_t *feed, uint64_t index, uint64_t chain, size_t max_bytes,
+			 Caraway__News *news)
+{
+	if (index > feed->index)
+		return cw_fail(CW_ERR_POSITION,
+			       "the child holds %" G_GUINT64_FORMAT ", beyond %" G_GUINT64_FORMAT, index,
+			       feed->index);
+	if (index == feed->index && chain == feed->chain)
+		return CW_OK;
+	if (index == feed->index)
+		return cw_fail(CW_ERR_POSITION, "the child differs at record %" G_GUINT64_FORMAT, index);
+	if (holds_position(feed, index, chain))
+		read_records(feed, index, max_bytes, news);
+	else
+		read_snapshot(feed, news);
+	return CW_OK;
+}
+
+/* Decompresses and unpacks the snapshot of a news; NULL, with the message set, when it does not hold. */
+static Caraway__FeedSnapshot *unpack_snapshot(const Caraway__News *news)
+{
+	const ProtobufCBinaryData *bytes = &news->snapshot;
+	Caraway__FeedSnapshot *saved = NULL;
+	unsigned long long size;
+	uint8_t *data;
+
+	if (cw_hash(bytes->data, bytes->len, 0) != news->snapshot_digest) {
+		cw_fail(CW_ERR_DAMAGED, "snapshot differs from its digest");
+		return NULL;
+	}
+	size = ZSTD_getFrameContentSize(bytes->data, bytes->len);
+	if (size > SNAPSHOT_MAX_BYTES) {
+		cw_fail(CW_ERR_DAMAGED, "snapshot is not a zstd frame of a size allowed");
+		return NULL;
+	}
+	data = g_malloc(size ? size : 1);
+	if (ZSTD_decompress(data, size, bytes->data, bytes->len) == size)
+		saved = caraway__feed_snapshot__unpack(NULL, size, data);
+	if (!saved)
+		cw_fail(CW_ERR_DAMAGED, "snapshot cannot be unpacked");
+	g_free(data);
+	return saved;
+}
+
+cw_status_t cw_feed_accept_snapshot(cw_feed_t *feed, const Caraway__News *news)
+{
+	Caraway__FeedSnapshot *saved = unpack_snapshot(news);
+	cw_status_t status;
+
+	if (!saved)
+		return CW_ERR_DAMAGED;
+	if (saved->index <= feed->index)
+		status = cw_fail(CW_ERR_STALE,
+				 "snapshot of %" G_GUINT64_FORMAT " is not newer than %" G_GUINT64_FORMAT,
+				 saved->index, feed->index);
+	else if (saved->catalog && saved->catalog->version < feed->version)
+		status = cw_fail(CW_ERR_STALE, "snapshot has an older version than the one held");
+	else
+		status = cw_feed_load(feed, saved);
+	cw_message_free(saved);
+	return status;
+}
--- a/libcaraway/gen/caraway.pb-c.c
+++ b/libcaraway/gen/caraway.pb-c.c
@@ -6017,12 +6017,12 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "need_floor",
+    "floor",
     12,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Caraway__Pull, need_floor),
+    offsetof(Caraway__Pull, floor),
     NULL,
     NULL,
     0,             /* flags */
@@ -6035,8 +6035,8 @@
   7,   /* field[7] = endpoint_sequence */
   9,   /* field[9] = endpoints */
   4,   /* field[4] = feed_index */
+  11,   /* field[11] = floor */
   2,   /* field[2] = incarnation */
-  11,   /* field[11] = need_floor */
   10,   /* field[10] = reports */
   3,   /* field[3] = request */
   8,   /* field[8] = stamp */
@@ -6063,7 +6063,7 @@
   (ProtobufCMessageInit) caraway__pull__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor caraway__news__field_descriptors[10] =
+static const ProtobufCFieldDescriptor caraway__news__field_descriptors[13] =
 {
   {
     "request",
@@ -6185,13 +6185,52 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "floor",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Caraway__News, floor),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "endpoint_base_epoch",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Caraway__News, endpoint_base_epoch),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "endpoint_base_sequence",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Caraway__News, endpoint_base_sequence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned caraway__news__field_indices_by_name[] = {
   9,   /* field[9] = depth */
+  11,   /* field[11] = endpoint_base_epoch */
+  12,   /* field[12] = endpoint_base_sequence */
   5,   /* field[5] = endpoint_epoch */
   6,   /* field[6] = endpoint_sequence */
   8,   /* field[8] = endpoints */
   7,   /* field[7] = endpoints_whole */
+  10,   /* field[10] = floor */
   2,   /* field[2] = records */
   0,   /* field[0] = request */
   3,   /* field[3] = snapshot */
@@ -6201,7 +6240,7 @@
 static const ProtobufCIntRange caraway__news__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor caraway__news__descriptor =
 {
@@ -6211,7 +6250,7 @@
   "Caraway__News",
   "caraway",
   sizeof(Caraway__News),
-  10,
+  13,
   caraway__news__field_descriptors,
   caraway__news__field_indices_by_name,
   1,  caraway__news__number_ranges,
--- a/libcaraway/gen/caraway.pb-c.h
+++ b/libcaraway/gen/caraway.pb-c.h
@@ -850,9 +850,9 @@
   size_t n_reports;
   Caraway__Report **reports;
   /*
-   * has started without state and waits for a fresh stamp
+   * asks for a stamp confirmed after this request; a new number for each question, 0: none
    */
-  protobuf_c_boolean need_floor;
+  uint64_t floor;
 };
 #define CARAWAY__PULL__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&caraway__pull__descriptor) \
@@ -883,10 +883,19 @@
    * of the sender in the tree; a control replica is 0
    */
   uint32_t depth;
+  /*
+   * number of the question that this stamp answers: it was confirmed after the question came
+   */
+  uint64_t floor;
+  /*
+   * set when the changes follow a position of an earlier epoch
+   */
+  uint64_t endpoint_base_epoch;
+  uint64_t endpoint_base_sequence;
 };
 #define CARAWAY__NEWS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&caraway__news__descriptor) \
-    , 0, NULL, 0,NULL, {0,NULL}, 0, 0, 0, 0, 0,NULL, 0 }
+    , 0, NULL, 0,NULL, {0,NULL}, 0, 0, 0, 0, 0,NULL, 0, 0, 0, 0 }
 
 
 struct  Caraway__PullRefused
--- a/libcaraway/libcaraway.h
+++ b/libcaraway/libcaraway.h
@@ -267,10 +267,14 @@
 cw_status_t cw_members_report(cw_members_t *members, const Caraway__Report *report, int64_t now_ms,
 			      int64_t utc_ms);
 /* Marks endpoints whose lease has run out as gone; returns how many. */
+/* Begins an epoch (the leader's term) in which this table is the source. */
+void cw_members_lead(cw_members_t *members, uint64_t epoch, int64_t now_ms);
+/* Ends that: the table changes only by what a parent sends. */
+void cw_members_follow(cw_members_t *members);
 size_t cw_members_expire(cw_members_t *members, int64_t now_ms);
 int64_t cw_members_deadline_ms(const cw_members_t *members);
 void cw_members_read(const cw_members_t *members, uint64_t epoch, uint64_t sequence, Caraway__News *news);
-cw_status_t cw_members_accept(cw_members_t *members, const Caraway__News *news);
+cw_status_t cw_members_accept(cw_members_t *members, const Caraway__News *news, int64_t now_ms);
 const Caraway__Endpoint *cw_members_endpoint(const cw_members_t *members, const char *vm);
 GPtrArray *cw_members_endpoints(
 	const cw_members_t *members); /* borrowed Caraway__Endpoint *, by VM, without gone ones */
--- /dev/null
+++ b/tests/unit/test_members.c
@@ -0,0 +1,158 @@
+/* Scripted runs of tables of members: announcements, leases, and children that follow them. */
+#include <check.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "libcaraway.h"
+#include "script.h"
+
+typedef struct {
+	GHashTable *tables; /* name -> cw_members_t * */
+	int64_t now_ms;
+} run_t;
+
+static const char *const state_words[] = {"up", "draining", "gone"};
+
+/* Returns the table of a name. */
+static cw_members_t *table(const run_t *run, const char *name)
+{
+	return g_hash_table_lookup(run->tables, name);
+}
+
+/* Appends the word of a status. */
+static void put_status(GString *out, cw_status_t status)
+{
+	g_string_append_printf(out, "%s\n", cw_status_word(status));
+}
+
+/* announce TABLE VM INCARNATION SEQUENCE STATE */
+static void run_announce(const run_t *run, char **argv, GString *out)
+{
+	Caraway__Endpoint endpoint = CARAWAY__ENDPOINT__INIT;
+
+	endpoint.vm = argv[2];
+	endpoint.incarnation = strtoull(argv[3], NULL, 10);
+	endpoint.sequence = strtoull(argv[4], NULL, 10);
+	while (strcmp(argv[5], state_words[endpoint.state]))
+		endpoint.state++;
+	put_status(out, cw_members_announce(table(run, argv[1]), &endpoint, run->now_ms));
+}
+
+/* report TABLE VM INCARNATION SEQUENCE VERSION */
+static void run_report(const run_t *run, char **argv, GString *out)
+{
+	Caraway__Report report = CARAWAY__REPORT__INIT;
+
+	report.vm = argv[2];
+	report.incarnation = strtoull(argv[3], NULL, 10);
+	report.sequence = strtoull(argv[4], NULL, 10);
+	report.version = strtoull(argv[5], NULL, 10);
+	put_status(out, cw_members_report(table(run, argv[1]), &report, run->now_ms, run->now_ms));
+}
+
+/* pull CHILD PARENT [EPOCH SEQUENCE]: the position given stands for an answer that comes late */
+static void run_pull(const run_t *run, int argc, char **argv, GString *out)
+{
+	cw_members_t *child = table(run, argv[1]);
+	Caraway__News *news = g_malloc(sizeof(*news));
+	uint64_t epoch = argc > 3 ? strtoull(argv[3], NULL, 10) : cw_members_epoch(child);
+	uint64_t sequence = argc > 4 ? strtoull(argv[4], NULL, 10) : cw_members_sequence(child);
+
+	caraway__news__init(news);
+	cw_members_read(table(run, argv[2]), epoch, sequence, news);
+	g_string_append_printf(out, "%zu endpoints%s: ", news->n_endpoints,
+			       news->endpoints_whole ? " (whole table)" : "");
+	put_status(out, cw_members_accept(child, news, run->now_ms));
+	cw_message_free(news);
+}
+
+/* show TABLE */
+static void run_show(const run_t *run, char **argv, GString *out)
+{
+	const cw_members_t *members = table(run, argv[1]);
+	GPtrArray *endpoints = cw_members_endpoints(members);
+
+	g_string_append_printf(out, "epoch %" G_GUINT64_FORMAT " sequence %" G_GUINT64_FORMAT "\n",
+			       cw_members_epoch(members), cw_members_sequence(members));
+	for (guint i = 0; i < endpoints->len; i++) {
+		const Caraway__Endpoint *endpoint = g_ptr_array_index(endpoints, i);
+		int64_t reported_ms;
+		const Caraway__Report *report = cw_members_last_report(members, endpoint->vm, &reported_ms);
+
+		g_string_append_printf(out, "%s %s", endpoint->vm, state_words[endpoint->state]);
+		if (report)
+			g_string_append_printf(out, " version %" G_GUINT64_FORMAT " at %" G_GINT64_FORMAT,
+					       report->version, reported_ms);
+		g_string_append_c(out, '\n');
+	}
+	g_ptr_array_unref(endpoints);
+}
+
+/* Carries out one command of a script. */
+static void run_command(void *data, int argc, char **argv, GString *out)
+{
+	run_t *run = data;
+
+	if (!strcmp(argv[0], "table"))
+		g_hash_table_insert(run->tables, g_strdup(argv[1]),
+				    cw_members_new(strtoull(argv[2], NULL, 10), (uint32_t)atoi(argv[3])));
+	else if (!strcmp(argv[0], "at"))
+		run->now_ms = atoll(argv[1]);
+	else if (!strcmp(argv[0], "announce"))
+		run_announce(run, argv, out);
+	else if (!strcmp(argv[0], "report"))
+		run_report(run, argv, out);
+	else if (!strcmp(argv[0], "expire"))
+		g_string_append_printf(out, "%zu expired\n",
+				       cw_members_expire(table(run, argv[1]), run->now_ms));
+	else if (!strcmp(argv[0], "lead"))
+		cw_members_lead(table(run, argv[1]), strtoull(argv[2], NULL, 10), run->now_ms);
+	else if (!strcmp(argv[0], "follow"))
+		cw_members_follow(table(run, argv[1]));
+	else if (!strcmp(argv[0], "pull"))
+		run_pull(run, argc, argv, out);
+	else if (!strcmp(argv[0], "show"))
+		run_show(run, argv, out);
+	else
+		g_string_append(out, "no such command\n");
+}
+
+/* Frees a table held by a hash table. */
+static void free_table(void *members)
+{
+	cw_members_free(members);
+}
+
+START_TEST(test_script)
+{
+	GPtrArray *names = script_list("tests/members");
+	run_t run = {g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_table), 0};
+	char *difference;
+
+	ck_assert_int_lt(_i, (int)names->len);
+	difference = script_run(g_ptr_array_index(names, _i), run_command, &run);
+	ck_assert_msg(!difference, "%s", difference);
+	g_hash_table_unref(run.tables);
+	g_ptr_array_unref(names);
+}
+END_TEST
+
+int main(void)
+{
+	GPtrArray *names = script_list("tests/members");
+	Suite *suite = suite_create("members");
+	TCase *tcase = tcase_create("scripts");
+	SRunner *runner;
+	int failed;
+
+	if (!names->len)
+		return EXIT_FAILURE;
+	tcase_add_loop_test(tcase, test_script, 0, (int)names->len);
+	suite_add_tcase(suite, tcase);
+	runner = srunner_create(suite);
+	srunner_run_all(runner, CK_ENV);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	g_ptr_array_unref(names);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
