Add the operators' tool with commands and queries apart

It links once the library reads change files. Ruled out: a separate JSON renderer for each message; protobuf-c's descriptors give all of them in one file. Measured: not run against a replica yet; the sources compile and pass the linter.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 DAEMON_PACKAGES = $(PACKAGES) libzmq libmicrohttpd neon liburcu-memb jansson
 CFLAGS ?= -O2 -g
 WARNINGS = -std=gnu11 -Wall -Wextra -Werror -Wshadow -Wstrict-prototypes -Wmissing-prototypes
-CPPFLAGS += -D_GNU_SOURCE -Ilibcaraway -Idaemon $(shell pkg-config --cflags $(DAEMON_PACKAGES))
+CPPFLAGS += -D_GNU_SOURCE -Ilibcaraway -Idaemon -Icli $(shell pkg-config --cflags $(DAEMON_PACKAGES))
 LIB_LIBS = $(shell pkg-config --libs $(PACKAGES))
 DAEMON_LIBS = $(shell pkg-config --libs $(DAEMON_PACKAGES)) -pthread -lm
 ifdef SANITIZE
@@ -22,9 +22,10 @@
 
 object = $(patsubst %.c,$(BUILD)/%.o,$(1))
 LIBRARY = $(BUILD)/libcaraway.a
+CLI_LIBRARY = $(BUILD)/libcli.a
 DAEMON_OBJECTS = $(call object,$(DAEMON_SOURCES))
 PROGRAMS = $(if $(and $(wildcard daemon/control.c),$(wildcard daemon/proxy.c)),$(BUILD)/carawayd) \
-	$(if $(and $(wildcard cli/carawayctl.c),$(wildcard daemon/link.c)),$(BUILD)/carawayctl)
+	$(if $(and $(wildcard cli/carawayctl.c),$(wildcard libcaraway/change.c)),$(BUILD)/carawayctl)
 TOOLS = $(patsubst %.c,$(BUILD)/%,$(TOOL_SOURCES))
 UNITS = $(patsubst %.c,$(BUILD)/%,$(UNIT_SOURCES))
 
@@ -37,13 +38,17 @@
 $(BUILD)/carawayd: $(BUILD)/daemon/carawayd.o $(DAEMON_OBJECTS) $(LIBRARY)
 	$(CC) $(LDFLAGS) -o $@ $^ $(DAEMON_LIBS)
 
-$(BUILD)/carawayctl: $(BUILD)/cli/carawayctl.o $(call object,$(CLI_SOURCES)) $(DAEMON_OBJECTS) $(LIBRARY)
+$(CLI_LIBRARY): $(call object,$(CLI_SOURCES))
+	rm -f $@
+	ar rcs $@ $^
+
+$(BUILD)/carawayctl: $(BUILD)/cli/carawayctl.o $(CLI_LIBRARY) $(DAEMON_OBJECTS) $(LIBRARY)
 	$(CC) $(LDFLAGS) -o $@ $^ $(DAEMON_LIBS)
 
 $(TOOLS): $(BUILD)/%: $(BUILD)/%.o $(DAEMON_OBJECTS) $(LIBRARY)
 	$(CC) $(LDFLAGS) -o $@ $^ $(DAEMON_LIBS)
 
-$(UNITS): $(BUILD)/%: $(BUILD)/%.o $(BUILD)/tests/unit/script.o $(DAEMON_OBJECTS) $(LIBRARY)
+$(UNITS): $(BUILD)/%: $(BUILD)/%.o $(BUILD)/tests/unit/script.o $(CLI_LIBRARY) $(DAEMON_OBJECTS) $(LIBRARY)
 	$(CC) $(LDFLAGS) -o $@ $^ $(DAEMON_LIBS) $(shell pkg-config --libs check)
 
 $(BUILD)/%.o: %.c
--- /dev/null
+++ b/cli/render.c
@@ -0,0 +1,271 @@
+/* Answers as text for people: changes and what is in force. */
+#include "render.h"
+
+#include <inttypes.h>
+#include <stdarg.h>
+
+#include "due.h"
+#include "table.h"
+
+/* Returns a row of a table; takes over the cells, which are char * and end with NULL. */
+static char **row(char *first, ...)
+{
+	GPtrArray *cells = g_ptr_array_new();
+	va_list list;
+
+	va_start(list, first);
+	for (char *cell = first; cell; cell = va_arg(list, char *))
+		g_ptr_array_add(cells, cell);
+	va_end(list);
+	g_ptr_array_add(cells, NULL);
+	return (char **)g_ptr_array_free(cells, FALSE);
+}
+
+/* Returns a copy of a text, or "-" for an empty one. */
+static char *cell(const char *text)
+{
+	return g_strdup(text && *text ? text : "-");
+}
+
+/* Returns a number, or "-" for 0. */
+static char *number_cell(uint64_t number)
+{
+	return number ? g_strdup_printf("%" PRIu64, number) : g_strdup("-");
+}
+
+/* Returns the word for a change's state. */
+const char *render_state_word(Caraway__ChangeState state)
+{
+	switch (state) {
+	case CARAWAY__CHANGE_STATE__CHANGE_BOOKED:
+		return "booked";
+	case CARAWAY__CHANGE_STATE__CHANGE_ACCEPTED:
+		return "accepted";
+	case CARAWAY__CHANGE_STATE__CHANGE_IN_FORCE:
+		return "in force";
+	case CARAWAY__CHANGE_STATE__CHANGE_REFUSED:
+		return "refused";
+	case CARAWAY__CHANGE_STATE__CHANGE_WITHDRAWN:
+		return "withdrawn";
+	default:
+		return "unknown";
+	}
+}
+
+/* Appends a table of changes, one a line. */
+void render_changes(const Caraway__OperatorReply *reply, GString *out)
+{
+	const char *const headings[] = {"NUMBER",      "STATE",	   "DUE",   "VERSION", "BOOKED BY",
+					"REVIEWED BY", "SELECTOR", "TITLE", NULL};
+	table_t *table = table_new(headings);
+
+	for (size_t i = 0; i < reply->n_changes; i++) {
+		const Caraway__Change *change = reply->changes[i];
+		const Caraway__Content *content = change->content;
+
+		table_add(table,
+			  row(number_cell(change->number), cell(render_state_word(change->state)),
+			      due_text(change->due_ms), number_cell(change->version), cell(change->booked_by),
+			      cell(change->reviewed_by), cell(content ? content->selector : ""),
+			      cell(content ? content->title : ""), NULL));
+	}
+	table_render(table, out);
+	table_free(table);
+}
+
+/* Appends the services, routes and targets of a change. */
+static void render_content(const Caraway__Content *content, GString *out)
+{
+	for (size_t i = 0; i < content->n_services; i++) {
+		const Caraway__Service *service = content->services[i];
+		g_string_append_printf(out, "service %s%s", service->name,
+				       service->removed ? ", removed" : "");
+		if (service->timeout_ms)
+			g_string_append_printf(out, ", at most %u ms a call", service->timeout_ms);
+		g_string_append_c(out, '\n');
+	}
+	for (size_t i = 0; i < content->n_targets; i++) {
+		const Caraway__Target *target = content->targets[i];
+		if (target->removed)
+			g_string_append_printf(out, "target %s, removed\n", target->name);
+		else
+			g_string_append_printf(out, "target %s: service %s on VMs \"%s\"\n", target->name,
+					       target->service, target->selector);
+	}
+	for (size_t i = 0; i < content->n_routes; i++) {
+		const Caraway__Route *route = content->routes[i];
+		if (route->removed)
+			g_string_append_printf(out, "route %s, removed\n", route->name);
+		else
+			g_string_append_printf(out, "route %s: %s to %s%s%s\n", route->name, route->path,
+					       route->service, *route->target ? ", target " : "",
+					       route->target);
+	}
+}
+
+/* Appends a line "name: value" unless the value is empty. */
+static void render_line(const char *name, const char *value, GString *out)
+{
+	if (value && *value)
+		g_string_append_printf(out, "%-12s %s\n", name, value);
+}
+
+/* Appends all that is known of one change. */
+void render_change(const Caraway__Change *change, GString *out)
+{
+	g_autofree char *due = due_text(change->due_ms);
+	g_autofree char *in_force = change->in_force_ms ? due_text(change->in_force_ms) : NULL;
+	g_autofree char *version = change->version ? number_cell(change->version) : NULL;
+
+	g_string_append_printf(out, "%-12s %" PRIu64 "\n", "change", change->number);
+	render_line("state", render_state_word(change->state), out);
+	render_line("refusal", change->refusal, out);
+	render_line("due", due, out);
+	render_line("in force", in_force, out);
+	render_line("version", version, out);
+	render_line("booked by", change->booked_by, out);
+	render_line("reviewed by", change->reviewed_by, out);
+	render_line("withdrawn by", change->withdrawn_by, out);
+	if (!change->content)
+		return;
+	render_line("title", change->content->title, out);
+	render_line("selector", *change->content->selector ? change->content->selector : "every VM", out);
+	render_content(change->content, out);
+}
+
+/* How a proxy stands to the version in force. */
+typedef enum { HOLDS_CURRENT, HOLDS_BEHIND, HOLDS_UNHEARD } holding_t;
+
+/* Returns how a proxy stands. */
+static holding_t holding(const Caraway__VmInForce *vm)
+{
+	if (!vm->reported)
+		return HOLDS_UNHEARD;
+	return vm->version < vm->wanted ? HOLDS_BEHIND : HOLDS_CURRENT;
+}
+
+/* Returns the word for the state of a proxy. */
+static const char *proxy_word(const Caraway__VmInForce *vm)
+{
+	switch (holding(vm)) {
+	case HOLDS_UNHEARD:
+		return "silent";
+	case HOLDS_BEHIND:
+		return "behind";
+	case HOLDS_CURRENT:
+		break;
+	}
+	return vm->state == CARAWAY__ENDPOINT_STATE__ENDPOINT_DRAINING ? "current, draining" : "current";
+}
+
+/* Returns the routes of a proxy as one text. */
+static char *routes_text(const Caraway__VmInForce *vm)
+{
+	GString *text = g_string_new(NULL);
+
+	for (size_t i = 0; i < vm->n_routes; i++) {
+		const Caraway__Route *route = vm->routes[i];
+		g_string_append_printf(text, "%s%s=%s", text->len ? " " : "", route->path, route->service);
+		if (*route->target)
+			g_string_append_printf(text, "/%s", route->target);
+	}
+	if (!text->len)
+		g_string_append_c(text, '-');
+	return g_string_free(text, FALSE);
+}
+
+/* Appends who holds which version, and the sums. */
+void render_in_force(const Caraway__OperatorReply *reply, GString *out)
+{
+	const char *const headings[] = {"VM",	    "ZONE",  "SERVICE", "HOLDS",
+					"IN FORCE", "PROXY", "ROUTES",	NULL};
+	table_t *table = table_new(headings);
+	size_t counts[HOLDS_UNHEARD + 1] = {0};
+
+	for (size_t i = 0; i < reply->n_vms; i++) {
+		const Caraway__VmInForce *vm = reply->vms[i];
+
+		counts[holding(vm)]++;
+		table_add(table, row(cell(vm->vm->name), cell(vm->vm->zone), cell(vm->vm->service),
+				     number_cell(vm->version), number_cell(vm->wanted), cell(proxy_word(vm)),
+				     routes_text(vm), NULL));
+	}
+	table_render(table, out);
+	table_free(table);
+	g_string_append_printf(out, "%zu selected: %zu current, %zu behind, %zu silent\n", reply->n_vms,
+			       counts[HOLDS_CURRENT], counts[HOLDS_BEHIND], counts[HOLDS_UNHEARD]);
+}
+
+/* Returns the row of one replica. */
+static char **status_row(const answer_t *answer)
+{
+	const Caraway__StatusReport *report = answer->reply ? answer->reply->report : NULL;
+
+	if (!report)
+		return row(cell(answer->address), cell("-"), cell("no answer"), cell("-"), cell("-"),
+			   cell("-"), cell("-"), NULL);
+	return row(cell(answer->address), number_cell(report->id), cell(report->role),
+		   number_cell(report->term), number_cell(report->leader_id),
+		   number_cell(report->commit_index), number_cell(report->version), NULL);
+}
+
+/* Appends the leader's view of the other replicas. */
+static void render_replicas(const Caraway__StatusReport *report, GString *out)
+{
+	const char *const headings[] = {"REPLICA", "ADDRESS", "VOTES", "COPY UP TO", "REACHABLE", NULL};
+	table_t *table = table_new(headings);
+
+	for (size_t i = 0; i < report->n_replicas; i++) {
+		const Caraway__ReplicaStatus *status = report->replicas[i];
+
+		table_add(table, row(number_cell(status->replica->id), cell(status->replica->address),
+				     cell(status->voter ? "yes" : "no"), number_cell(status->match_index),
+				     cell(status->reachable ? "yes" : "no"), NULL));
+	}
+	g_string_append_c(out, '\n');
+	table_render(table, out);
+	table_free(table);
+}
+
+/* Appends how every replica sees itself, then what the leader knows. */
+void render_status(const answer_t *answers, size_t count, GString *out)
+{
+	const char *const headings[] = {"ADDRESS", "ID",	"ROLE",	   "TERM",
+					"LEADER",  "COMMITTED", "VERSION", NULL};
+	table_t *table = table_new(headings);
+
+	for (size_t i = 0; i < count; i++)
+		table_add(table, status_row(&answers[i]));
+	table_render(table, out);
+	table_free(table);
+	for (size_t i = 0; i < count; i++) {
+		const Caraway__StatusReport *report = answers[i].reply ? answers[i].reply->report : NULL;
+
+		if (!report || g_strcmp0(report->role, "leader") != 0)
+			continue;
+		render_replicas(report, out);
+		g_string_append_printf(out, "%u proxies: %u current, %u behind, %u silent\n",
+				       report->proxies_known, report->proxies_current, report->proxies_behind,
+				       report->proxies_silent);
+	}
+}
+
+/* Appends the counters of every process that answered, without those at 0. */
+void render_counters(const answer_t *answers, size_t count, GString *out)
+{
+	const char *const headings[] = {"PROCESS", "COUNTER", "VALUE", NULL};
+	table_t *table = table_new(headings);
+
+	for (size_t i = 0; i < count; i++) {
+		const Caraway__OperatorReply *reply = answers[i].reply;
+
+		if (!reply)
+			table_add(table, row(cell(answers[i].address), cell("no answer"), cell("-"), NULL));
+		for (size_t j = 0; reply && j < reply->n_counters; j++)
+			if (reply->counters[j]->value)
+				table_add(table, row(cell(answers[i].address), cell(reply->counters[j]->name),
+						     number_cell(reply->counters[j]->value), NULL));
+	}
+	table_render(table, out);
+	table_free(table);
+}
