--- a/tests/unit/test_members.c
+++ b/tests/unit/test_members.c
@@ -33,8 +33,9 @@
 	endpoint.vm = argv[2];
 	endpoint.incarnation = strtoull(argv[3], NULL, 10);
 	endpoint.sequence = strtoull(argv[4], NULL, 10);
-	while (strcmp(argv[5], state_words[endpoint.state]))
-		endpoint.state++;
+	for (size_t i = 0; i < G_N_ELEMENTS(state_words); i++)
+		if (!strcmp(argv[5], state_words[i]))
+			endpoint.state = (Caraway__EndpointState)i;
 	put_status(out, cw_members_announce(table(run, argv[1]), &endpoint, run->now_ms));
 }
 
