Read selectors and change files

Cause: operators aim changes by labels and write them as INI files; GLib's key files merge a doubled section or key without saying so.

A Change notes whether its review accepted it and its position among the finished ones, which later answers need.

--- a/Makefile
+++ b/Makefile
@@ -18,6 +18,7 @@
 CLI_SOURCES = $(filter-out cli/carawayctl.c,$(wildcard cli/*.c))
 TOOL_SOURCES = $(wildcard tests/tools/*.c) $(wildcard bench/*.c)
 UNIT_SOURCES = $(wildcard tests/unit/test_*.c)
+UNIT_HELPERS = $(filter-out tests/unit/test_%,$(wildcard tests/unit/*.c))
 OWN_SOURCES = $(filter-out libcaraway/gen/%,$(wildcard libcaraway/*.[ch] daemon/*.[ch] cli/*.[ch] tests/*/*.[ch] bench/*.[ch] examples/*.[ch]))
 
 object = $(patsubst %.c,$(BUILD)/%.o,$(1))
@@ -48,7 +49,7 @@
 $(TOOLS): $(BUILD)/%: $(BUILD)/%.o $(DAEMON_OBJECTS) $(LIBRARY)
 	$(CC) $(LDFLAGS) -o $@ $^ $(DAEMON_LIBS)
 
-$(UNITS): $(BUILD)/%: $(BUILD)/%.o $(BUILD)/tests/unit/script.o $(CLI_LIBRARY) $(DAEMON_OBJECTS) $(LIBRARY)
+$(UNITS): $(BUILD)/%: $(BUILD)/%.o $(call object,$(UNIT_HELPERS)) $(CLI_LIBRARY) $(DAEMON_OBJECTS) $(LIBRARY)
 	$(CC) $(LDFLAGS) -o $@ $^ $(DAEMON_LIBS) $(shell pkg-config --libs check)
 
 $(BUILD)/%.o: %.c
--- /dev/null
+++ b/libcaraway/catalog.h
@@ -0,0 +1,123 @@
+/* Sections, layers and groups of the catalog, shared by its files and the ledger's; not installed. */
+#ifndef LIBCARAWAY_CATALOG_H
+#define LIBCARAWAY_CATALOG_H
+
+#include "internal.h"
+
+typedef enum { SECTION_SERVICE, SECTION_ROUTE, SECTION_TARGET, SECTION_KINDS } section_kind_t;
+
+/* A named part of a configuration; borrows the message. */
+typedef struct {
+	section_kind_t kind;
+	union {
+		const Caraway__Service *service;
+		const Caraway__Route *route;
+		const Caraway__Target *target;
+		const ProtobufCMessage *message;
+	};
+} section_t;
+
+/* ---- content.c ---- */
+
+bool name_is_valid(const char *name);
+size_t content_count(const Caraway__Content *content, section_kind_t kind);
+section_t content_section(const Caraway__Content *content, section_kind_t kind, size_t i);
+const char *section_kind_word(section_kind_t kind);
+const char *section_name(section_t section);
+const char *section_service(section_t section);
+const char *section_target(section_t section);
+bool section_is_removed(section_t section);
+cw_status_t section_check(section_t section);
+
+/* ---- selector.c ---- */
+
+bool selector_key_is_builtin(const char *key);
+bool selector_is_empty(const cw_selector_t *selector);
+
+/* ---- vm.c ---- */
+
+cw_status_t vm_check_labels(Caraway__Label *const *labels, size_t count, bool may_remove);
+Caraway__Vm *vm_with_labels(const Caraway__Vm *vm, Caraway__Label *const *labels, size_t count);
+bool vm_is_equal(const Caraway__Vm *left, const Caraway__Vm *right);
+
+/* ---- layers ---- */
+
+/* A section as one change left it; never altered, shared between catalogs and configurations. */
+typedef struct {
+	gatomicrefcount references;
+	section_t section; /* owns the message */
+	uint64_t version;
+	uint64_t number;
+} entry_t;
+
+/* The entries of all changes with one selector text; shared between catalogs until altered. */
+typedef struct {
+	gatomicrefcount references;
+	char *text;
+	cw_selector_t *selector;
+	GHashTable *entries[SECTION_KINDS]; /* name -> entry_t */
+	GHashTable *users
+		[SECTION_KINDS]; /* name -> GPtrArray of the entry_t that refer to it; NULL until wanted */
+} layer_t;
+
+typedef struct {
+	gatomicrefcount references;
+	Caraway__Vm *vm;
+} vm_entry_t;
+
+typedef struct {
+	gatomicrefcount references;
+	GHashTable *by_name; /* name -> vm_entry_t */
+} vm_table_t;
+
+/* VMs with one set of matching layers, and so with one configuration. */
+typedef struct {
+	GBytes *key; /* uint32_t slots of the layers, rising */
+	size_t vm_count;
+} group_t;
+
+typedef struct {
+	GHashTable *by_key; /* GBytes -> group_t; NULL until wanted */
+} grouping_t;
+
+struct cw_catalog {
+	uint64_t version;
+	GPtrArray *layers; /* layer_t by slot, NULL for a free slot */
+	vm_table_t *vms;
+	grouping_t *grouping;
+};
+
+/* ---- section.c ---- */
+
+entry_t *entry_new(section_t section, uint64_t version, uint64_t number);
+entry_t *entry_reference(entry_t *entry);
+void entry_release(void *data);
+layer_t *layer_new(const char *text, cw_selector_t *selector);
+layer_t *layer_copy(const layer_t *layer);
+layer_t *layer_reference(layer_t *layer);
+void layer_release(void *data);
+const entry_t *layer_entry(const layer_t *layer, section_kind_t kind, const char *name);
+void layer_put(layer_t *layer, entry_t *entry);
+bool layer_remove(layer_t *layer, section_kind_t kind, const char *name);
+const GPtrArray *layer_users(layer_t *layer, section_kind_t kind, const char *name);
+
+/* ---- catalog.c ---- */
+
+void vm_entry_release(void *data);
+layer_t *catalog_find_layer(const cw_catalog_t *catalog, const char *text, size_t *slot);
+layer_t *catalog_add_layer(cw_catalog_t *catalog, const char *text, cw_selector_t *selector, size_t *slot);
+
+/* ---- group.c ---- */
+
+GBytes *catalog_group_key(const cw_catalog_t *catalog, const Caraway__Vm *vm);
+GHashTable *catalog_groups(const cw_catalog_t *catalog);
+bool catalog_holds_group(const cw_catalog_t *catalog, const Caraway__Vm *vm);
+void catalog_forget_groups(cw_catalog_t *catalog);
+void catalog_move_vm(cw_catalog_t *catalog, const Caraway__Vm *from, const Caraway__Vm *to);
+
+/* ---- check.c ---- */
+
+cw_status_t catalog_check_content_vm(const cw_catalog_t *catalog, const Caraway__Content *content,
+				     const Caraway__Vm *vm);
+
+#endif
--- /dev/null
+++ b/libcaraway/content.c
@@ -0,0 +1,272 @@
+/* Validity and digest of the content of a change. */
+#include "catalog.h"
+
+#include <string.h>
+
+enum {
+	NAME_MAX_BYTES = 128,
+	PATH_MAX_BYTES = 512,
+	TITLE_MAX_BYTES = 256,
+	CONTENT_MAX_SECTIONS = 10000,
+	CONTENT_MAX_BYTES = 1024 * 1024,
+	TIMEOUT_MAX_MS = 24 * 60 * 60 * 1000
+};
+
+/* Tells whether a text is a name: letters, digits, '.', '_', '-', ':' and '/', and not empty. */
+bool name_is_valid(const char *name)
+{
+	size_t length = strlen(name);
+
+	if (!length || length > NAME_MAX_BYTES)
+		return false;
+	for (size_t i = 0; i < length; i++)
+		if (!g_ascii_isalnum(name[i]) && !strchr("._-:/", name[i]))
+			return false;
+	return true;
+}
+
+/* Returns how many sections of a kind a content has. */
+size_t content_count(const Caraway__Content *content, section_kind_t kind)
+{
+	switch (kind) {
+	case SECTION_SERVICE:
+		return content->n_services;
+	case SECTION_ROUTE:
+		return content->n_routes;
+	default:
+		return content->n_targets;
+	}
+}
+
+/* Returns a borrowed section of a content. */
+section_t content_section(const Caraway__Content *content, section_kind_t kind, size_t i)
+{
+	section_t section = {.kind = kind};
+
+	switch (kind) {
+	case SECTION_SERVICE:
+		section.service = content->services[i];
+		break;
+	case SECTION_ROUTE:
+		section.route = content->routes[i];
+		break;
+	default:
+		section.target = content->targets[i];
+	}
+	return section;
+}
+
+/* Returns the word for a kind of section, as in change files. */
+const char *section_kind_word(section_kind_t kind)
+{
+	static const char *const words[SECTION_KINDS] = {"service", "route", "target"};
+
+	return words[kind];
+}
+
+/* Returns a section's name. */
+const char *section_name(section_t section)
+{
+	switch (section.kind) {
+	case SECTION_SERVICE:
+		return section.service->name;
+	case SECTION_ROUTE:
+		return section.route->name;
+	default:
+		return section.target->name;
+	}
+}
+
+/* Returns the service that a section refers to; NULL when it refers to none. */
+const char *section_service(section_t section)
+{
+	switch (section.kind) {
+	case SECTION_SERVICE:
+		return NULL;
+	case SECTION_ROUTE:
+		return section.route->service;
+	default:
+		return section.target->service;
+	}
+}
+
+/* Returns the target that a section refers to; NULL when it refers to none. */
+const char *section_target(section_t section)
+{
+	if (section.kind != SECTION_ROUTE || !*section.route->target)
+		return NULL;
+	return section.route->target;
+}
+
+/* Tells whether a section removes its name. */
+bool section_is_removed(section_t section)
+{
+	switch (section.kind) {
+	case SECTION_SERVICE:
+		return section.service->removed;
+	case SECTION_ROUTE:
+		return section.route->removed;
+	default:
+		return section.target->removed;
+	}
+}
+
+/* Checks that a path is absolute and made of printable characters without spaces or a query. */
+static cw_status_t check_path(const Caraway__Route *route)
+{
+	if (*route->path != '/')
+		return cw_fail(CW_ERR_CHANGE_FILE, "route %s: path must start with \"/\"", route->name);
+	if (strlen(route->path) > PATH_MAX_BYTES)
+		return cw_fail(CW_ERR_CHANGE_FILE, "route %s: path is longer than %d bytes", route->name,
+			       PATH_MAX_BYTES);
+	for (const char *c = route->path; *c; c++)
+		if (!g_ascii_isgraph(*c) || *c == '?' || *c == '#')
+			return cw_fail(
+				CW_ERR_CHANGE_FILE,
+				"route %s: path has a space, \"?\", \"#\" or other character not allowed",
+				route->name);
+	return CW_OK;
+}
+
+/* Checks the values of a service that is not a removal. */
+static cw_status_t check_service(const Caraway__Service *service)
+{
+	if (service->timeout_ms > TIMEOUT_MAX_MS)
+		return cw_fail(CW_ERR_CHANGE_FILE, "service %s: timeout-ms is more than %d", service->name,
+			       TIMEOUT_MAX_MS);
+	return CW_OK;
+}
+
+/* Checks the values of a route that is not a removal. */
+static cw_status_t check_route(const Caraway__Route *route)
+{
+	if (!name_is_valid(route->service))
+		return cw_fail(CW_ERR_CHANGE_FILE, "route %s: service is missing or not a name", route->name);
+	if (*route->target && !name_is_valid(route->target))
+		return cw_fail(CW_ERR_CHANGE_FILE, "route %s: target is not a name", route->name);
+	if (route->idempotence > CARAWAY__IDEMPOTENCE__NEVER)
+		return cw_fail(CW_ERR_CHANGE_FILE, "route %s: idempotent has an unknown value", route->name);
+	return check_path(route);
+}
+
+/* Checks the values of a target that is not a removal. */
+static cw_status_t check_target(const Caraway__Target *target)
+{
+	cw_selector_t *selector;
+	char *reason;
+
+	if (!name_is_valid(target->service))
+		return cw_fail(CW_ERR_CHANGE_FILE, "target %s: service is missing or not a name",
+			       target->name);
+	if (cw_selector_parse(target->selector, &selector)) {
+		reason = g_strdup(cw_last_message());
+		cw_fail(CW_ERR_SELECTOR, "target %s: %s", target->name, reason);
+		g_free(reason);
+		return CW_ERR_SELECTOR;
+	}
+	cw_selector_free(selector);
+	return CW_OK;
+}
+
+/* Tells whether a removal carries nothing besides its name. */
+static bool removal_is_bare(section_t section)
+{
+	switch (section.kind) {
+	case SECTION_SERVICE:
+		return !section.service->timeout_ms;
+	case SECTION_ROUTE:
+		return !*section.route->path && !*section.route->service && !*section.route->target &&
+		       section.route->idempotence == CARAWAY__IDEMPOTENCE__BY_METHOD;
+	default:
+		return !*section.target->service && !*section.target->selector;
+	}
+}
+
+/* Checks one section by itself; CW_ERR_CHANGE_FILE or CW_ERR_SELECTOR names it. */
+cw_status_t section_check(section_t section)
+{
+	const char *word = section_kind_word(section.kind);
+
+	if (!name_is_valid(section_name(section)))
+		return cw_fail(CW_ERR_CHANGE_FILE, "a %s has no valid name", word);
+	if (section_is_removed(section))
+		return removal_is_bare(section)
+			       ? CW_OK
+			       : cw_fail(CW_ERR_CHANGE_FILE, "%s %s: a removal has no other keys", word,
+					 section_name(section));
+	switch (section.kind) {
+	case SECTION_SERVICE:
+		return check_service(section.service);
+	case SECTION_ROUTE:
+		return check_route(section.route);
+	default:
+		return check_target(section.target);
+	}
+}
+
+/* Checks the sections of a kind, and that no name comes twice. */
+static cw_status_t check_kind(const Caraway__Content *content, section_kind_t kind)
+{
+	GHashTable *names = g_hash_table_new(g_str_hash, g_str_equal);
+	cw_status_t status = CW_OK;
+
+	for (size_t i = 0; i < content_count(content, kind) && !status; i++) {
+		section_t section = content_section(content, kind, i);
+
+		status = section_check(section);
+		if (!status && !g_hash_table_add(names, (char *)section_name(section)))
+			status = cw_fail(CW_ERR_CHANGE_FILE, "%s %s comes twice", section_kind_word(kind),
+					 section_name(section));
+	}
+	g_hash_table_destroy(names);
+	return status;
+}
+
+/* Checks the title, the size and the number of sections. */
+static cw_status_t check_outline(const Caraway__Content *content)
+{
+	size_t count = content->n_services + content->n_routes + content->n_targets;
+
+	if (!*content->title)
+		return cw_fail(CW_ERR_CHANGE_FILE, "the change has no title");
+	if (strlen(content->title) > TITLE_MAX_BYTES || !g_utf8_validate(content->title, -1, NULL))
+		return cw_fail(CW_ERR_CHANGE_FILE, "the title is longer than %d bytes or not UTF-8",
+			       TITLE_MAX_BYTES);
+	if (!count || count > CONTENT_MAX_SECTIONS)
+		return cw_fail(CW_ERR_CHANGE_FILE, "the change has %zu sections, 1 to %d are allowed", count,
+			       CONTENT_MAX_SECTIONS);
+	if (protobuf_c_message_get_packed_size(&content->base) > CONTENT_MAX_BYTES)
+		return cw_fail(CW_ERR_CHANGE_FILE, "the change is larger than %d bytes", CONTENT_MAX_BYTES);
+	return CW_OK;
+}
+
+/*
+ * Checks that a content can be carried out by itself, without regard to what
+ * is in force.  Fails with CW_ERR_CHANGE_FILE or CW_ERR_SELECTOR.
+ */
+cw_status_t cw_content_check(const Caraway__Content *content)
+{
+	cw_selector_t *selector;
+	cw_status_t status = check_outline(content);
+
+	if (!status)
+		status = cw_selector_parse(content->selector, &selector);
+	if (status)
+		return status;
+	cw_selector_free(selector);
+	for (int kind = 0; kind < SECTION_KINDS && !status; kind++)
+		status = check_kind(content, kind);
+	return status;
+}
+
+/* Returns the hash of a content's packed form. */
+uint64_t cw_content_digest(const Caraway__Content *content)
+{
+	GBytes *packed = cw_message_pack(&content->base);
+	gsize length;
+	const void *data = g_bytes_get_data(packed, &length);
+	uint64_t digest = cw_hash(data, length, 0);
+
+	g_bytes_unref(packed);
+	return digest;
+}
--- a/libcaraway/gen/caraway.pb-c.c
+++ b/libcaraway/gen/caraway.pb-c.c
@@ -3707,7 +3707,7 @@
   (ProtobufCMessageInit) caraway__command__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor caraway__change__field_descriptors[13] =
+static const ProtobufCFieldDescriptor caraway__change__field_descriptors[15] =
 {
   {
     "number",
@@ -3865,13 +3865,39 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "accepted",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Caraway__Change, accepted),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "finished",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Caraway__Change, finished),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned caraway__change__field_indices_by_name[] = {
+  13,   /* field[13] = accepted */
   2,   /* field[2] = booked_by */
   4,   /* field[4] = booked_ms */
   11,   /* field[11] = content */
   10,   /* field[10] = digest */
   6,   /* field[6] = due_ms */
+  14,   /* field[14] = finished */
   7,   /* field[7] = in_force_ms */
   0,   /* field[0] = number */
   9,   /* field[9] = refusal */
@@ -3884,7 +3910,7 @@
 static const ProtobufCIntRange caraway__change__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 13 }
+  { 0, 15 }
 };
 const ProtobufCMessageDescriptor caraway__change__descriptor =
 {
@@ -3894,7 +3920,7 @@
   "Caraway__Change",
   "caraway",
   sizeof(Caraway__Change),
-  13,
+  15,
   caraway__change__field_descriptors,
   caraway__change__field_indices_by_name,
   1,  caraway__change__number_ranges,
--- a/libcaraway/gen/caraway.pb-c.h
+++ b/libcaraway/gen/caraway.pb-c.h
@@ -365,10 +365,18 @@
   uint64_t digest;
   Caraway__Content *content;
   char *withdrawn_by;
+  /*
+   * the review accepted it, whatever came after
+   */
+  protobuf_c_boolean accepted;
+  /*
+   * position among the finished changes; 0 while unfinished
+   */
+  uint64_t finished;
 };
 #define CARAWAY__CHANGE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&caraway__change__descriptor) \
-    , 0, CARAWAY__CHANGE_STATE__CHANGE_NONE, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, NULL, (char *)protobuf_c_empty_string }
+    , 0, CARAWAY__CHANGE_STATE__CHANGE_NONE, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, NULL, (char *)protobuf_c_empty_string, 0, 0 }
 
 
 struct  Caraway__Replica
--- a/libcaraway/libcaraway.h
+++ b/libcaraway/libcaraway.h
@@ -54,6 +54,7 @@
 
 GBytes *cw_message_pack(const ProtobufCMessage *message);
 void *cw_message_copy(const ProtobufCMessage *message);
+void *cw_message_array(size_t count);
 void cw_message_free(void *message);
 uint64_t cw_hash(const void *data, size_t length, uint64_t seed);
 
@@ -68,8 +69,11 @@
 
 /* ---- change files ------------------------------------------------------------ */
 
+cw_status_t cw_ini_parse(const char *text, size_t length, const char *file, cw_status_t failure,
+			 GKeyFile **keys);
 cw_status_t cw_change_parse(const char *text, size_t length, const char *file, Caraway__Content **content);
 cw_status_t cw_content_check(const Caraway__Content *content);
+cw_status_t cw_vm_check(const Caraway__Vm *vm);
 uint64_t cw_content_digest(const Caraway__Content *content);
 
 /* ---- catalog: what is in force, for every VM ------------------------------------ */
@@ -79,6 +83,7 @@
 	GPtrArray *services; /* Caraway__Service *, by name */
 	GPtrArray *routes;   /* Caraway__Route *, by name */
 	GPtrArray *targets;  /* Caraway__Target *, by name */
+	GPtrArray *entries;  /* what keeps the messages above */
 } cw_config_t;
 
 typedef struct cw_catalog cw_catalog_t;
@@ -94,6 +99,7 @@
 GPtrArray *cw_catalog_vms(const cw_catalog_t *catalog); /* borrowed Caraway__Vm *, by name */
 cw_config_t *cw_catalog_resolve(const cw_catalog_t *catalog, const Caraway__Vm *vm);
 cw_status_t cw_catalog_check(const cw_catalog_t *catalog);
+cw_status_t cw_catalog_check_content(const cw_catalog_t *catalog, const Caraway__Content *content);
 cw_status_t cw_catalog_check_vm(const cw_catalog_t *catalog, const Caraway__Vm *vm);
 Caraway__Catalog *cw_catalog_save(const cw_catalog_t *catalog);
 cw_status_t cw_catalog_load(const Caraway__Catalog *saved, cw_catalog_t **catalog);
--- a/libcaraway/message.c
+++ b/libcaraway/message.c
@@ -25,6 +25,12 @@
 	return copy;
 }
 
+/* Returns an array for a repeated field of up to count messages; freed with the message that holds it. */
+void *cw_message_array(size_t count)
+{
+	return calloc(count + 1, sizeof(void *));
+}
+
 /* Frees an unpacked or copied message; NULL is allowed. */
 void cw_message_free(void *message)
 {
--- /dev/null
+++ b/tests/unit/test_change.c
@@ -0,0 +1,103 @@
+/* Scripted runs of the change file reader. */
+#include <check.h>
+#include <string.h>
+
+#include "script.h"
+#include "words.h"
+
+/* Prints the sections of a content. */
+static void print_content(const Caraway__Content *content, GString *out)
+{
+	g_string_append_printf(out, "change \"%s\" selector \"%s\"\n", content->title, content->selector);
+	for (size_t i = 0; i < content->n_services; i++) {
+		const Caraway__Service *service = content->services[i];
+
+		g_string_append_printf(out, "service %s timeout %u%s\n", service->name, service->timeout_ms,
+				       service->removed ? " removed" : "");
+	}
+	for (size_t i = 0; i < content->n_routes; i++) {
+		const Caraway__Route *route = content->routes[i];
+
+		g_string_append_printf(out,
+				       "route %s path \"%s\" service \"%s\" target \"%s\" idempotent %d%s\n",
+				       route->name, route->path, route->service, route->target,
+				       route->idempotence, route->removed ? " removed" : "");
+	}
+	for (size_t i = 0; i < content->n_targets; i++) {
+		const Caraway__Target *target = content->targets[i];
+
+		g_string_append_printf(out, "target %s service \"%s\" selector \"%s\"%s\n", target->name,
+				       target->service, target->selector, target->removed ? " removed" : "");
+	}
+}
+
+/* Parses the lines given as words and prints the content or the failure. */
+static void run_parse(void *data, int argc, char **argv, GString *out)
+{
+	char *text = g_strjoinv("\n", argv + 1);
+	Caraway__Content *content;
+	cw_status_t status = cw_change_parse(text, strlen(text), "f.ini", &content);
+
+	(void)data;
+	(void)argc;
+	if (status)
+		g_string_append_printf(out, "%s: %s\n", cw_status_word(status), cw_last_message());
+	else
+		print_content(content, out);
+	cw_message_free(content);
+	g_free(text);
+}
+
+/* Runs every script. */
+START_TEST(test_script)
+{
+	GPtrArray *scripts = script_list("tests/change");
+
+	for (size_t i = 0; i < scripts->len; i++) {
+		char *difference = script_run(scripts->pdata[i], run_parse, NULL);
+
+		ck_assert_msg(!difference, "%s", difference);
+	}
+	ck_assert_uint_gt(scripts->len, 0);
+	g_ptr_array_unref(scripts);
+}
+END_TEST
+
+/* The order of the sections in the file does not alter the digest; any value does. */
+START_TEST(test_digest)
+{
+	static const char *const texts[] = {
+		"[change]\ntitle=t\nselector=\n[service a]\n[service b]\n",
+		"[service b]\n[service a]\n[change]\nselector=\ntitle=t\n",
+		"[change]\ntitle=t\nselector=\n[service a]\n[service b]\ntimeout-ms=1\n",
+	};
+	uint64_t digests[G_N_ELEMENTS(texts)];
+
+	for (size_t i = 0; i < G_N_ELEMENTS(texts); i++) {
+		Caraway__Content *content;
+
+		ck_assert_int_eq(cw_change_parse(texts[i], strlen(texts[i]), "f", &content), CW_OK);
+		digests[i] = cw_content_digest(content);
+		cw_message_free(content);
+	}
+	ck_assert_uint_eq(digests[0], digests[1]);
+	ck_assert_uint_ne(digests[0], digests[2]);
+}
+END_TEST
+
+/* Runs the tests; the exit status is the number of failures, at most 1. */
+int main(void)
+{
+	Suite *suite = suite_create("change");
+	TCase *tcase = tcase_create("change");
+	SRunner *runner = srunner_create(suite);
+	int failed;
+
+	tcase_add_test(tcase, test_script);
+	tcase_add_test(tcase, test_digest);
+	suite_add_tcase(suite, tcase);
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed != 0;
+}
