Keep the catalog in layers and check whole configurations

Cause: what a VM holds must follow from its labels alone, also after a relabel, in state that does not grow with the number of changes.

Change: one layer per selector text, in it the last section of each name with its version; a VM holds the newest entry of the layers that match it. Entries that can show on no VM are dropped: those older than an entry for every VM, and removals with nothing older left. Entries, layers and the VM table are shared between copies until altered, so that a check can work on a copy. VMs that the same layers select are checked once, and after a change only the references from and to its names.

Ruled out: a history per VM, which a relabel would have to replay.

Conclusion: tests/catalog runs the check by names beside the whole check and expects the same answer of both.

--- /dev/null
+++ b/libcaraway/catalog.c
@@ -0,0 +1,284 @@
+/* The catalog: layers of sections by selector, and the table of VMs. */
+#include "catalog.h"
+
+/* Returns a new, empty table of VMs. */
+static vm_table_t *vm_table_new(void)
+{
+	vm_table_t *table = g_new0(vm_table_t, 1);
+
+	g_atomic_ref_count_init(&table->references);
+	table->by_name = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, vm_entry_release);
+	return table;
+}
+
+/* Gives a reference to a VM back. */
+void vm_entry_release(void *data)
+{
+	vm_entry_t *entry = data;
+
+	if (!g_atomic_ref_count_dec(&entry->references))
+		return;
+	cw_message_free(entry->vm);
+	g_free(entry);
+}
+
+/* Gives a reference to a table of VMs back. */
+static void vm_table_release(vm_table_t *table)
+{
+	if (!g_atomic_ref_count_dec(&table->references))
+		return;
+	g_hash_table_destroy(table->by_name);
+	g_free(table);
+}
+
+/* Returns a table of its own with the VMs of another. */
+static vm_table_t *vm_table_copy(const vm_table_t *table)
+{
+	vm_table_t *copy = vm_table_new();
+	GHashTableIter iter;
+	gpointer name;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, table->by_name);
+	while (g_hash_table_iter_next(&iter, &name, &value)) {
+		vm_entry_t *entry = value;
+
+		g_atomic_ref_count_inc(&entry->references);
+		g_hash_table_insert(copy->by_name, name, entry);
+	}
+	return copy;
+}
+
+/* Returns a new catalog of version 0, without sections and VMs. */
+cw_catalog_t *cw_catalog_new(void)
+{
+	cw_catalog_t *catalog = g_new0(cw_catalog_t, 1);
+
+	catalog->layers = g_ptr_array_new_with_free_func(layer_release);
+	catalog->vms = vm_table_new();
+	catalog->grouping = g_new0(grouping_t, 1);
+	return catalog;
+}
+
+/* Frees a catalog; NULL is allowed. */
+void cw_catalog_free(cw_catalog_t *catalog)
+{
+	if (!catalog)
+		return;
+	catalog_forget_groups(catalog);
+	g_free(catalog->grouping);
+	vm_table_release(catalog->vms);
+	g_ptr_array_unref(catalog->layers);
+	g_free(catalog);
+}
+
+/* Returns a copy that shares layers and VMs until one of the two alters them. */
+cw_catalog_t *cw_catalog_copy(const cw_catalog_t *catalog)
+{
+	cw_catalog_t *copy = g_new0(cw_catalog_t, 1);
+
+	copy->version = catalog->version;
+	copy->layers = g_ptr_array_new_with_free_func(layer_release);
+	for (size_t i = 0; i < catalog->layers->len; i++) {
+		layer_t *layer = catalog->layers->pdata[i];
+
+		g_ptr_array_add(copy->layers, layer ? layer_reference(layer) : NULL);
+	}
+	copy->vms = catalog->vms;
+	g_atomic_ref_count_inc(&copy->vms->references);
+	copy->grouping = g_new0(grouping_t, 1);
+	return copy;
+}
+
+/* Returns the version of the last change applied. */
+uint64_t cw_catalog_version(const cw_catalog_t *catalog)
+{
+	return catalog->version;
+}
+
+/* Returns the layer of a selector text and its slot; NULL when there is none. */
+layer_t *catalog_find_layer(const cw_catalog_t *catalog, const char *text, size_t *slot)
+{
+	for (size_t i = 0; i < catalog->layers->len; i++) {
+		layer_t *layer = catalog->layers->pdata[i];
+
+		if (!layer || !g_str_equal(layer->text, text))
+			continue;
+		*slot = i;
+		return layer;
+	}
+	return NULL;
+}
+
+/* Adds an empty layer in the first free slot; takes the selector over. */
+layer_t *catalog_add_layer(cw_catalog_t *catalog, const char *text, cw_selector_t *selector, size_t *slot)
+{
+	layer_t *layer = layer_new(text, selector);
+
+	catalog_forget_groups(catalog);
+	for (*slot = 0; *slot < catalog->layers->len; (*slot)++) {
+		if (catalog->layers->pdata[*slot])
+			continue;
+		catalog->layers->pdata[*slot] = layer;
+		return layer;
+	}
+	g_ptr_array_add(catalog->layers, layer);
+	return layer;
+}
+
+/* Returns the layer of a slot for altering, which no other catalog shares. */
+static layer_t *own_layer(cw_catalog_t *catalog, size_t slot)
+{
+	layer_t *layer = catalog->layers->pdata[slot];
+
+	if (g_atomic_ref_count_compare(&layer->references, 1))
+		return layer;
+	catalog->layers->pdata[slot] = layer_copy(layer);
+	layer_release(layer);
+	return catalog->layers->pdata[slot];
+}
+
+/* Removes an entry, and its layer when nothing else is left in it. */
+static void drop_entry(cw_catalog_t *catalog, size_t slot, section_kind_t kind, const char *name)
+{
+	layer_t *layer = own_layer(catalog, slot);
+
+	if (!layer_remove(layer, kind, name))
+		return;
+	catalog->layers->pdata[slot] = NULL;
+	layer_release(layer);
+	catalog_forget_groups(catalog);
+}
+
+/* Returns the least version of the live entries of a name; UINT64_MAX when there is none. */
+static uint64_t oldest_live(const cw_catalog_t *catalog, section_kind_t kind, const char *name)
+{
+	uint64_t oldest = UINT64_MAX;
+
+	for (size_t i = 0; i < catalog->layers->len; i++) {
+		const layer_t *layer = catalog->layers->pdata[i];
+		const entry_t *entry = layer ? layer_entry(layer, kind, name) : NULL;
+
+		if (entry && !section_is_removed(entry->section))
+			oldest = MIN(oldest, entry->version);
+	}
+	return oldest;
+}
+
+/* Returns the newest version of a name under a selector that selects every VM; 0 when there is none. */
+static uint64_t newest_for_all(const cw_catalog_t *catalog, section_kind_t kind, const char *name)
+{
+	uint64_t newest = 0;
+
+	for (size_t i = 0; i < catalog->layers->len; i++) {
+		const layer_t *layer = catalog->layers->pdata[i];
+		const entry_t *entry = layer ? layer_entry(layer, kind, name) : NULL;
+
+		if (entry && selector_is_empty(layer->selector))
+			newest = MAX(newest, entry->version);
+	}
+	return newest;
+}
+
+/*
+ * Drops the entries of a name that can show on no VM, whatever its labels:
+ * those older than one that every VM has, and removals of nothing older.
+ */
+static void prune_name(cw_catalog_t *catalog, section_kind_t kind, const char *name)
+{
+	uint64_t hidden_below = newest_for_all(catalog, kind, name);
+	uint64_t oldest;
+
+	for (size_t i = 0; i < catalog->layers->len; i++) {
+		const layer_t *layer = catalog->layers->pdata[i];
+		const entry_t *entry = layer ? layer_entry(layer, kind, name) : NULL;
+
+		if (entry && entry->version < hidden_below)
+			drop_entry(catalog, i, kind, name);
+	}
+	oldest = oldest_live(catalog, kind, name);
+	for (size_t i = 0; i < catalog->layers->len; i++) {
+		const layer_t *layer = catalog->layers->pdata[i];
+		const entry_t *entry = layer ? layer_entry(layer, kind, name) : NULL;
+
+		if (entry && section_is_removed(entry->section) && entry->version < oldest)
+			drop_entry(catalog, i, kind, name);
+	}
+}
+
+/* Returns the slot of a content's layer, adding the layer when it is new. */
+static size_t layer_slot(cw_catalog_t *catalog, const char *text)
+{
+	cw_selector_t *selector;
+	size_t slot;
+
+	if (catalog_find_layer(catalog, text, &slot))
+		return slot;
+	if (cw_selector_parse(text, &selector))
+		g_error("a selector that was checked does not parse: %s", text);
+	catalog_add_layer(catalog, text, selector, &slot);
+	return slot;
+}
+
+/* Applies a checked content under a version higher than the catalog's. */
+void cw_catalog_apply(cw_catalog_t *catalog, const Caraway__Content *content, uint64_t number,
+		      uint64_t version)
+{
+	catalog->version = version;
+	for (int kind = 0; kind < SECTION_KINDS; kind++)
+		for (size_t i = 0; i < content_count(content, kind); i++) {
+			section_t section = content_section(content, kind, i);
+			size_t slot = layer_slot(catalog, content->selector);
+
+			layer_put(own_layer(catalog, slot), entry_new(section, version, number));
+			prune_name(catalog, kind, section_name(section));
+		}
+}
+
+/* Adds a VM or replaces the one of its name, under a version not lower than the catalog's. */
+void cw_catalog_set_vm(cw_catalog_t *catalog, const Caraway__Vm *vm, uint64_t version)
+{
+	vm_entry_t *entry = g_new0(vm_entry_t, 1);
+	vm_table_t *table = catalog->vms;
+
+	if (!g_atomic_ref_count_compare(&table->references, 1)) {
+		catalog->vms = vm_table_copy(table);
+		vm_table_release(table);
+	}
+	g_atomic_ref_count_init(&entry->references);
+	entry->vm = cw_message_copy(&vm->base);
+	catalog_move_vm(catalog, cw_catalog_vm(catalog, vm->name), entry->vm);
+	g_hash_table_replace(catalog->vms->by_name, entry->vm->name, entry);
+	catalog->version = version;
+}
+
+/* Returns a VM by name, borrowed; NULL when it is not known. */
+const Caraway__Vm *cw_catalog_vm(const cw_catalog_t *catalog, const char *name)
+{
+	const vm_entry_t *entry = g_hash_table_lookup(catalog->vms->by_name, name);
+
+	return entry ? entry->vm : NULL;
+}
+
+/* Orders VMs by name. */
+static gint compare_vms(gconstpointer a, gconstpointer b)
+{
+	const Caraway__Vm *left = *(Caraway__Vm *const *)a;
+	const Caraway__Vm *right = *(Caraway__Vm *const *)b;
+
+	return g_strcmp0(left->name, right->name);
+}
+
+/* Returns every VM, borrowed, ordered by name; the caller frees the array. */
+GPtrArray *cw_catalog_vms(const cw_catalog_t *catalog)
+{
+	GPtrArray *vms = g_ptr_array_sized_new(g_hash_table_size(catalog->vms->by_name));
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, catalog->vms->by_name);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		g_ptr_array_add(vms, ((vm_entry_t *)value)->vm);
+	g_ptr_array_sort(vms, compare_vms);
+	return vms;
+}
--- /dev/null
+++ b/libcaraway/resolve.c
@@ -0,0 +1,93 @@
+/* The configuration of one VM: for each name the newest entry of the layers that select it. */
+#include "catalog.h"
+
+/* Adds the entries of a layer that are newer than those found so far. */
+static void merge_layer(GHashTable *found, const layer_t *layer, section_kind_t kind)
+{
+	GHashTableIter iter;
+	gpointer name;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, layer->entries[kind]);
+	while (g_hash_table_iter_next(&iter, &name, &value)) {
+		const entry_t *held = g_hash_table_lookup(found, name);
+
+		if (!held || held->version < ((const entry_t *)value)->version)
+			g_hash_table_insert(found, name, value);
+	}
+}
+
+/* Orders entries by name. */
+static gint compare_entries(gconstpointer a, gconstpointer b)
+{
+	const entry_t *left = *(entry_t *const *)a;
+	const entry_t *right = *(entry_t *const *)b;
+
+	return g_strcmp0(section_name(left->section), section_name(right->section));
+}
+
+/* Returns the entries of a kind that a VM holds, borrowed, ordered by name. */
+static GPtrArray *resolve_kind(const cw_catalog_t *catalog, const Caraway__Vm *vm, section_kind_t kind)
+{
+	GHashTable *found = g_hash_table_new(g_str_hash, g_str_equal);
+	GPtrArray *entries = g_ptr_array_new();
+	GHashTableIter iter;
+	gpointer value;
+
+	for (size_t i = 0; i < catalog->layers->len; i++) {
+		const layer_t *layer = catalog->layers->pdata[i];
+
+		if (layer && cw_selector_match(layer->selector, vm))
+			merge_layer(found, layer, kind);
+	}
+	g_hash_table_iter_init(&iter, found);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		if (!section_is_removed(((entry_t *)value)->section))
+			g_ptr_array_add(entries, value);
+	g_ptr_array_sort(entries, compare_entries);
+	g_hash_table_destroy(found);
+	return entries;
+}
+
+/* Returns the messages of entries, and takes references that keep them. */
+static GPtrArray *hold_messages(GPtrArray *entries, GPtrArray *held)
+{
+	GPtrArray *messages = g_ptr_array_sized_new(entries->len);
+
+	for (size_t i = 0; i < entries->len; i++) {
+		entry_t *entry = entries->pdata[i];
+
+		g_ptr_array_add(held, entry_reference(entry));
+		g_ptr_array_add(messages, (gpointer)entry->section.message);
+	}
+	g_ptr_array_unref(entries);
+	return messages;
+}
+
+/*
+ * Returns the configuration of a VM, which need not be in the table.  It
+ * stays as it is when the catalog changes, and may be freed on another thread.
+ */
+cw_config_t *cw_catalog_resolve(const cw_catalog_t *catalog, const Caraway__Vm *vm)
+{
+	cw_config_t *config = g_new0(cw_config_t, 1);
+
+	config->version = catalog->version;
+	config->entries = g_ptr_array_new_with_free_func(entry_release);
+	config->services = hold_messages(resolve_kind(catalog, vm, SECTION_SERVICE), config->entries);
+	config->routes = hold_messages(resolve_kind(catalog, vm, SECTION_ROUTE), config->entries);
+	config->targets = hold_messages(resolve_kind(catalog, vm, SECTION_TARGET), config->entries);
+	return config;
+}
+
+/* Frees a configuration; NULL is allowed. */
+void cw_config_free(cw_config_t *config)
+{
+	if (!config)
+		return;
+	g_ptr_array_unref(config->services);
+	g_ptr_array_unref(config->routes);
+	g_ptr_array_unref(config->targets);
+	g_ptr_array_unref(config->entries);
+	g_free(config);
+}
--- /dev/null
+++ b/libcaraway/section.c
@@ -0,0 +1,168 @@
+/* Entries and layers: what changes left behind, by selector text. */
+#include "catalog.h"
+
+/* Returns a new entry that owns a copy of a section. */
+entry_t *entry_new(section_t section, uint64_t version, uint64_t number)
+{
+	entry_t *entry = g_new0(entry_t, 1);
+
+	g_atomic_ref_count_init(&entry->references);
+	entry->section.kind = section.kind;
+	entry->section.message = cw_message_copy(section.message);
+	entry->version = version;
+	entry->number = number;
+	return entry;
+}
+
+/* Takes a reference to an entry. */
+entry_t *entry_reference(entry_t *entry)
+{
+	g_atomic_ref_count_inc(&entry->references);
+	return entry;
+}
+
+/* Gives a reference to an entry back. */
+void entry_release(void *data)
+{
+	entry_t *entry = data;
+
+	if (!g_atomic_ref_count_dec(&entry->references))
+		return;
+	cw_message_free((void *)entry->section.message);
+	g_free(entry);
+}
+
+/* Returns a new layer without entries; owns the selector. */
+layer_t *layer_new(const char *text, cw_selector_t *selector)
+{
+	layer_t *layer = g_new0(layer_t, 1);
+
+	g_atomic_ref_count_init(&layer->references);
+	layer->text = g_strdup(text);
+	layer->selector = selector;
+	for (int kind = 0; kind < SECTION_KINDS; kind++)
+		layer->entries[kind] = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, entry_release);
+	return layer;
+}
+
+/* Drops the tables of users, which are made again when wanted. */
+static void layer_forget_users(layer_t *layer)
+{
+	for (int kind = 0; kind < SECTION_KINDS; kind++) {
+		if (layer->users[kind])
+			g_hash_table_destroy(layer->users[kind]);
+		layer->users[kind] = NULL;
+	}
+}
+
+/* Takes a reference to a layer. */
+layer_t *layer_reference(layer_t *layer)
+{
+	g_atomic_ref_count_inc(&layer->references);
+	return layer;
+}
+
+/* Gives a reference to a layer back; NULL is allowed. */
+void layer_release(void *data)
+{
+	layer_t *layer = data;
+
+	if (!layer || !g_atomic_ref_count_dec(&layer->references))
+		return;
+	layer_forget_users(layer);
+	for (int kind = 0; kind < SECTION_KINDS; kind++)
+		g_hash_table_destroy(layer->entries[kind]);
+	cw_selector_free(layer->selector);
+	g_free(layer->text);
+	g_free(layer);
+}
+
+/* Returns a layer of its own with the entries of another. */
+layer_t *layer_copy(const layer_t *layer)
+{
+	cw_selector_t *selector;
+	layer_t *copy;
+
+	cw_selector_parse(layer->text, &selector);
+	copy = layer_new(layer->text, selector);
+	for (int kind = 0; kind < SECTION_KINDS; kind++) {
+		GHashTableIter iter;
+		gpointer name;
+		gpointer entry;
+
+		g_hash_table_iter_init(&iter, layer->entries[kind]);
+		while (g_hash_table_iter_next(&iter, &name, &entry))
+			g_hash_table_insert(copy->entries[kind], name, entry_reference(entry));
+	}
+	return copy;
+}
+
+/* Returns a layer's entry of a name; NULL when it has none. */
+const entry_t *layer_entry(const layer_t *layer, section_kind_t kind, const char *name)
+{
+	return g_hash_table_lookup(layer->entries[kind], name);
+}
+
+/* Puts an entry in the place of the one of its name; takes the reference over. */
+void layer_put(layer_t *layer, entry_t *entry)
+{
+	layer_forget_users(layer);
+	g_hash_table_replace(layer->entries[entry->section.kind], (gpointer)section_name(entry->section),
+			     entry);
+}
+
+/* Removes the entry of a name; returns whether the layer is empty now. */
+bool layer_remove(layer_t *layer, section_kind_t kind, const char *name)
+{
+	size_t left = 0;
+
+	layer_forget_users(layer);
+	g_hash_table_remove(layer->entries[kind], name);
+	for (int i = 0; i < SECTION_KINDS; i++)
+		left += g_hash_table_size(layer->entries[i]);
+	return !left;
+}
+
+/* Notes that an entry refers to a name of a kind. */
+static void add_user(layer_t *layer, section_kind_t kind, const char *name, entry_t *entry)
+{
+	GPtrArray *users = g_hash_table_lookup(layer->users[kind], name);
+
+	if (!users) {
+		users = g_ptr_array_new();
+		g_hash_table_insert(layer->users[kind], g_strdup(name), users);
+	}
+	g_ptr_array_add(users, entry);
+}
+
+/* Makes the tables of users: for each service and target, the entries that refer to it. */
+static void layer_index_users(layer_t *layer)
+{
+	for (int kind = 0; kind < SECTION_KINDS; kind++)
+		layer->users[kind] = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+							   (GDestroyNotify)g_ptr_array_unref);
+	for (int kind = 0; kind < SECTION_KINDS; kind++) {
+		GHashTableIter iter;
+		gpointer value;
+
+		g_hash_table_iter_init(&iter, layer->entries[kind]);
+		while (g_hash_table_iter_next(&iter, NULL, &value)) {
+			section_t section = ((entry_t *)value)->section;
+
+			if (section_is_removed(section))
+				continue;
+			if (section_service(section))
+				add_user(layer, SECTION_SERVICE, section_service(section), value);
+			if (section_target(section))
+				add_user(layer, SECTION_TARGET, section_target(section), value);
+		}
+	}
+}
+
+/* Returns the entries (entry_t *) of a layer that refer to a service or target; NULL when none do. */
+const GPtrArray *layer_users(layer_t *layer, section_kind_t kind, const char *name)
+{
+	if (!layer->users[SECTION_SERVICE])
+		layer_index_users(layer);
+	return g_hash_table_lookup(layer->users[kind], name);
+}
--- /dev/null
+++ b/tests/unit/test_catalog.c
@@ -0,0 +1,209 @@
+/* Scripted runs of the catalog: layers, resolution, check, save and load. */
+#include <check.h>
+#include <string.h>
+
+#include "script.h"
+#include "words.h"
+
+/* Prints the configuration of a VM. */
+static void print_config(const cw_catalog_t *catalog, const Caraway__Vm *vm, GString *out)
+{
+	cw_config_t *config = cw_catalog_resolve(catalog, vm);
+
+	g_string_append_printf(out, "version %" G_GUINT64_FORMAT "\n", config->version);
+	for (size_t i = 0; i < config->services->len; i++)
+		g_string_append_printf(out, "service %s\n",
+				       ((Caraway__Service *)config->services->pdata[i])->name);
+	for (size_t i = 0; i < config->routes->len; i++) {
+		const Caraway__Route *route = config->routes->pdata[i];
+
+		g_string_append_printf(out, "route %s %s %s%s%s\n", route->name, route->path, route->service,
+				       *route->target ? " " : "", route->target);
+	}
+	for (size_t i = 0; i < config->targets->len; i++) {
+		const Caraway__Target *target = config->targets->pdata[i];
+
+		g_string_append_printf(out, "target %s %s \"%s\"\n", target->name, target->service,
+				       target->selector);
+	}
+	cw_config_free(config);
+}
+
+/* Prints the outcome of a check. */
+static void print_status(cw_status_t status, GString *out)
+{
+	if (status)
+		g_string_append_printf(out, "%s: %s\n", cw_status_word(status), cw_last_message());
+	else
+		g_string_append(out, "ok\n");
+}
+
+/* Applies a content and prints the outcome of the check by its names and of the whole check. */
+static void apply(cw_catalog_t *catalog, int argc, char **argv, GString *out)
+{
+	uint64_t version = cw_catalog_version(catalog) + 1;
+	Caraway__Content *content = words_content(argv[1], argc - 2, argv + 2);
+
+	cw_catalog_apply(catalog, content, version, version);
+	print_status(cw_catalog_check_content(catalog, content), out);
+	print_status(cw_catalog_check(catalog), out);
+	cw_message_free(content);
+}
+
+/* Replaces the catalog by what its saved form gives, and prints the number of its layers. */
+static void reload(cw_catalog_t **catalog, GString *out)
+{
+	Caraway__Catalog *saved = cw_catalog_save(*catalog);
+	cw_catalog_t *loaded;
+
+	print_status(cw_catalog_load(saved, &loaded), out);
+	g_string_append_printf(out, "layers %zu\n", saved->n_layers);
+	cw_message_free(saved);
+	cw_catalog_free(*catalog);
+	*catalog = loaded;
+}
+
+/* Carries out one command of a script. */
+static void run_command(void *data, int argc, char **argv, GString *out)
+{
+	cw_catalog_t **catalog = data;
+	Caraway__Vm *vm;
+
+	if (!strcmp(argv[0], "apply")) {
+		apply(*catalog, argc, argv, out);
+	} else if (!strcmp(argv[0], "reload")) {
+		reload(catalog, out);
+	} else if (!strcmp(argv[0], "resolve")) {
+		print_config(*catalog, cw_catalog_vm(*catalog, argv[1]), out);
+	} else if (!strcmp(argv[0], "vm")) {
+		vm = words_vm(argv[1], argc - 2, argv + 2);
+		print_status(cw_catalog_check_vm(*catalog, vm), out);
+		cw_catalog_set_vm(*catalog, vm, cw_catalog_version(*catalog));
+		cw_message_free(vm);
+	} else {
+		g_string_append(out, "unknown command\n");
+	}
+}
+
+/* Runs every script on a catalog of its own. */
+START_TEST(test_script)
+{
+	GPtrArray *scripts = script_list("tests/catalog");
+
+	for (size_t i = 0; i < scripts->len; i++) {
+		cw_catalog_t *catalog = cw_catalog_new();
+		char *difference = script_run(scripts->pdata[i], run_command, &catalog);
+
+		ck_assert_msg(!difference, "%s", difference);
+		cw_catalog_free(catalog);
+	}
+	ck_assert_uint_gt(scripts->len, 0);
+	g_ptr_array_unref(scripts);
+}
+END_TEST
+
+/* A configuration and a copy stay as they were when the catalog goes on, and the copy may go on by itself. */
+START_TEST(test_copy)
+{
+	char *words[] = {"service=a", "route=r:/:a"};
+	char *removal[] = {"-route=r", "-service=a"};
+	Caraway__Content *first = words_content("", 2, words);
+	Caraway__Content *second = words_content("", 2, removal);
+	Caraway__Vm *vm = words_vm("v1", 0, NULL);
+	cw_catalog_t *catalog = cw_catalog_new();
+	cw_catalog_t *copy;
+	cw_config_t *before;
+	cw_config_t *after;
+
+	cw_catalog_set_vm(catalog, vm, 0);
+	cw_catalog_apply(catalog, first, 1, 1);
+	copy = cw_catalog_copy(catalog);
+	before = cw_catalog_resolve(catalog, vm);
+	cw_catalog_apply(catalog, second, 2, 2);
+	cw_catalog_free(catalog);
+	ck_assert_uint_eq(before->routes->len, 1);
+	ck_assert_str_eq(((Caraway__Route *)before->routes->pdata[0])->service, "a");
+	after = cw_catalog_resolve(copy, vm);
+	ck_assert_uint_eq(after->version, 1);
+	ck_assert_uint_eq(after->services->len, 1);
+	cw_config_free(before);
+	cw_config_free(after);
+	cw_catalog_free(copy);
+	cw_message_free(vm);
+	cw_message_free(first);
+	cw_message_free(second);
+}
+END_TEST
+
+/* Returns the message that saving a catalog of one route and one VM gives. */
+static Caraway__Catalog *small_saved(void)
+{
+	char *words[] = {"service=a", "route=r:/:a", "target=t:a:x"};
+	Caraway__Content *content = words_content("zone=eger", 3, words);
+	Caraway__Vm *vm = words_vm("v1", 0, NULL);
+	cw_catalog_t *catalog = cw_catalog_new();
+	Caraway__Catalog *saved;
+
+	cw_catalog_set_vm(catalog, vm, 0);
+	cw_catalog_apply(catalog, content, 1, 1);
+	saved = cw_catalog_save(catalog);
+	cw_catalog_free(catalog);
+	cw_message_free(vm);
+	cw_message_free(content);
+	return saved;
+}
+
+/* Damages one field of a saved catalog. */
+static void damage(Caraway__Catalog *saved, int field)
+{
+	switch (field) {
+	case 0:
+		saved->layers[0]->routes[0]->route->path[0] = 'x';
+		break;
+	case 1:
+		saved->layers[0]->services[0]->version = 2;
+		break;
+	case 2:
+		saved->layers[0]->targets[0]->target->selector[0] = ',';
+		break;
+	case 3:
+		saved->layers[0]->selector[0] = '=';
+		break;
+	case 4:
+		saved->vms[0]->name[0] = ' ';
+		break;
+	default:
+		saved->layers[0]->services[0]->service->name[0] = '\0';
+	}
+}
+
+/* A saved catalog with any one field damaged is refused. */
+START_TEST(test_load_refuses)
+{
+	Caraway__Catalog *saved = small_saved();
+	cw_catalog_t *catalog;
+
+	damage(saved, _i);
+	ck_assert_int_eq(cw_catalog_load(saved, &catalog), CW_ERR_DECODE);
+	ck_assert_ptr_null(catalog);
+	cw_message_free(saved);
+}
+END_TEST
+
+/* Runs the tests; the exit status is the number of failures, at most 1. */
+int main(void)
+{
+	Suite *suite = suite_create("catalog");
+	TCase *tcase = tcase_create("catalog");
+	SRunner *runner = srunner_create(suite);
+	int failed;
+
+	tcase_add_test(tcase, test_script);
+	tcase_add_test(tcase, test_copy);
+	tcase_add_loop_test(tcase, test_load_refuses, 0, 6);
+	suite_add_tcase(suite, tcase);
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed != 0;
+}
