--- a/daemon/ini.h
+++ b/daemon/ini.h
@@ -1,4 +1,4 @@
-/* INI files read strictly: GLib's key files with doubled groups and keys refused. */
+/* INI files of settings. */
 #ifndef INI_H
 #define INI_H
 
