Link the daemon's modules as a library

Cause: every tool and unit was linked with every object of the daemon, so one module whose neighbours are still to come broke them all. Change: libdaemon.a, as for the tool's modules; the linker takes what is used.

--- a/Makefile
+++ b/Makefile
@@ -24,7 +24,7 @@
 object = $(patsubst %.c,$(BUILD)/%.o,$(1))
 LIBRARY = $(BUILD)/libcaraway.a
 CLI_LIBRARY = $(BUILD)/libcli.a
-DAEMON_OBJECTS = $(call object,$(DAEMON_SOURCES))
+DAEMON_LIBRARY = $(BUILD)/libdaemon.a
 PROGRAMS = $(if $(and $(wildcard daemon/control.c),$(wildcard daemon/proxy.c)),$(BUILD)/carawayd) \
 	$(if $(and $(wildcard cli/carawayctl.c),$(wildcard libcaraway/change.c)),$(BUILD)/carawayctl)
 TOOLS = $(patsubst %.c,$(BUILD)/%,$(TOOL_SOURCES))
@@ -36,20 +36,24 @@
 	rm -f $@
 	ar rcs $@ $^
 
-$(BUILD)/carawayd: $(BUILD)/daemon/carawayd.o $(DAEMON_OBJECTS) $(LIBRARY)
+$(DAEMON_LIBRARY): $(call object,$(DAEMON_SOURCES))
+	rm -f $@
+	ar rcs $@ $^
+
+$(BUILD)/carawayd: $(BUILD)/daemon/carawayd.o $(DAEMON_LIBRARY) $(LIBRARY)
 	$(CC) $(LDFLAGS) -o $@ $^ $(DAEMON_LIBS)
 
 $(CLI_LIBRARY): $(call object,$(CLI_SOURCES))
 	rm -f $@
 	ar rcs $@ $^
 
-$(BUILD)/carawayctl: $(BUILD)/cli/carawayctl.o $(CLI_LIBRARY) $(DAEMON_OBJECTS) $(LIBRARY)
+$(BUILD)/carawayctl: $(BUILD)/cli/carawayctl.o $(CLI_LIBRARY) $(DAEMON_LIBRARY) $(LIBRARY)
 	$(CC) $(LDFLAGS) -o $@ $^ $(DAEMON_LIBS)
 
-$(TOOLS): $(BUILD)/%: $(BUILD)/%.o $(DAEMON_OBJECTS) $(LIBRARY)
+$(TOOLS): $(BUILD)/%: $(BUILD)/%.o $(DAEMON_LIBRARY) $(LIBRARY)
 	$(CC) $(LDFLAGS) -o $@ $^ $(DAEMON_LIBS)
 
-$(UNITS): $(BUILD)/%: $(BUILD)/%.o $(call object,$(UNIT_HELPERS)) $(CLI_LIBRARY) $(DAEMON_OBJECTS) $(LIBRARY)
+$(UNITS): $(BUILD)/%: $(BUILD)/%.o $(call object,$(UNIT_HELPERS)) $(CLI_LIBRARY) $(DAEMON_LIBRARY) $(LIBRARY)
 	$(CC) $(LDFLAGS) -o $@ $^ $(DAEMON_LIBS) $(shell pkg-config --libs check)
 
 $(BUILD)/%.o: %.c
