Decide on calls: admission, choice, retry budget and outcome

Change: five state machines without clock or input. Admission beside a target (slots, short queue, refusal of what would be late, a ramp for a cold target) with a record of call ids in 1 KiB an origin; choice of an endpoint by power of two choices, own zone first; a retry budget; and the course of one call at its origin, which says "not run" only when every attempt is proved not run. Ruled out: a table of every id seen, since at 8,700 origins it does not fit in the memory a daemon may use; a call id that has left the window of its origin is "forgotten" instead, which is never said to be not run. Measured: scripts in tests/admission, tests/call and tests/pick agree.

--- a/libcaraway/libcaraway.h
+++ b/libcaraway/libcaraway.h
@@ -417,5 +417,224 @@
 const Caraway__Stamp *cw_relay_stamp(const cw_relay_t *relay); /* newest seen */
 void cw_relay_actions_init(cw_relay_actions_t *actions);
 void cw_relay_actions_clear(cw_relay_actions_t *actions);
+/* ---- calls: reasons and identifiers ------------------------------------------------------------ */
+
+/* Words of refusals and failures: id, word, HTTP status of the answer made for the caller. */
+#define CW_REASONS(X)                                                                                        \
+	X(NONE, "none", 200)                                                                                 \
+	/* the target ran nothing */                                                                         \
+	X(NO_CONFIG, "no-config", 503)                                                                       \
+	X(NO_ROUTE, "no-route", 404)                                                                         \
+	X(NO_TARGET, "no-target", 503)                                                                       \
+	X(UNREACHABLE, "unreachable", 503)                                                                   \
+	X(QUEUE_FULL, "queue-full", 503)                                                                     \
+	X(DEADLINE, "deadline", 504)                                                                         \
+	X(DRAINING, "draining", 503)                                                                         \
+	X(INCARNATION, "incarnation", 503)                                                                   \
+	X(TARGET_UNREACHABLE, "target-unreachable", 503)                                                     \
+	X(REVOKED, "revoked", 504)                                                                           \
+	X(RECORDS_FULL, "records-full", 503)                                                                 \
+	X(TOO_LARGE, "too-large", 413)                                                                       \
+	X(TOO_DEEP, "too-deep", 508)                                                                         \
+	X(BAD_HEADER, "bad-header", 400)                                                                     \
+	/* the target may have run it */                                                                     \
+	X(NO_ANSWER, "no-answer", 504)                                                                       \
+	X(CUT, "cut", 502)                                                                                   \
+	X(ANSWER_TOO_LARGE, "answer-too-large", 502)
+
+typedef enum {
+#define X(id, word, status) CW_REASON_##id,
+	CW_REASONS(X)
+#undef X
+		CW_REASON_COUNT
+} cw_reason_t;
+
+const char *cw_reason_word(cw_reason_t reason);
+unsigned cw_reason_http_status(cw_reason_t reason);
+/* CW_REASON_COUNT for a word that is not known. */
+cw_reason_t cw_reason_parse(const char *word);
+
+/* One attempt of a call at one receiver; a sender uses a sequence once. */
+typedef struct {
+	uint64_t origin; /* incarnation of the proxy that sends */
+	uint64_t sequence;
+} cw_call_id_t;
+
+/* ---- records: what a receiver knows of the calls sent to it --------------------------------------- */
+
+typedef enum {
+	CW_RECORD_NONE,	    /* never heard of */
+	CW_RECORD_WAITING,  /* in the queue */
+	CW_RECORD_STARTED,  /* given to the target, finished or not */
+	CW_RECORD_REFUSED,  /* not run and never to be run */
+	CW_RECORD_FORGOTTEN /* older than the window kept for its origin */
+} cw_record_state_t;
+
+typedef struct cw_records cw_records_t;
+
+cw_records_t *cw_records_new(size_t max_origins);
+void cw_records_free(cw_records_t *records);
+cw_record_state_t cw_records_find(const cw_records_t *records, const cw_call_id_t *id);
+cw_status_t cw_records_set(cw_records_t *records, const cw_call_id_t *id, cw_record_state_t state,
+			   int64_t now_ms);
+
+/* ---- admission of calls beside a target ------------------------------------------------------------ */
+
+typedef struct {
+	uint32_t slots;	  /* calls the target runs at once */
+	uint32_t queue;	  /* calls that may wait for a slot */
+	uint32_t ramp_ms; /* from the first answer of a cold target to all slots */
+} cw_admit_options_t;
+
+typedef enum {
+	CW_ADMIT_START, /* give it to the target now */
+	CW_ADMIT_QUEUE, /* cw_admit_next() will return it */
+	CW_ADMIT_REFUSE,
+	CW_ADMIT_IGNORE /* a duplicate: its first copy is answered */
+} cw_admit_verdict_t;
+
+typedef enum {
+	CW_ADMIT_ANSWERED,   /* the target answered */
+	CW_ADMIT_FAILED,     /* it may have run */
+	CW_ADMIT_NOT_STARTED /* proved not run: no byte reached the target */
+} cw_admit_end_t;
+
+typedef struct cw_admit cw_admit_t;
+
+cw_admit_t *cw_admit_new(const cw_admit_options_t *options);
+void cw_admit_free(cw_admit_t *admit);
+/* The cookie names the call to the embedder.  *reason is set with CW_ADMIT_REFUSE. */
+cw_admit_verdict_t cw_admit_arrive(cw_admit_t *admit, const cw_call_id_t *id, uint64_t cookie,
+				   int64_t deadline_ms, int64_t now_ms, cw_reason_t *reason);
+/* Takes the next queued call that may start or has become hopeless; false when there is none. */
+bool cw_admit_next(cw_admit_t *admit, int64_t now_ms, uint64_t *cookie, cw_admit_verdict_t *verdict,
+		   cw_reason_t *reason);
+void cw_admit_done(cw_admit_t *admit, const cw_call_id_t *id, cw_admit_end_t end, int64_t started_ms,
+		   int64_t now_ms);
+/* True: the call has not started and never will; *cookie is then the queued call, or 0. */
+bool cw_admit_revoke(cw_admit_t *admit, const cw_call_id_t *id, int64_t now_ms, uint64_t *cookie);
+void cw_admit_set_draining(cw_admit_t *admit, bool draining);
+uint32_t cw_admit_load(const cw_admit_t *admit); /* in use and queued */
+uint32_t cw_admit_limit(const cw_admit_t *admit, int64_t now_ms);
+/* When cw_admit_next() is to be asked again, at the latest; INT64_MAX for never. */
+int64_t cw_admit_deadline_ms(const cw_admit_t *admit);
+
+/* ---- choice of an endpoint ------------------------------------------------------------------------- */
+
+typedef struct {
+	const char *vm;
+	const char *zone;
+	uint64_t incarnation;
+	uint32_t slots;
+	bool excluded; /* draining, or tried by this call */
+} cw_candidate_t;
+
+typedef enum {
+	CW_PICK_ANSWERED,
+	CW_PICK_SHED,	 /* 503 of the target */
+	CW_PICK_ERROR,	 /* another 5xx of the target */
+	CW_PICK_REFUSED, /* by admission, for load */
+	CW_PICK_LEAVING, /* refuses everything: draining or restarted */
+	CW_PICK_FAILED,	 /* no answer, no connection or a cut one */
+	CW_PICK_DROPPED	 /* the sender withdrew it: tells nothing */
+} cw_pick_result_t;
+
+typedef struct cw_pick cw_pick_t;
+
+cw_pick_t *cw_pick_new(const char *zone, uint64_t seed);
+void cw_pick_free(cw_pick_t *pick);
+/* Returns the position of the endpoint to send to, or -1 when all are excluded. */
+int cw_pick_choose(cw_pick_t *pick, const cw_candidate_t *candidates, size_t count, int64_t now_ms);
+void cw_pick_sent(cw_pick_t *pick, const char *vm, uint64_t incarnation);
+/* in_use and slots as the answer carried them; slots 0 when it carried none. */
+void cw_pick_ended(cw_pick_t *pick, const char *vm, uint64_t incarnation, cw_pick_result_t result,
+		   uint32_t in_use, uint32_t slots, int64_t now_ms);
+/* Forgets endpoints not heard of since the time given. */
+void cw_pick_expire(cw_pick_t *pick, int64_t before_ms);
+
+/* ---- retry budget ------------------------------------------------------------------------------------ */
+
+typedef struct {
+	uint32_t percent; /* retries allowed, as a share of calls */
+	double tokens;
+} cw_budget_t;
+
+void cw_budget_init(cw_budget_t *budget, uint32_t percent);
+void cw_budget_call(cw_budget_t *budget);
+bool cw_budget_take(cw_budget_t *budget);
+
+/* ---- one call at its origin --------------------------------------------------------------------------- */
+
+enum { CW_CALL_MAX_ATTEMPTS = 4 };
+
+typedef enum {
+	CW_ATTEMPT_WAITING,  /* sent, no news */
+	CW_ATTEMPT_REVOKING, /* withdrawn, no answer yet */
+	CW_ATTEMPT_STARTED,  /* withdrawn too late: the receiver has started it */
+	CW_ATTEMPT_NOT_RUN,  /* proved */
+	CW_ATTEMPT_UNKNOWN   /* given up */
+} cw_attempt_state_t;
+
+typedef struct {
+	uint64_t sequence;
+	cw_attempt_state_t state;
+	int64_t probe_ms; /* when to ask the receiver next */
+} cw_attempt_t;
+
+typedef struct {
+	bool idempotent;
+	bool may_retry; /* false for a call that is itself part of a retry */
+	int64_t start_ms;
+	int64_t deadline_ms; /* the caller has its answer by then */
+	int64_t margin_ms;   /* kept back for revocation */
+	int64_t backoff_ms;  /* when to look for an endpoint again; 0: not waiting */
+	cw_reason_t reason;  /* of the last refusal or failure */
+	cw_attempt_t attempts[CW_CALL_MAX_ATTEMPTS];
+	uint32_t attempt_count;
+} cw_call_t;
+
+typedef enum {
+	CW_CALL_EV_START,
+	CW_CALL_EV_SENT,	/* sequence */
+	CW_CALL_EV_NO_ENDPOINT, /* nothing left to send to */
+	CW_CALL_EV_SEND_FAILED, /* the message was handed to nobody */
+	CW_CALL_EV_ANSWERED,	/* sequence */
+	CW_CALL_EV_NOT_RUN,	/* sequence, reason */
+	CW_CALL_EV_UNKNOWN,	/* sequence, reason */
+	CW_CALL_EV_REVOKED,	/* sequence, never_started */
+	CW_CALL_EV_TICK
+} cw_call_event_type_t;
+
+typedef struct {
+	cw_call_event_type_t type;
+	uint64_t sequence;
+	cw_reason_t reason;
+	bool never_started;
+} cw_call_event_t;
+
+typedef enum {
+	CW_CALL_AC_NONE,
+	CW_CALL_AC_TRY,	       /* choose an endpoint, send; then SENT, SEND_FAILED or NO_ENDPOINT */
+	CW_CALL_AC_TRY_AFRESH, /* the same; endpoints tried before count again */
+	CW_CALL_AC_REVOKE,     /* sequence */
+	CW_CALL_AC_ANSWER,     /* with the target's answer */
+	CW_CALL_AC_REFUSE,     /* not run, for the reason */
+	CW_CALL_AC_FAIL	       /* unknown, for the reason */
+} cw_call_action_type_t;
+
+typedef struct {
+	cw_call_action_type_t type;
+	uint64_t sequence;
+	cw_reason_t reason;
+	bool retry; /* TRY follows an attempt: count it under the reason */
+} cw_call_action_t;
+
+void cw_call_init(cw_call_t *call, bool idempotent, bool may_retry, int64_t now_ms, int64_t deadline_ms);
+cw_call_action_t cw_call_step(cw_call_t *call, cw_budget_t *budget, const cw_call_event_t *event,
+			      int64_t now_ms);
+/* When the next TICK is wanted. */
+int64_t cw_call_deadline_ms(const cw_call_t *call);
+/* When a receiver is to refuse what it has not started. */
+int64_t cw_call_receiver_deadline_ms(const cw_call_t *call);
 
 #endif
--- /dev/null
+++ b/tests/unit/test_admission.c
@@ -0,0 +1,169 @@
+/* Scripted runs of admission beside a target and of its records. */
+#include <check.h>
+#include <stdlib.h>
+
+#include "libcaraway.h"
+#include "script.h"
+
+/* What the commands of a script work on. */
+typedef struct {
+	cw_admit_t *admit;
+	int64_t now_ms;
+	uint64_t cookie;
+} run_t;
+
+/* Reads "ORIGIN.SEQUENCE". */
+static cw_call_id_t read_id(const char *word)
+{
+	char *rest;
+	cw_call_id_t id = {.origin = strtoull(word, &rest, 10)};
+
+	id.sequence = strtoull(rest + 1, NULL, 10);
+	return id;
+}
+
+/* Prints a verdict. */
+static void print_verdict(cw_admit_verdict_t verdict, cw_reason_t reason, GString *out)
+{
+	static const char *const words[] = {"start", "queue", "refuse", "ignore"};
+
+	g_string_append(out, words[verdict]);
+	if (verdict == CW_ADMIT_REFUSE)
+		g_string_append_printf(out, " %s", cw_reason_word(reason));
+	g_string_append_c(out, '\n');
+}
+
+/* "arrive ID DEADLINE": cookies count from 1. */
+static void run_arrive(run_t *run, char **argv, GString *out)
+{
+	cw_call_id_t id = read_id(argv[1]);
+	cw_reason_t reason;
+	cw_admit_verdict_t verdict =
+		cw_admit_arrive(run->admit, &id, ++run->cookie, atoll(argv[2]), run->now_ms, &reason);
+
+	print_verdict(verdict, reason, out);
+}
+
+/* "next": takes everything that may leave the queue. */
+static void run_next(run_t *run, GString *out)
+{
+	cw_admit_verdict_t verdict;
+	cw_reason_t reason;
+	uint64_t cookie;
+
+	while (cw_admit_next(run->admit, run->now_ms, &cookie, &verdict, &reason)) {
+		g_string_append_printf(out, "%" G_GUINT64_FORMAT " ", cookie);
+		print_verdict(verdict, reason, out);
+	}
+}
+
+/* "done ID answered|failed|not-started STARTED". */
+static void run_done(run_t *run, char **argv)
+{
+	cw_call_id_t id = read_id(argv[1]);
+	cw_admit_end_t end = g_str_equal(argv[2], "answered") ? CW_ADMIT_ANSWERED
+			     : g_str_equal(argv[2], "failed") ? CW_ADMIT_FAILED
+							      : CW_ADMIT_NOT_STARTED;
+
+	cw_admit_done(run->admit, &id, end, atoll(argv[3]), run->now_ms);
+}
+
+/* "revoke ID". */
+static void run_revoke(run_t *run, char **argv, GString *out)
+{
+	cw_call_id_t id = read_id(argv[1]);
+	uint64_t cookie;
+	bool never_started = cw_admit_revoke(run->admit, &id, run->now_ms, &cookie);
+
+	g_string_append(out, never_started ? "never started" : "may have started");
+	if (cookie)
+		g_string_append_printf(out, ", %" G_GUINT64_FORMAT " withdrawn", cookie);
+	g_string_append_c(out, '\n');
+}
+
+/* Carries out one command. */
+static void run_command(void *data, int argc, char **argv, GString *out)
+{
+	run_t *run = data;
+	const char *word = argv[0];
+
+	if (g_str_equal(word, "new") && argc == 4) {
+		cw_admit_options_t options = {.slots = (uint32_t)atoi(argv[1]),
+					      .queue = (uint32_t)atoi(argv[2]),
+					      .ramp_ms = (uint32_t)atoi(argv[3])};
+		if (run->admit)
+			cw_admit_free(run->admit);
+		*run = (run_t){.admit = cw_admit_new(&options)};
+	} else if (g_str_equal(word, "at")) {
+		run->now_ms = atoll(argv[1]);
+	} else if (g_str_equal(word, "arrive")) {
+		run_arrive(run, argv, out);
+	} else if (g_str_equal(word, "next")) {
+		run_next(run, out);
+	} else if (g_str_equal(word, "done")) {
+		run_done(run, argv);
+	} else if (g_str_equal(word, "revoke")) {
+		run_revoke(run, argv, out);
+	} else if (g_str_equal(word, "drain")) {
+		cw_admit_set_draining(run->admit, g_str_equal(argv[1], "on"));
+	} else if (g_str_equal(word, "load")) {
+		g_string_append_printf(out, "load %u limit %u\n", cw_admit_load(run->admit),
+				       cw_admit_limit(run->admit, run->now_ms));
+	} else {
+		g_string_append_printf(out, "unknown command %s\n", word);
+	}
+}
+
+/* Runs every script. */
+START_TEST(test_script)
+{
+	GPtrArray *scripts = script_list("tests/admission");
+
+	for (size_t i = 0; i < scripts->len; i++) {
+		run_t run = {0};
+		char *difference = script_run(scripts->pdata[i], run_command, &run);
+
+		ck_assert_msg(!difference, "%s", difference);
+		if (run.admit)
+			cw_admit_free(run.admit);
+	}
+	ck_assert_uint_gt(scripts->len, 0);
+	g_ptr_array_unref(scripts);
+}
+END_TEST
+
+/* A record that leaves the window is forgotten, and an origin more than allowed is refused. */
+START_TEST(test_records_bounds)
+{
+	cw_records_t *records = cw_records_new(1);
+	cw_call_id_t first = {1, 1}, later = {1, 5000}, other = {2, 1};
+
+	ck_assert_int_eq(cw_records_set(records, &first, CW_RECORD_REFUSED, 0), CW_OK);
+	ck_assert_int_eq(cw_records_find(records, &first), CW_RECORD_REFUSED);
+	ck_assert_int_eq(cw_records_set(records, &later, CW_RECORD_STARTED, 0), CW_OK);
+	ck_assert_int_eq(cw_records_find(records, &first), CW_RECORD_FORGOTTEN);
+	ck_assert_int_eq(cw_records_set(records, &first, CW_RECORD_REFUSED, 0), CW_OK);
+	ck_assert_int_eq(cw_records_find(records, &first), CW_RECORD_FORGOTTEN);
+	ck_assert_int_eq(cw_records_set(records, &other, CW_RECORD_STARTED, 0), CW_ERR_FULL);
+	ck_assert_int_eq(cw_records_find(records, &other), CW_RECORD_NONE);
+	ck_assert_int_eq(cw_records_set(records, &other, CW_RECORD_STARTED, 2 * 60 * 60 * 1000), CW_OK);
+	cw_records_free(records);
+}
+END_TEST
+
+/* Runs the tests; the exit status is the number of failures, at most 1. */
+int main(void)
+{
+	Suite *suite = suite_create("admission");
+	TCase *tcase = tcase_create("admission");
+	SRunner *runner = srunner_create(suite);
+	int failed;
+
+	tcase_add_test(tcase, test_script);
+	tcase_add_test(tcase, test_records_bounds);
+	suite_add_tcase(suite, tcase);
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed != 0;
+}
--- /dev/null
+++ b/tests/unit/test_call.c
@@ -0,0 +1,130 @@
+/* Scripted runs of one call at its origin. */
+#include <check.h>
+#include <stdlib.h>
+
+#include "libcaraway.h"
+#include "script.h"
+
+/* What the commands of a script work on. */
+typedef struct {
+	cw_call_t call;
+	cw_budget_t budget;
+	int64_t now_ms;
+} run_t;
+
+/* An event by its word. */
+typedef struct {
+	const char *word;
+	cw_call_event_type_t type;
+} event_word_t;
+
+static const event_word_t event_words[] = {
+	{"start", CW_CALL_EV_START},
+	{"sent", CW_CALL_EV_SENT},
+	{"no-endpoint", CW_CALL_EV_NO_ENDPOINT},
+	{"send-failed", CW_CALL_EV_SEND_FAILED},
+	{"answered", CW_CALL_EV_ANSWERED},
+	{"not-run", CW_CALL_EV_NOT_RUN},
+	{"unknown", CW_CALL_EV_UNKNOWN},
+	{"never-started", CW_CALL_EV_REVOKED},
+	{"has-started", CW_CALL_EV_REVOKED},
+	{"tick", CW_CALL_EV_TICK},
+};
+
+/* Prints an action. */
+static void print_action(const cw_call_action_t *action, GString *out)
+{
+	switch (action->type) {
+	case CW_CALL_AC_NONE:
+		break;
+	case CW_CALL_AC_TRY:
+		g_string_append(out, action->retry ? "retry\n" : "try\n");
+		break;
+	case CW_CALL_AC_TRY_AFRESH:
+		g_string_append(out, "try afresh\n");
+		break;
+	case CW_CALL_AC_REVOKE:
+		g_string_append_printf(out, "revoke %" G_GUINT64_FORMAT "\n", action->sequence);
+		break;
+	case CW_CALL_AC_ANSWER:
+		g_string_append(out, "answer\n");
+		break;
+	case CW_CALL_AC_REFUSE:
+		g_string_append_printf(out, "not run: %s\n", cw_reason_word(action->reason));
+		break;
+	case CW_CALL_AC_FAIL:
+		g_string_append_printf(out, "unknown: %s\n", cw_reason_word(action->reason));
+		break;
+	}
+}
+
+/* Steps the call by an event: "EVENT [SEQUENCE] [REASON]". */
+static void run_event(run_t *run, const event_word_t *found, int argc, char **argv, GString *out)
+{
+	cw_call_event_t event = {.type = found->type,
+				 .sequence = argc > 1 ? strtoull(argv[1], NULL, 10) : 0,
+				 .reason = argc > 2 ? cw_reason_parse(argv[2]) : CW_REASON_NONE,
+				 .never_started = g_str_equal(found->word, "never-started")};
+	cw_call_action_t action = cw_call_step(&run->call, &run->budget, &event, run->now_ms);
+
+	print_action(&action, out);
+}
+
+/* Carries out one command. */
+static void run_command(void *data, int argc, char **argv, GString *out)
+{
+	run_t *run = data;
+
+	if (g_str_equal(argv[0], "budget")) {
+		cw_budget_init(&run->budget, (uint32_t)atoi(argv[1]));
+	} else if (g_str_equal(argv[0], "empty-budget")) {
+		while (cw_budget_take(&run->budget))
+			;
+	} else if (g_str_equal(argv[0], "call")) {
+		cw_call_init(&run->call, g_str_equal(argv[1], "idempotent"), argc < 4, run->now_ms,
+			     atoll(argv[2]));
+	} else if (g_str_equal(argv[0], "at")) {
+		run->now_ms = atoll(argv[1]);
+	} else if (g_str_equal(argv[0], "due")) {
+		g_string_append_printf(out, "%" G_GINT64_FORMAT "\n", cw_call_deadline_ms(&run->call));
+	} else {
+		for (size_t i = 0; i < G_N_ELEMENTS(event_words); i++)
+			if (g_str_equal(argv[0], event_words[i].word)) {
+				run_event(run, &event_words[i], argc, argv, out);
+				return;
+			}
+		g_string_append_printf(out, "unknown command %s\n", argv[0]);
+	}
+}
+
+/* Runs every script. */
+START_TEST(test_script)
+{
+	GPtrArray *scripts = script_list("tests/call");
+
+	for (size_t i = 0; i < scripts->len; i++) {
+		run_t run = {0};
+		char *difference = script_run(scripts->pdata[i], run_command, &run);
+
+		ck_assert_msg(!difference, "%s", difference);
+	}
+	ck_assert_uint_gt(scripts->len, 0);
+	g_ptr_array_unref(scripts);
+}
+END_TEST
+
+/* Runs the tests; the exit status is the number of failures, at most 1. */
+int main(void)
+{
+	Suite *suite = suite_create("call");
+	TCase *tcase = tcase_create("call");
+	SRunner *runner = srunner_create(suite);
+	int failed;
+
+	tcase_add_test(tcase, test_script);
+	suite_add_tcase(suite, tcase);
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed != 0;
+}
--- /dev/null
+++ b/tests/unit/test_pick.c
@@ -0,0 +1,157 @@
+/* Scripted runs of the choice of an endpoint. */
+#include <check.h>
+#include <stdlib.h>
+
+#include "libcaraway.h"
+#include "script.h"
+
+enum { MAX_CANDIDATES = 8 };
+
+/* What the commands of a script work on. */
+typedef struct {
+	cw_pick_t *pick;
+	cw_candidate_t candidates[MAX_CANDIDATES];
+	size_t count;
+	GPtrArray *texts; /* owned by the run */
+	int64_t now_ms;
+} run_t;
+
+/* A result by its word. */
+typedef struct {
+	const char *word;
+	cw_pick_result_t result;
+} result_word_t;
+
+static const result_word_t result_words[] = {
+	{"answered", CW_PICK_ANSWERED}, {"shed", CW_PICK_SHED},	      {"error", CW_PICK_ERROR},
+	{"refused", CW_PICK_REFUSED},	{"leaving", CW_PICK_LEAVING}, {"failed", CW_PICK_FAILED},
+	{"dropped", CW_PICK_DROPPED},
+};
+
+/* Returns the candidate with a VM's name. */
+static cw_candidate_t *find(run_t *run, const char *vm)
+{
+	for (size_t i = 0; i < run->count; i++)
+		if (g_str_equal(run->candidates[i].vm, vm))
+			return &run->candidates[i];
+	return NULL;
+}
+
+/* "endpoint VM ZONE INCARNATION SLOTS": adds or replaces a candidate. */
+static void run_endpoint(run_t *run, char **argv)
+{
+	cw_candidate_t *candidate = find(run, argv[1]);
+	char *vm = g_strdup(argv[1]), *zone = g_strdup(argv[2]);
+
+	g_ptr_array_add(run->texts, vm);
+	g_ptr_array_add(run->texts, zone);
+	if (!candidate)
+		candidate = &run->candidates[run->count++];
+	*candidate = (cw_candidate_t){.vm = vm,
+				      .zone = zone,
+				      .incarnation = strtoull(argv[3], NULL, 10),
+				      .slots = (uint32_t)atoi(argv[4])};
+}
+
+/* "choose N": how often each endpoint is chosen when nothing is sent. */
+static void run_choose(run_t *run, char **argv, GString *out)
+{
+	unsigned chosen[MAX_CANDIDATES] = {0};
+
+	for (int i = 0; i < atoi(argv[1]); i++) {
+		int position = cw_pick_choose(run->pick, run->candidates, run->count, run->now_ms);
+
+		if (position < 0) {
+			g_string_append(out, "none\n");
+			return;
+		}
+		chosen[position]++;
+	}
+	for (size_t i = 0; i < run->count; i++)
+		g_string_append_printf(out, "%s %u\n", run->candidates[i].vm, chosen[i]);
+}
+
+/* "spread N": chooses and sends N calls one after the other. */
+static void run_spread(run_t *run, char **argv, GString *out)
+{
+	unsigned chosen[MAX_CANDIDATES] = {0};
+
+	for (int i = 0; i < atoi(argv[1]); i++) {
+		int position = cw_pick_choose(run->pick, run->candidates, run->count, run->now_ms);
+
+		cw_pick_sent(run->pick, run->candidates[position].vm, run->candidates[position].incarnation);
+		chosen[position]++;
+	}
+	for (size_t i = 0; i < run->count; i++)
+		g_string_append_printf(out, "%s %u\n", run->candidates[i].vm, chosen[i]);
+}
+
+/* "ended VM RESULT IN_USE SLOTS [TIMES]". */
+static void run_ended(run_t *run, int argc, char **argv)
+{
+	const cw_candidate_t *candidate = find(run, argv[1]);
+
+	for (size_t i = 0; i < G_N_ELEMENTS(result_words); i++)
+		for (int j = 0; j < (argc > 5 ? atoi(argv[5]) : 1); j++)
+			if (g_str_equal(argv[2], result_words[i].word))
+				cw_pick_ended(run->pick, candidate->vm, candidate->incarnation,
+					      result_words[i].result, (uint32_t)atoi(argv[3]),
+					      (uint32_t)atoi(argv[4]), run->now_ms);
+}
+
+/* Carries out one command. */
+static void run_command(void *data, int argc, char **argv, GString *out)
+{
+	run_t *run = data;
+
+	if (g_str_equal(argv[0], "pick"))
+		run->pick = cw_pick_new(argv[1], strtoull(argv[2], NULL, 10));
+	else if (g_str_equal(argv[0], "endpoint"))
+		run_endpoint(run, argv);
+	else if (g_str_equal(argv[0], "exclude"))
+		find(run, argv[1])->excluded = true;
+	else if (g_str_equal(argv[0], "at"))
+		run->now_ms = atoll(argv[1]);
+	else if (g_str_equal(argv[0], "choose"))
+		run_choose(run, argv, out);
+	else if (g_str_equal(argv[0], "spread"))
+		run_spread(run, argv, out);
+	else if (g_str_equal(argv[0], "ended"))
+		run_ended(run, argc, argv);
+	else
+		g_string_append_printf(out, "unknown command %s\n", argv[0]);
+}
+
+/* Runs every script. */
+START_TEST(test_script)
+{
+	GPtrArray *scripts = script_list("tests/pick");
+
+	for (size_t i = 0; i < scripts->len; i++) {
+		run_t run = {.texts = g_ptr_array_new_with_free_func(g_free)};
+		char *difference = script_run(scripts->pdata[i], run_command, &run);
+
+		ck_assert_msg(!difference, "%s", difference);
+		cw_pick_free(run.pick);
+		g_ptr_array_unref(run.texts);
+	}
+	ck_assert_uint_gt(scripts->len, 0);
+	g_ptr_array_unref(scripts);
+}
+END_TEST
+
+/* Runs the tests; the exit status is the number of failures, at most 1. */
+int main(void)
+{
+	Suite *suite = suite_create("pick");
+	TCase *tcase = tcase_create("pick");
+	SRunner *runner = srunner_create(suite);
+	int failed;
+
+	tcase_add_test(tcase, test_script);
+	suite_add_tcase(suite, tcase);
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed != 0;
+}
