Carry calls from callers to the target and back

Change: one traffic thread turns between libmicrohttpd's epoll descriptor, ZeroMQ sockets and an eventfd of the target's threads; neon carries a call to the target, one thread a slot. Requests that are not idempotent are sent with NE_REQFLAG_IDEMPOTENT off. A caller that goes has its call withdrawn.

--- a/daemon/counters.h
+++ b/daemon/counters.h
@@ -7,6 +7,26 @@
 
 #include <stdint.h>
 
+/* One counter for each reason of cw_reason_t but "none", in its order. */
+#define REASON_COUNTERS(X, P, p)                                                                             \
+	X(P##_NO_CONFIG, p "-no-config")                                                                     \
+	X(P##_NO_ROUTE, p "-no-route")                                                                       \
+	X(P##_NO_TARGET, p "-no-target")                                                                     \
+	X(P##_UNREACHABLE, p "-unreachable")                                                                 \
+	X(P##_QUEUE_FULL, p "-queue-full")                                                                   \
+	X(P##_DEADLINE, p "-deadline")                                                                       \
+	X(P##_DRAINING, p "-draining")                                                                       \
+	X(P##_INCARNATION, p "-incarnation")                                                                 \
+	X(P##_TARGET_UNREACHABLE, p "-target-unreachable")                                                   \
+	X(P##_REVOKED, p "-revoked")                                                                         \
+	X(P##_RECORDS_FULL, p "-records-full")                                                               \
+	X(P##_TOO_LARGE, p "-too-large")                                                                     \
+	X(P##_TOO_DEEP, p "-too-deep")                                                                       \
+	X(P##_BAD_HEADER, p "-bad-header")                                                                   \
+	X(P##_NO_ANSWER, p "-no-answer")                                                                     \
+	X(P##_CUT, p "-cut")                                                                                 \
+	X(P##_ANSWER_TOO_LARGE, p "-answer-too-large")
+
 #define COUNTERS(X)                                                                                          \
 	/* every process */                                                                                  \
 	X(MESSAGE_UNDECODABLE, "message-undecodable")                                                        \
@@ -35,7 +55,23 @@
 	X(PARENT_LEFT_REFUSED, "parent-left-refused")                                                        \
 	X(PARENT_LEFT_SILENT, "parent-left-silent")                                                          \
 	X(FEED_BYTES_SENT, "feed-bytes-sent")                                                                \
-	X(FEED_BYTES_RECEIVED, "feed-bytes-received")
+	X(FEED_BYTES_RECEIVED, "feed-bytes-received")                                                        \
+	/* calls: refused as receiver, told to callers as origin, and reasons of retries */                  \
+	REASON_COUNTERS(X, REFUSED, "refused")                                                               \
+	REASON_COUNTERS(X, OUTCOME, "outcome")                                                               \
+	REASON_COUNTERS(X, RETRY, "retry")                                                                   \
+	X(RETRY_NO_BUDGET, "retry-no-budget")                                                                \
+	X(CALL_TAKEN, "call-taken")                                                                          \
+	X(CALL_ANSWERED, "call-answered")                                                                    \
+	X(CALL_SERVED, "call-served")                                                                        \
+	X(CALL_DUPLICATE, "call-duplicate")                                                                  \
+	X(CALL_CANCELLED, "call-cancelled")                                                                  \
+	X(REPLY_LATE, "reply-late")                                                                          \
+	X(REPLY_LOST, "reply-lost")                                                                          \
+	X(REPLY_MISMATCHED, "reply-mismatched")                                                              \
+	X(REVOKE_SENT, "revoke-sent")                                                                        \
+	X(REVOKE_NEVER_STARTED, "revoke-never-started")                                                      \
+	X(REVOKE_STARTED, "revoke-started")
 
 typedef enum {
 #define X(id, word) COUNTER_##id,
--- /dev/null
+++ b/daemon/endpoints.h
@@ -0,0 +1,50 @@
+/* The endpoints that a call may be sent to, copied out of one view. */
+#ifndef ENDPOINTS_H
+#define ENDPOINTS_H
+
+#include "link.h"
+#include "view.h"
+
+typedef struct {
+	char *vm;
+	char *zone;
+	char *address; /* HOST:PORT */
+	uint64_t incarnation;
+	uint32_t slots;
+	bool draining;
+	bool tried;
+} endpoint_t;
+
+/* What a call reads from the view, so that it sees one version to its end. */
+typedef struct {
+	cw_reason_t refusal; /* why there is no route, or CW_REASON_NONE */
+	uint64_t version;
+	char *service;
+	Caraway__Idempotence idempotence;
+	uint32_t timeout_ms; /* 0: the proxy's default */
+	endpoint_t *endpoints;
+	size_t endpoint_count;
+} endpoints_t;
+
+/* Copies the route of a path out of the published view; the calling thread is registered with RCU. */
+void endpoints_read(endpoints_t *endpoints, const view_slot_t *views, const char *path);
+void endpoints_clear(endpoints_t *endpoints);
+/* Returns the endpoint that the chooser takes, or NULL when none is left. */
+endpoint_t *endpoints_choose(endpoints_t *endpoints, cw_pick_t *pick, int64_t now_ms);
+/* Lets endpoints that were tried be chosen again. */
+void endpoints_forget_tried(endpoints_t *endpoints);
+
+/* Connections kept to the endpoints of the view, made before the first call needs them. */
+typedef struct {
+	const view_t *seen; /* for comparison only */
+	uint64_t seen_version;
+	GHashTable *addresses; /* connected; char * */
+} endpoint_links_t;
+
+void endpoint_links_init(endpoint_links_t *links);
+void endpoint_links_clear(endpoint_links_t *links);
+/* Follows a new view; in_use tells whether an address still has calls. */
+void endpoint_links_follow(endpoint_links_t *links, const view_slot_t *views, link_clients_t *clients,
+			   bool (*in_use)(const void *data, const char *address), const void *data);
+
+#endif
--- /dev/null
+++ b/daemon/headers.h
@@ -0,0 +1,23 @@
+/* HTTP headers on the way through a proxy. */
+#ifndef HEADERS_H
+#define HEADERS_H
+
+#include "libcaraway.h"
+
+#define HEADER_DEADLINE "Caraway-Deadline-Ms" /* time left when sent */
+#define HEADER_DEPTH	"Caraway-Depth"	      /* calls above this one */
+#define HEADER_ATTEMPT	"Caraway-Attempt"     /* not 0: part of a retry */
+#define HEADER_OUTCOME	"Caraway-Outcome"     /* "not-run" or "unknown" */
+#define HEADER_REASON	"Caraway-Reason"
+#define HEADER_DRAINING "Caraway-Draining" /* a target that is leaving says so on its answers */
+#define HEADER_KEY	"Idempotency-Key"
+
+Caraway__Header *headers_new(const char *name, const char *value);
+/* Whether a caller's header is passed to the target. */
+bool headers_passes_on(const char *name);
+/* Whether a target's header is passed to the caller. */
+bool headers_passes_back(const char *name);
+/* GET, HEAD, PUT, DELETE, OPTIONS and TRACE are idempotent. */
+bool headers_idempotent_method(const char *method);
+
+#endif
--- /dev/null
+++ b/daemon/traffic.c
@@ -0,0 +1,304 @@
+/*
+ * Traffic of a proxy: one thread that turns between callers, other proxies
+ * and the threads of the target.
+ */
+#include "traffic.h"
+
+#include <pthread.h>
+#include <stdatomic.h>
+#include <string.h>
+#include <sys/eventfd.h>
+#include <unistd.h>
+#include <urcu/urcu-memb.h>
+#include <zmq.h>
+
+#include "clock.h"
+#include "counters.h"
+#include "forward.h"
+#include "front.h"
+#include "receiver.h"
+
+enum {
+	MAX_SOCKETS = 4096,
+	FIXED_ITEMS = 4,
+	MAX_WAIT_MS = 100,   /* the view and the target are looked at this often */
+	BATCH_MESSAGES = 256 /* read from a socket before the others have their turn */
+};
+
+struct traffic {
+	proxy_settings_t settings; /* borrowed texts */
+	pthread_t thread;
+	int wake_fd;
+	link_server_t *server;
+	link_clients_t *clients;
+	target_pool_t *pool;
+	receiver_t *receiver;
+	forward_t *forward;
+	front_t *front;
+	GQueue to_receiver; /* Caraway__Message * of this proxy to itself */
+	GQueue to_forward;
+	_Atomic bool drain;
+	_Atomic bool stop;
+	_Atomic uint32_t in_flight;
+	_Atomic bool target_ready;
+};
+
+/* Passes a message of the sending side to the receiving side of this proxy. */
+static void send_local(void *data, Caraway__Message *message)
+{
+	traffic_t *traffic = data;
+
+	g_queue_push_tail(&traffic->to_receiver, message);
+}
+
+/* Passes an answer of the receiving side to its sender. */
+static void send_answer(void *data, GBytes *peer, Caraway__Message *message)
+{
+	traffic_t *traffic = data;
+
+	if (!peer) {
+		g_queue_push_tail(&traffic->to_forward, message);
+		return;
+	}
+	if (link_server_send(traffic->server, peer, message) != CW_OK)
+		counter_add(COUNTER_REPLY_LOST, 1);
+	g_bytes_unref(peer);
+	cw_message_free(message);
+}
+
+/* Passes the outcome of a call to its caller. */
+static void call_done(void *data, void *cookie, const forward_outcome_t *outcome)
+{
+	const traffic_t *traffic = data;
+
+	front_done(traffic->front, cookie, outcome);
+}
+
+/* Reads what other proxies sent. */
+static void read_server(traffic_t *traffic)
+{
+	Caraway__Message *message;
+	GBytes *peer;
+
+	for (int i = 0; i < BATCH_MESSAGES && (message = link_server_receive(traffic->server, &peer)); i++)
+		receiver_take(traffic->receiver, message, peer);
+}
+
+/* Reads the answers of other proxies. */
+static void read_clients(traffic_t *traffic)
+{
+	Caraway__Message *message;
+	const char *address;
+
+	for (int i = 0; i < BATCH_MESSAGES && (message = link_clients_receive(traffic->clients, &address));
+	     i++) {
+		forward_receive(traffic->forward, message, address);
+		cw_message_free(message);
+	}
+}
+
+/* Carries messages of this proxy to itself until there are none. */
+static void run_local(traffic_t *traffic)
+{
+	Caraway__Message *message;
+
+	while (!g_queue_is_empty(&traffic->to_receiver) || !g_queue_is_empty(&traffic->to_forward)) {
+		if ((message = g_queue_pop_head(&traffic->to_receiver)))
+			receiver_take(traffic->receiver, message, NULL);
+		if ((message = g_queue_pop_head(&traffic->to_forward))) {
+			forward_receive(traffic->forward, message, NULL);
+			cw_message_free(message);
+		}
+	}
+}
+
+/* Returns how long the loop may wait, in milliseconds. */
+static long wait_ms(traffic_t *traffic)
+{
+	int64_t now_ms = clock_now_ms();
+	int64_t wait = MAX_WAIT_MS;
+	int64_t front_ms = front_timeout_ms(traffic->front);
+
+	wait = MIN(wait, forward_deadline_ms(traffic->forward) - now_ms);
+	wait = MIN(wait, receiver_deadline_ms(traffic->receiver) - now_ms);
+	if (front_ms >= 0)
+		wait = MIN(wait, front_ms);
+	return (long)MAX(wait, 0);
+}
+
+/* Publishes what other threads ask for. */
+static void publish(traffic_t *traffic)
+{
+	uint32_t in_flight = receiver_in_flight(traffic->receiver) + front_in_flight(traffic->front);
+
+	atomic_store(&traffic->in_flight, in_flight);
+	atomic_store(&traffic->target_ready, receiver_target_ready(traffic->receiver));
+}
+
+/* Waits for something to do. */
+static void wait_for_events(traffic_t *traffic, zmq_pollitem_t *items, void **sockets)
+{
+	size_t count = link_clients_sockets(traffic->clients, sockets, MAX_SOCKETS);
+
+	items[0] = (zmq_pollitem_t){.fd = front_fd(traffic->front), .events = ZMQ_POLLIN};
+	items[1] = (zmq_pollitem_t){.fd = traffic->wake_fd, .events = ZMQ_POLLIN};
+	items[2] = (zmq_pollitem_t){.fd = front_gone_fd(traffic->front), .events = ZMQ_POLLIN};
+	items[3] = (zmq_pollitem_t){.socket = link_server_socket(traffic->server), .events = ZMQ_POLLIN};
+	for (size_t i = 0; i < count; i++)
+		items[FIXED_ITEMS + i] = (zmq_pollitem_t){.socket = sockets[i], .events = ZMQ_POLLIN};
+	zmq_poll(items, (int)(FIXED_ITEMS + count), wait_ms(traffic));
+}
+
+/* Does one turn of everything. */
+static void turn(traffic_t *traffic, const zmq_pollitem_t *items)
+{
+	uint64_t wakes;
+
+	if (items[1].revents && read(traffic->wake_fd, &wakes, sizeof(wakes)) < 0)
+		counter_add(COUNTER_MESSAGE_UNEXPECTED, 1);
+	if (items[2].revents)
+		front_run_gone(traffic->front);
+	read_server(traffic);
+	receiver_run(traffic->receiver);
+	read_clients(traffic);
+	run_local(traffic);
+	forward_run(traffic->forward);
+	front_run(traffic->front);
+	run_local(traffic);
+}
+
+/* The traffic thread. */
+static void *run(void *data)
+{
+	traffic_t *traffic = data;
+	zmq_pollitem_t *items = g_new0(zmq_pollitem_t, FIXED_ITEMS + MAX_SOCKETS);
+	void **sockets = g_new0(void *, MAX_SOCKETS);
+
+	urcu_memb_register_thread();
+	while (!atomic_load(&traffic->stop)) {
+		wait_for_events(traffic, items, sockets);
+		if (atomic_load(&traffic->drain)) {
+			receiver_drain(traffic->receiver);
+			front_drain(traffic->front);
+		}
+		turn(traffic, items);
+		publish(traffic);
+	}
+	urcu_memb_unregister_thread();
+	g_free(items);
+	g_free(sockets);
+	return NULL;
+}
+
+/* Frees what was opened. */
+static void release(traffic_t *traffic)
+{
+	if (traffic->front)
+		front_free(traffic->front);
+	if (traffic->forward)
+		forward_free(traffic->forward);
+	if (traffic->pool)
+		target_pool_free(traffic->pool);
+	if (traffic->receiver)
+		receiver_free(traffic->receiver);
+	link_clients_free(traffic->clients);
+	link_server_close(traffic->server);
+	g_queue_clear_full(&traffic->to_receiver, cw_message_free);
+	g_queue_clear_full(&traffic->to_forward, cw_message_free);
+	close(traffic->wake_fd);
+	g_free(traffic);
+}
+
+/* Opens the ports and the target's threads. */
+static cw_status_t open_all(traffic_t *traffic, link_context_t *context, uint64_t incarnation,
+			    view_slot_t *views)
+{
+	const proxy_settings_t *settings = &traffic->settings;
+	forward_hooks_t hooks = {.local = send_local, .done = call_done, .data = traffic};
+	cw_status_t status = link_server_open(context, settings->call_listen, &traffic->server);
+
+	if (status != CW_OK)
+		return status;
+	status = front_new(settings, &traffic->front);
+	if (status != CW_OK)
+		return status;
+	status = target_pool_new(settings->target, settings->slots, traffic->wake_fd, &traffic->pool);
+	if (status != CW_OK)
+		return status;
+	traffic->clients = link_clients_new(context);
+	traffic->receiver = receiver_new(settings, incarnation, traffic->pool, send_answer, traffic);
+	traffic->forward = forward_new(settings, incarnation, views, traffic->clients, &hooks);
+	front_set_forward(traffic->front, traffic->forward);
+	return CW_OK;
+}
+
+/* Opens the ports and starts the threads.  CW_ERR_IO or CW_ERR_SETTINGS when that fails. */
+cw_status_t traffic_start(link_context_t *context, const proxy_settings_t *settings, uint64_t incarnation,
+			  view_slot_t *views, traffic_t **out)
+{
+	traffic_t *traffic = g_new0(traffic_t, 1);
+	cw_status_t status;
+
+	traffic->settings = *settings;
+	traffic->wake_fd = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
+	g_queue_init(&traffic->to_receiver);
+	g_queue_init(&traffic->to_forward);
+	status = open_all(traffic, context, incarnation, views);
+	if (status == CW_OK && pthread_create(&traffic->thread, NULL, run, traffic))
+		status = cw_fail(CW_ERR_INTERNAL, "the traffic thread cannot be started");
+	if (status != CW_OK) {
+		release(traffic);
+		return status;
+	}
+	*out = traffic;
+	return CW_OK;
+}
+
+/* Returns HOST:PORT for callers. */
+const char *traffic_http_address(const traffic_t *traffic)
+{
+	return front_address(traffic->front);
+}
+
+/* Returns HOST:PORT for other proxies. */
+const char *traffic_call_address(const traffic_t *traffic)
+{
+	return link_server_address(traffic->server);
+}
+
+/* Wakes the traffic thread. */
+static void wake(const traffic_t *traffic)
+{
+	uint64_t one = 1;
+
+	if (write(traffic->wake_fd, &one, sizeof(one)) < 0)
+		counter_add(COUNTER_SEND_REFUSED, 1);
+}
+
+/* Refuses new work to the target from now on. */
+void traffic_drain(traffic_t *traffic)
+{
+	atomic_store(&traffic->drain, true);
+	wake(traffic);
+}
+
+/* Returns the calls in flight, as of the traffic thread's last turn. */
+uint32_t traffic_in_flight(const traffic_t *traffic)
+{
+	return atomic_load(&traffic->in_flight);
+}
+
+/* Returns whether the target takes work. */
+bool traffic_target_ready(const traffic_t *traffic)
+{
+	return atomic_load(&traffic->target_ready);
+}
+
+/* Stops the threads and closes the ports. */
+void traffic_stop(traffic_t *traffic)
+{
+	atomic_store(&traffic->stop, true);
+	wake(traffic);
+	pthread_join(traffic->thread, NULL);
+	release(traffic);
+}
