Add a stand-in target that counts its executions

Change: slots, service time, cold start, shedding, failures, cut answers and a drain on SIGTERM, all settable while it runs; /executions tells how often each request id ran.

--- /dev/null
+++ b/tests/tools/standin_target.c
@@ -0,0 +1,355 @@
+/*
+ * A stand-in for a target: an HTTP server with slots and a service time that
+ * counts its executions by request id, for tests and the bench.
+ *
+ *   ANY /...          runs for the service time and answers; the body echoes the request
+ *   GET /health       says that all is well, whatever is true
+ *   GET /executions   JSON: how often each X-Request-Id ran
+ *   GET /set?K=V      changes a setting
+ *
+ * SIGTERM drains: answers carry Caraway-Draining, the port closes after the
+ * grace time, and the process ends when no call runs.
+ */
+#include <argp.h>
+#include <glib.h>
+#include <inttypes.h>
+#include <jansson.h>
+#include <microhttpd.h>
+#include <netinet/in.h>
+#include <pthread.h>
+#include <signal.h>
+#include <stdatomic.h>
+#include <stdbool.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+enum {
+	US_PER_MS = 1000,
+	STEP_MS = 10,
+	MAX_CONNECTIONS = 500,
+	PERCENT = 100,
+	HTTP_SHED = 503,
+	HTTP_ERROR = 500
+};
+
+/* What can be set by an option and by /set. */
+typedef struct {
+	const char *name;
+	const char *help;
+	_Atomic int value;
+} setting_t;
+
+typedef enum {
+	PORT,
+	SLOTS,
+	SERVICE_MS,
+	SHED_ABOVE,
+	COLD_MS,
+	COLD_FACTOR,
+	FAIL_PERCENT,
+	CUT_PERCENT,
+	GRACE_MS,
+	SETTINGS
+} setting_id_t;
+
+static setting_t settings[SETTINGS] = {
+	[PORT] = {"port", "port to listen on; 0 takes a free one", 0},
+	[SLOTS] = {"slots", "calls that run at once; others wait inside", 12},
+	[SERVICE_MS] = {"service-ms", "time that a call runs", 5},
+	[SHED_ABOVE] = {"shed-above", "calls inside above which 503 is answered; 0: never", 0},
+	[COLD_MS] = {"cold-ms", "time after the first call during which calls are slow", 0},
+	[COLD_FACTOR] = {"cold-factor", "how much slower they are", 10},
+	[FAIL_PERCENT] = {"fail-percent", "calls answered at once with 500 and not run", 0},
+	[CUT_PERCENT] = {"cut-percent", "calls whose answer is cut in its middle", 0},
+	[GRACE_MS] = {"grace-ms", "time from SIGTERM until the port closes", 1000},
+};
+
+static GHashTable *executions; /* count by request id */
+static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
+static pthread_cond_t slot_free = PTHREAD_COND_INITIALIZER;
+static int running;	/* calls that hold a slot */
+static int inside;	/* calls that hold or wait for one */
+static unsigned served; /* all calls, to spread percentages evenly */
+static int64_t first_call_ms;
+static volatile sig_atomic_t stopping;
+
+/* One request. */
+typedef struct {
+	GByteArray *body;
+} request_t;
+
+/* Returns the value of a setting. */
+static int get(setting_id_t id)
+{
+	return atomic_load(&settings[id].value);
+}
+
+/* Returns a monotonic time. */
+static int64_t now_ms(void)
+{
+	return g_get_monotonic_time() / US_PER_MS;
+}
+
+/* Counts an execution of a request id. */
+static void count_execution(const char *id)
+{
+	gpointer count = g_hash_table_lookup(executions, id);
+
+	g_hash_table_insert(executions, g_strdup(id), GINT_TO_POINTER(GPOINTER_TO_INT(count) + 1));
+}
+
+/* Returns the service time of a call that starts now. */
+static int service_ms(void)
+{
+	if (!first_call_ms)
+		first_call_ms = now_ms();
+	return get(SERVICE_MS) * (now_ms() < first_call_ms + get(COLD_MS) ? get(COLD_FACTOR) : 1);
+}
+
+/* Returns whether this call is one of so many in a hundred, spread evenly. */
+static bool is_one_of(int percent)
+{
+	return (served * (unsigned)percent) % PERCENT < (unsigned)percent;
+}
+
+/* Takes a slot, runs the call and gives the slot back; returns the HTTP status. */
+static unsigned run_call(const char *id)
+{
+	int time_ms;
+
+	pthread_mutex_lock(&lock);
+	served++;
+	if (get(SHED_ABOVE) && inside >= get(SHED_ABOVE)) {
+		pthread_mutex_unlock(&lock);
+		return HTTP_SHED;
+	}
+	if (is_one_of(get(FAIL_PERCENT))) {
+		pthread_mutex_unlock(&lock);
+		return HTTP_ERROR;
+	}
+	inside++;
+	while (running >= get(SLOTS))
+		pthread_cond_wait(&slot_free, &lock);
+	running++;
+	time_ms = service_ms();
+	if (id)
+		count_execution(id);
+	pthread_mutex_unlock(&lock);
+	usleep((useconds_t)time_ms * US_PER_MS);
+	pthread_mutex_lock(&lock);
+	running--;
+	inside--;
+	pthread_cond_signal(&slot_free);
+	pthread_mutex_unlock(&lock);
+	return MHD_HTTP_OK;
+}
+
+/* Queues an answer with a text; takes over the text. */
+static enum MHD_Result answer(struct MHD_Connection *connection, unsigned status, char *text, size_t length)
+{
+	struct MHD_Response *response = MHD_create_response_from_buffer(length, text, MHD_RESPMEM_MUST_FREE);
+	enum MHD_Result result;
+
+	if (stopping) {
+		MHD_add_response_header(response, "Caraway-Draining", "1");
+		MHD_add_response_header(response, MHD_HTTP_HEADER_CONNECTION, "close");
+	}
+	result = MHD_queue_response(connection, status, response);
+	MHD_destroy_response(response);
+	return result;
+}
+
+/* Gives half of an answer and then breaks the connection. */
+static ssize_t read_cut(void *data, uint64_t position, char *buffer, size_t max)
+{
+	(void)data;
+	if (position > 0)
+		return MHD_CONTENT_READER_END_WITH_ERROR;
+	memset(buffer, 'x', MIN(max, 10));
+	return (ssize_t)MIN(max, 10);
+}
+
+/* Queues an answer that is cut. */
+static enum MHD_Result answer_cut(struct MHD_Connection *connection)
+{
+	struct MHD_Response *response = MHD_create_response_from_callback(20, 20, read_cut, NULL, NULL);
+	enum MHD_Result result = MHD_queue_response(connection, MHD_HTTP_OK, response);
+
+	MHD_destroy_response(response);
+	return result;
+}
+
+/* Answers with the executions counted. */
+static enum MHD_Result answer_executions(struct MHD_Connection *connection)
+{
+	json_t *object = json_object();
+	GHashTableIter iter;
+	gpointer id, count;
+	char *text;
+
+	pthread_mutex_lock(&lock);
+	g_hash_table_iter_init(&iter, executions);
+	while (g_hash_table_iter_next(&iter, &id, &count))
+		json_object_set_new(object, id, json_integer(GPOINTER_TO_INT(count)));
+	pthread_mutex_unlock(&lock);
+	text = json_dumps(object, JSON_SORT_KEYS);
+	json_decref(object);
+	return answer(connection, MHD_HTTP_OK, text, strlen(text));
+}
+
+/* Changes one setting. */
+static enum MHD_Result set_value(void *data, enum MHD_ValueKind kind, const char *name, const char *value)
+{
+	(void)data;
+	(void)kind;
+	for (int i = 0; i < SETTINGS; i++)
+		if (value && !strcmp(settings[i].name, name))
+			atomic_store(&settings[i].value, atoi(value));
+	return MHD_YES;
+}
+
+/* Runs a call and answers it with its id, its body and the headers it came with. */
+static enum MHD_Result answer_call(struct MHD_Connection *connection, const char *url, const char *method,
+				   const request_t *request)
+{
+	const char *id = MHD_lookup_connection_value(connection, MHD_HEADER_KIND, "X-Request-Id");
+	const char *depth = MHD_lookup_connection_value(connection, MHD_HEADER_KIND, "Caraway-Depth");
+	unsigned status = run_call(id);
+	char *text;
+
+	if (status == MHD_HTTP_OK && is_one_of(get(CUT_PERCENT)))
+		return answer_cut(connection);
+	text = g_strdup_printf("%s %s id=%s depth=%s body=%.*s\n", method, url, id ? id : "",
+			       depth ? depth : "", (int)request->body->len,
+			       (const char *)request->body->data);
+	return answer(connection, status, text, strlen(text));
+}
+
+/* Takes a request in and answers it. */
+static enum MHD_Result on_request(void *data, struct MHD_Connection *connection, const char *url,
+				  const char *method, const char *version, const char *upload, size_t *length,
+				  void **state)
+{
+	request_t *request = *state;
+
+	(void)data;
+	(void)version;
+	if (!request) {
+		*state = request = g_new0(request_t, 1);
+		request->body = g_byte_array_new();
+		return MHD_YES;
+	}
+	if (*length) {
+		g_byte_array_append(request->body, (const guint8 *)upload, (guint)*length);
+		*length = 0;
+		return MHD_YES;
+	}
+	if (!strcmp(url, "/executions"))
+		return answer_executions(connection);
+	if (!strcmp(url, "/set"))
+		MHD_get_connection_values(connection, MHD_GET_ARGUMENT_KIND, set_value, NULL);
+	if (!strcmp(url, "/set") || !strcmp(url, "/health"))
+		return answer(connection, MHD_HTTP_OK, g_strdup("ok\n"), strlen("ok\n"));
+	return answer_call(connection, url, method, request);
+}
+
+/* Frees a request. */
+static void on_completed(void *data, struct MHD_Connection *connection, void **state,
+			 enum MHD_RequestTerminationCode code)
+{
+	request_t *request = *state;
+
+	(void)data;
+	(void)connection;
+	(void)code;
+	if (!request)
+		return;
+	g_byte_array_free(request->body, TRUE);
+	g_free(request);
+	*state = NULL;
+}
+
+/* Notes that the process is to drain. */
+static void on_term(int number)
+{
+	(void)number;
+	stopping = 1;
+}
+
+/* Reads one option. */
+static error_t parse_option(int key, char *value, struct argp_state *state)
+{
+	(void)state;
+	if (key < 1 || key > SETTINGS)
+		return ARGP_ERR_UNKNOWN;
+	atomic_store(&settings[key - 1].value, atoi(value));
+	return 0;
+}
+
+/* Reads the command line: one option for each setting. */
+static void parse_options(int argc, char **argv)
+{
+	struct argp_option options[SETTINGS + 1] = {0};
+	struct argp argp = {.options = options, .parser = parse_option, .doc = "A stand-in for a target"};
+
+	for (int i = 0; i < SETTINGS; i++)
+		options[i] = (struct argp_option){
+			.name = settings[i].name, .key = i + 1, .arg = "N", .doc = settings[i].help};
+	argp_parse(&argp, argc, argv, 0, NULL, NULL);
+}
+
+/* Waits until a time has come and no connection is open; kept ones are closed with their next answer. */
+static void wait_for_idle(struct MHD_Daemon *daemon, int64_t from_ms, int64_t to_ms)
+{
+	bool busy = true;
+
+	while (now_ms() < from_ms || (busy && now_ms() < to_ms)) {
+		usleep(STEP_MS * US_PER_MS);
+		pthread_mutex_lock(&lock);
+		busy = inside > 0 ||
+		       MHD_get_daemon_info(daemon, MHD_DAEMON_INFO_CURRENT_CONNECTIONS)->num_connections > 0;
+		pthread_mutex_unlock(&lock);
+	}
+}
+
+/* Waits for SIGTERM, then serves on for the grace time, closes the port and finishes what is inside. */
+static void wait_for_end(struct MHD_Daemon *daemon)
+{
+	int64_t until_ms;
+
+	while (!stopping)
+		usleep(STEP_MS * US_PER_MS);
+	until_ms = now_ms() + get(GRACE_MS);
+	wait_for_idle(daemon, until_ms, until_ms);
+	close(MHD_quiesce_daemon(daemon));
+	wait_for_idle(daemon, until_ms, until_ms + get(GRACE_MS));
+	MHD_stop_daemon(daemon);
+}
+
+int main(int argc, char **argv)
+{
+	struct sigaction action = {.sa_handler = on_term};
+	const union MHD_DaemonInfo *info;
+	struct MHD_Daemon *daemon;
+
+	parse_options(argc, argv);
+	sigaction(SIGTERM, &action, NULL);
+	signal(SIGPIPE, SIG_IGN);
+	executions = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	daemon = MHD_start_daemon(MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_THREAD_PER_CONNECTION,
+				  (uint16_t)get(PORT), NULL, NULL, on_request, NULL,
+				  MHD_OPTION_CONNECTION_LIMIT, MAX_CONNECTIONS,
+				  MHD_OPTION_LISTENING_ADDRESS_REUSE, 1, MHD_OPTION_NOTIFY_COMPLETED,
+				  on_completed, NULL, MHD_OPTION_END);
+	if (!daemon) {
+		fprintf(stderr, "cannot listen\n");
+		return EXIT_FAILURE;
+	}
+	info = MHD_get_daemon_info(daemon, MHD_DAEMON_INFO_BIND_PORT);
+	printf("%u\n", (unsigned)info->port);
+	fflush(stdout);
+	wait_for_end(daemon);
+	return EXIT_SUCCESS;
+}
