Keep the life of changes in a ledger applied from the log

Cause: operators race on numbers, resend after lost answers, withdraw at the due time and relabel VMs; what was accepted must come into force on time and never leave a route dangling.

Change: a ledger of changes by number. An equal booking, review or withdrawal gets its first answer again; another content, due time or operator under a taken number is a conflict that names what stands. A review checks the state as of the due time and after every accepted later change; labels and registrations are checked the same way, and a withdrawal that an accepted later change needs is refused. At the due time a change is checked once more. Changes fall due by time, then number; one reviewed after its due time falls due at its review, and due time 0 means as soon as it is reviewed.

Ruled out: carrying out every accepted change on a copy at each review; only changes that set a name tied to the reviewed ones can matter.

Conclusion: tests/ledger holds a run for each rule.

--- a/libcaraway/catalog.c
+++ b/libcaraway/catalog.c
@@ -56,7 +56,7 @@
 
 	catalog->layers = g_ptr_array_new_with_free_func(layer_release);
 	catalog->vms = vm_table_new();
-	catalog->grouping = g_new0(grouping_t, 1);
+	catalog->grouping = grouping_new();
 	return catalog;
 }
 
@@ -65,8 +65,7 @@
 {
 	if (!catalog)
 		return;
-	catalog_forget_groups(catalog);
-	g_free(catalog->grouping);
+	grouping_release(catalog->grouping);
 	vm_table_release(catalog->vms);
 	g_ptr_array_unref(catalog->layers);
 	g_free(catalog);
@@ -86,7 +85,8 @@
 	}
 	copy->vms = catalog->vms;
 	g_atomic_ref_count_inc(&copy->vms->references);
-	copy->grouping = g_new0(grouping_t, 1);
+	copy->grouping = catalog->grouping;
+	g_atomic_ref_count_inc(&copy->grouping->references);
 	return copy;
 }
 
@@ -260,6 +260,12 @@
 	return entry ? entry->vm : NULL;
 }
 
+/* Returns the number of VMs. */
+size_t catalog_vm_count(const cw_catalog_t *catalog)
+{
+	return g_hash_table_size(catalog->vms->by_name);
+}
+
 /* Orders VMs by name. */
 static gint compare_vms(gconstpointer a, gconstpointer b)
 {
--- a/libcaraway/catalog.h
+++ b/libcaraway/catalog.h
@@ -76,7 +76,9 @@
 	size_t vm_count;
 } group_t;
 
+/* The groups of a catalog; shared between copies until one gets other layers or VMs. */
 typedef struct {
+	gatomicrefcount references;
 	GHashTable *by_key; /* GBytes -> group_t; NULL until wanted */
 } grouping_t;
 
@@ -104,6 +106,7 @@
 /* ---- catalog.c ---- */
 
 void vm_entry_release(void *data);
+size_t catalog_vm_count(const cw_catalog_t *catalog);
 layer_t *catalog_find_layer(const cw_catalog_t *catalog, const char *text, size_t *slot);
 layer_t *catalog_add_layer(cw_catalog_t *catalog, const char *text, cw_selector_t *selector, size_t *slot);
 
@@ -112,6 +115,8 @@
 GBytes *catalog_group_key(const cw_catalog_t *catalog, const Caraway__Vm *vm);
 GHashTable *catalog_groups(const cw_catalog_t *catalog);
 bool catalog_holds_group(const cw_catalog_t *catalog, const Caraway__Vm *vm);
+grouping_t *grouping_new(void);
+void grouping_release(grouping_t *grouping);
 void catalog_forget_groups(cw_catalog_t *catalog);
 void catalog_move_vm(cw_catalog_t *catalog, const Caraway__Vm *from, const Caraway__Vm *to);
 
--- a/libcaraway/group.c
+++ b/libcaraway/group.c
@@ -69,12 +69,30 @@
 	return found;
 }
 
+/* Returns groups that are to be made when wanted. */
+grouping_t *grouping_new(void)
+{
+	grouping_t *grouping = g_new0(grouping_t, 1);
+
+	g_atomic_ref_count_init(&grouping->references);
+	return grouping;
+}
+
+/* Gives a reference to groups back. */
+void grouping_release(grouping_t *grouping)
+{
+	if (!g_atomic_ref_count_dec(&grouping->references))
+		return;
+	if (grouping->by_key)
+		g_hash_table_destroy(grouping->by_key);
+	g_free(grouping);
+}
+
 /* Drops the groups, after a layer came or went. */
 void catalog_forget_groups(cw_catalog_t *catalog)
 {
-	if (catalog->grouping->by_key)
-		g_hash_table_destroy(catalog->grouping->by_key);
-	catalog->grouping->by_key = NULL;
+	grouping_release(catalog->grouping);
+	catalog->grouping = grouping_new();
 }
 
 /* Takes a VM out of its group. */
@@ -91,9 +109,12 @@
 /* Keeps the groups right when a VM comes (from is NULL) or its labels change. */
 void catalog_move_vm(cw_catalog_t *catalog, const Caraway__Vm *from, const Caraway__Vm *to)
 {
-	GHashTable *groups = catalog->grouping->by_key;
+	GHashTable *groups;
 	GBytes *key;
 
+	if (!g_atomic_ref_count_compare(&catalog->grouping->references, 1))
+		catalog_forget_groups(catalog);
+	groups = catalog->grouping->by_key;
 	if (!groups)
 		return;
 	if (from)
--- /dev/null
+++ b/libcaraway/ledger_save.c
@@ -0,0 +1,190 @@
+/* The ledger as a snapshot, and back with every field checked. */
+#include "ledger.h"
+
+#include <string.h>
+
+/* A snapshot is the hash of the packed message, little-endian, and the packed message. */
+enum { HASH_BYTES = 8 };
+
+/* Returns the ledger as a snapshot; equal ledgers give equal snapshots. */
+GBytes *cw_ledger_save(const cw_ledger_t *ledger)
+{
+	Caraway__LedgerSnapshot snapshot = CARAWAY__LEDGER_SNAPSHOT__INIT;
+	GPtrArray *changes = cw_ledger_changes(ledger);
+	size_t length;
+	uint8_t *data;
+	uint64_t hash;
+
+	snapshot.n_changes = changes->len;
+	snapshot.changes = (Caraway__Change **)changes->pdata;
+	snapshot.feed = cw_feed_save(ledger->feed);
+	length = caraway__ledger_snapshot__get_packed_size(&snapshot);
+	data = g_malloc(HASH_BYTES + length);
+	caraway__ledger_snapshot__pack(&snapshot, data + HASH_BYTES);
+	hash = GUINT64_TO_LE(cw_hash(data + HASH_BYTES, length, 0));
+	memcpy(data, &hash, HASH_BYTES);
+	cw_message_free(snapshot.feed);
+	g_ptr_array_unref(changes);
+	return g_bytes_new_take(data, HASH_BYTES + length);
+}
+
+/* Checks the hash and unpacks the message; CW_ERR_DAMAGED or CW_ERR_DECODE. */
+static cw_status_t unpack(const void *data, size_t length, Caraway__LedgerSnapshot **snapshot)
+{
+	const uint8_t *bytes = data;
+	uint64_t hash;
+
+	if (length < HASH_BYTES)
+		return cw_fail(CW_ERR_DAMAGED, "ledger snapshot: %zu bytes are too few", length);
+	memcpy(&hash, bytes, HASH_BYTES);
+	bytes += HASH_BYTES;
+	length -= HASH_BYTES;
+	if (GUINT64_FROM_LE(hash) != cw_hash(bytes, length, 0))
+		return cw_fail(CW_ERR_DAMAGED, "ledger snapshot: the hash does not hold");
+	*snapshot = caraway__ledger_snapshot__unpack(NULL, length, bytes);
+	return *snapshot ? CW_OK : cw_fail(CW_ERR_DECODE, "ledger snapshot: cannot be decoded");
+}
+
+/* Tells whether a change's state agrees with its other fields. */
+static bool state_is_whole(const Caraway__Change *change)
+{
+	bool reviewed = *change->reviewed_by != 0;
+
+	switch (change->state) {
+	case CARAWAY__CHANGE_STATE__CHANGE_BOOKED:
+		return change->content && !change->finished && !change->accepted;
+	case CARAWAY__CHANGE_STATE__CHANGE_ACCEPTED:
+		return change->content && !change->finished && change->accepted && reviewed;
+	case CARAWAY__CHANGE_STATE__CHANGE_IN_FORCE:
+		return change->finished && change->accepted && reviewed && change->version;
+	case CARAWAY__CHANGE_STATE__CHANGE_REFUSED:
+		return change->finished && reviewed;
+	case CARAWAY__CHANGE_STATE__CHANGE_WITHDRAWN:
+		return change->finished && *change->withdrawn_by;
+	default:
+		return false;
+	}
+}
+
+/* Checks one change of a snapshot; CW_ERR_DECODE. */
+static cw_status_t check_change(const Caraway__Change *change, uint64_t previous)
+{
+	const Caraway__Content *content = change->content;
+
+	if (change->number <= previous || !*change->booked_by || !state_is_whole(change))
+		return cw_fail(CW_ERR_DECODE, "ledger snapshot: change %" G_GUINT64_FORMAT " is not whole",
+			       change->number);
+	if (content &&
+	    (cw_content_check(content) || change->digest != change_digest(content, change->due_ms)))
+		return cw_fail(CW_ERR_DECODE,
+			       "ledger snapshot: the content of change %" G_GUINT64_FORMAT " is not valid",
+			       change->number);
+	return CW_OK;
+}
+
+/* Checks the changes and that their positions among the finished ones differ; CW_ERR_DECODE. */
+static cw_status_t check_changes(const Caraway__LedgerSnapshot *snapshot)
+{
+	GHashTable *positions = g_hash_table_new(g_int64_hash, g_int64_equal);
+	cw_status_t status = CW_OK;
+	uint64_t previous = 0;
+
+	for (size_t i = 0; i < snapshot->n_changes && !status; i++) {
+		Caraway__Change *change = snapshot->changes[i];
+
+		status = check_change(change, previous);
+		previous = change->number;
+		if (!status && change->finished && !g_hash_table_add(positions, &change->finished))
+			status = cw_fail(CW_ERR_DECODE, "ledger snapshot: two changes finished at once");
+	}
+	g_hash_table_destroy(positions);
+	return status;
+}
+
+/* Checks that the feed has staged the accepted changes and no other; CW_ERR_DECODE. */
+static cw_status_t check_staged(const Caraway__LedgerSnapshot *snapshot)
+{
+	GHashTable *staged = g_hash_table_new(g_int64_hash, g_int64_equal);
+	size_t accepted = 0;
+	bool equal = true;
+
+	for (size_t i = 0; i < snapshot->feed->n_staged; i++)
+		g_hash_table_insert(staged, &snapshot->feed->staged[i]->number, snapshot->feed->staged[i]);
+	for (size_t i = 0; i < snapshot->n_changes && equal; i++) {
+		const Caraway__Change *change = snapshot->changes[i];
+		const Caraway__StageRecord *stage;
+
+		if (change->state != CARAWAY__CHANGE_STATE__CHANGE_ACCEPTED)
+			continue;
+		accepted++;
+		stage = g_hash_table_lookup(staged, &change->number);
+		equal = stage && stage->digest == cw_content_digest(change->content);
+	}
+	equal = equal && accepted == snapshot->feed->n_staged;
+	g_hash_table_destroy(staged);
+	return equal ? CW_OK : cw_fail(CW_ERR_DECODE, "ledger snapshot: accepted and staged changes differ");
+}
+
+/* Orders changes by their position among the finished ones. */
+static gint compare_finished(gconstpointer a, gconstpointer b, gpointer data)
+{
+	const Caraway__Change *left = a;
+	const Caraway__Change *right = b;
+
+	(void)data;
+	return left->finished < right->finished ? -1 : left->finished > right->finished;
+}
+
+/* Takes the changes out of a checked snapshot. */
+static void take_changes(cw_ledger_t *ledger, Caraway__LedgerSnapshot *snapshot)
+{
+	for (size_t i = 0; i < snapshot->n_changes; i++) {
+		Caraway__Change *change = snapshot->changes[i];
+
+		ledger_add(ledger, change);
+		if (change->finished)
+			ledger->open--;
+		ledger->finished = MAX(ledger->finished, change->finished);
+		if (change->finished && change->content)
+			g_queue_push_tail(ledger->kept, change);
+		if (change->state == CARAWAY__CHANGE_STATE__CHANGE_ACCEPTED)
+			plan_add(ledger->plan, change);
+	}
+	g_queue_sort(ledger->kept, compare_finished, NULL);
+	snapshot->n_changes = 0;
+}
+
+/* Replaces the state of a ledger by an unpacked snapshot, or changes nothing; CW_ERR_DECODE. */
+static cw_status_t take_snapshot(cw_ledger_t *ledger, Caraway__LedgerSnapshot *snapshot)
+{
+	cw_status_t status;
+
+	if (!snapshot->feed)
+		return cw_fail(CW_ERR_DECODE, "ledger snapshot: the feed is missing");
+	status = check_changes(snapshot);
+	if (!status)
+		status = check_staged(snapshot);
+	if (!status)
+		status = cw_feed_load(ledger->feed, snapshot->feed);
+	if (status)
+		return status;
+	ledger_reset(ledger);
+	take_changes(ledger, snapshot);
+	return CW_OK;
+}
+
+/*
+ * Replaces the state of a ledger by a snapshot; the feed stays at its place.
+ * Fails with CW_ERR_DAMAGED or CW_ERR_DECODE, and then nothing has changed.
+ */
+cw_status_t cw_ledger_load(cw_ledger_t *ledger, const void *data, size_t length)
+{
+	Caraway__LedgerSnapshot *snapshot = NULL;
+	cw_status_t status = unpack(data, length, &snapshot);
+
+	if (!snapshot)
+		return status;
+	status = take_snapshot(ledger, snapshot);
+	cw_message_free(snapshot);
+	return status;
+}
--- /dev/null
+++ b/tests/unit/test_ledger.c
@@ -0,0 +1,249 @@
+/* Scripted runs of the ledger. */
+#include <check.h>
+#include <string.h>
+
+#include "script.h"
+#include "words.h"
+
+/* A ledger and the time of the next commands. */
+typedef struct {
+	cw_ledger_t *ledger;
+	int64_t at_ms;
+} run_t;
+
+static const char *const state_words[] = {"none", "booked", "accepted", "in-force", "refused", "withdrawn"};
+
+/* Applies a command and prints the answer and the change's state. */
+static void apply(run_t *run, Caraway__Command *command, GString *out)
+{
+	Caraway__Change *change;
+	cw_status_t status;
+
+	command->proposed_ms = run->at_ms;
+	status = cw_ledger_apply(run->ledger, command, &change);
+	g_string_append(out, cw_status_word(status));
+	if (change)
+		g_string_append_printf(out, " [%s]", state_words[change->state]);
+	if (status)
+		g_string_append_printf(out, " %s", cw_last_message());
+	g_string_append_c(out, '\n');
+	cw_message_free(change);
+}
+
+/* "book NUMBER OPERATOR DUE SELECTOR WORD..." */
+static void run_book(run_t *run, int argc, char **argv, GString *out)
+{
+	Caraway__Command command = CARAWAY__COMMAND__INIT;
+	Caraway__Book book = CARAWAY__BOOK__INIT;
+
+	book.number = g_ascii_strtoull(argv[1], NULL, 10);
+	book.operator_name = argv[2];
+	book.due_ms = g_ascii_strtoll(argv[3], NULL, 10);
+	book.content = words_content(argv[4], argc - 5, argv + 5);
+	command.body_case = CARAWAY__COMMAND__BODY_BOOK;
+	command.book = &book;
+	apply(run, &command, out);
+	cw_message_free(book.content);
+}
+
+/* "review NUMBER OPERATOR" */
+static void run_review(run_t *run, int argc, char **argv, GString *out)
+{
+	Caraway__Command command = CARAWAY__COMMAND__INIT;
+	Caraway__Review review = CARAWAY__REVIEW__INIT;
+
+	(void)argc;
+	review.number = g_ascii_strtoull(argv[1], NULL, 10);
+	review.operator_name = argv[2];
+	command.body_case = CARAWAY__COMMAND__BODY_REVIEW;
+	command.review = &review;
+	apply(run, &command, out);
+}
+
+/* "withdraw NUMBER OPERATOR" */
+static void run_withdraw(run_t *run, int argc, char **argv, GString *out)
+{
+	Caraway__Command command = CARAWAY__COMMAND__INIT;
+	Caraway__Withdraw withdraw = CARAWAY__WITHDRAW__INIT;
+
+	(void)argc;
+	withdraw.number = g_ascii_strtoull(argv[1], NULL, 10);
+	withdraw.operator_name = argv[2];
+	command.body_case = CARAWAY__COMMAND__BODY_WITHDRAW;
+	command.withdraw = &withdraw;
+	apply(run, &command, out);
+}
+
+/* "activate NUMBER" */
+static void run_activate(run_t *run, int argc, char **argv, GString *out)
+{
+	Caraway__Command command = CARAWAY__COMMAND__INIT;
+	Caraway__Activate activate = CARAWAY__ACTIVATE__INIT;
+
+	(void)argc;
+	activate.number = g_ascii_strtoull(argv[1], NULL, 10);
+	command.body_case = CARAWAY__COMMAND__BODY_ACTIVATE;
+	command.activate = &activate;
+	apply(run, &command, out);
+}
+
+/* "vm NAME [KEY=VALUE]..." */
+static void run_vm(run_t *run, int argc, char **argv, GString *out)
+{
+	Caraway__Command command = CARAWAY__COMMAND__INIT;
+	Caraway__Register body = CARAWAY__REGISTER__INIT;
+
+	body.vm = words_vm(argv[1], argc - 2, argv + 2);
+	command.body_case = CARAWAY__COMMAND__BODY_REGISTER_VM;
+	command.register_vm = &body;
+	apply(run, &command, out);
+	cw_message_free(body.vm);
+}
+
+/* "label NAME KEY=VALUE..." */
+static void run_label(run_t *run, int argc, char **argv, GString *out)
+{
+	Caraway__Command command = CARAWAY__COMMAND__INIT;
+	Caraway__SetLabels body = CARAWAY__SET_LABELS__INIT;
+	Caraway__Vm *vm = words_vm(argv[1], 0, NULL);
+
+	vm->labels = cw_message_array(argc);
+	for (int i = 2; i < argc; i++) {
+		char **pair = g_strsplit(argv[i], "=", 2);
+
+		words_add_label(vm, pair[0], pair[1]);
+		g_strfreev(pair);
+	}
+	body.vm = vm->name;
+	body.operator_name = "anna";
+	body.n_labels = vm->n_labels;
+	body.labels = vm->labels;
+	command.body_case = CARAWAY__COMMAND__BODY_SET_LABELS;
+	command.set_labels = &body;
+	apply(run, &command, out);
+	cw_message_free(vm);
+}
+
+/* "due": the change to activate at the present time. */
+static void run_due(run_t *run, int argc, char **argv, GString *out)
+{
+	(void)argc;
+	(void)argv;
+	g_string_append_printf(out, "due %" G_GUINT64_FORMAT "\n", cw_ledger_due(run->ledger, run->at_ms));
+}
+
+/* "show NUMBER": a change in full. */
+static void run_show(run_t *run, int argc, char **argv, GString *out)
+{
+	const Caraway__Change *change = cw_ledger_change(run->ledger, g_ascii_strtoull(argv[1], NULL, 10));
+
+	(void)argc;
+	g_string_append_printf(out,
+			       "%s booked by %s at %" G_GINT64_FORMAT ", reviewed by %s at %" G_GINT64_FORMAT
+			       ", due %" G_GINT64_FORMAT ", in force at %" G_GINT64_FORMAT
+			       ", version %" G_GUINT64_FORMAT "\n",
+			       state_words[change->state], change->booked_by, change->booked_ms,
+			       change->reviewed_by, change->reviewed_ms, change->due_ms, change->in_force_ms,
+			       change->version);
+}
+
+/* "holds VM": names of the sections that a VM holds, with the version and the feed's index. */
+static void run_holds(run_t *run, int argc, char **argv, GString *out)
+{
+	const cw_feed_t *feed = cw_ledger_feed(run->ledger);
+	const cw_catalog_t *catalog = cw_feed_catalog(feed);
+	cw_config_t *config = cw_catalog_resolve(catalog, cw_catalog_vm(catalog, argv[1]));
+
+	(void)argc;
+	g_string_append_printf(out, "version %" G_GUINT64_FORMAT ", index %" G_GUINT64_FORMAT ":",
+			       config->version, cw_feed_index(feed));
+	for (size_t i = 0; i < config->services->len; i++)
+		g_string_append_printf(out, " %s", ((Caraway__Service *)config->services->pdata[i])->name);
+	for (size_t i = 0; i < config->routes->len; i++)
+		g_string_append_printf(out, " %s", ((Caraway__Route *)config->routes->pdata[i])->name);
+	for (size_t i = 0; i < config->targets->len; i++)
+		g_string_append_printf(out, " %s", ((Caraway__Target *)config->targets->pdata[i])->name);
+	g_string_append_c(out, '\n');
+	cw_config_free(config);
+}
+
+/* "reload": goes on from a snapshot, whose own snapshot must be equal. */
+static void run_reload(run_t *run, int argc, char **argv, GString *out)
+{
+	GBytes *saved = cw_ledger_save(run->ledger);
+	GBytes *again;
+	gsize length;
+	const void *data = g_bytes_get_data(saved, &length);
+
+	(void)argc;
+	(void)argv;
+	cw_ledger_free(run->ledger);
+	run->ledger = cw_ledger_new(100);
+	g_string_append(out, cw_status_word(cw_ledger_load(run->ledger, data, length)));
+	again = cw_ledger_save(run->ledger);
+	g_string_append(out, g_bytes_equal(saved, again) ? " equal\n" : " differs\n");
+	g_bytes_unref(saved);
+	g_bytes_unref(again);
+}
+
+/* "at MS": sets the time of the next commands. */
+static void run_at(run_t *run, int argc, char **argv, GString *out)
+{
+	(void)argc;
+	(void)out;
+	run->at_ms = g_ascii_strtoll(argv[1], NULL, 10);
+}
+
+/* Carries out one command of a script. */
+static void run_command(void *data, int argc, char **argv, GString *out)
+{
+	static const struct {
+		const char *word;
+		void (*run)(run_t *run, int argc, char **argv, GString *out);
+	} commands[] = {
+		{"book", run_book},	{"review", run_review}, {"withdraw", run_withdraw},
+		{"vm", run_vm},		{"label", run_label},	{"activate", run_activate},
+		{"due", run_due},	{"show", run_show},	{"holds", run_holds},
+		{"reload", run_reload}, {"at", run_at},
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(commands); i++)
+		if (!strcmp(argv[0], commands[i].word)) {
+			commands[i].run(data, argc, argv, out);
+			return;
+		}
+	g_string_append(out, "unknown command\n");
+}
+
+/* Runs every script on a ledger of its own. */
+START_TEST(test_script)
+{
+	GPtrArray *scripts = script_list("tests/ledger");
+
+	for (size_t i = 0; i < scripts->len; i++) {
+		run_t run = {.ledger = cw_ledger_new(100)};
+		char *difference = script_run(scripts->pdata[i], run_command, &run);
+
+		ck_assert_msg(!difference, "%s", difference);
+		cw_ledger_free(run.ledger);
+	}
+	ck_assert_uint_gt(scripts->len, 0);
+	g_ptr_array_unref(scripts);
+}
+END_TEST
+
+/* Runs the tests; the exit status is the number of failures, at most 1. */
+int main(void)
+{
+	Suite *suite = suite_create("ledger");
+	TCase *tcase = tcase_create("ledger");
+	SRunner *runner = srunner_create(suite);
+	int failed;
+
+	tcase_add_test(tcase, test_script);
+	suite_add_tcase(suite, tcase);
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed != 0;
+}
--- a/tests/unit/words.c
+++ b/tests/unit/words.c
@@ -73,8 +73,7 @@
 	return content;
 }
 
-/* Adds a label to a VM. */
-static void add_label(Caraway__Vm *vm, const char *key, const char *value)
+void words_add_label(Caraway__Vm *vm, const char *key, const char *value)
 {
 	Caraway__Label *label = malloc(sizeof(*label));
 
@@ -90,7 +89,7 @@
 
 	caraway__vm__init(vm);
 	vm->name = strdup(name);
-	vm->labels = cw_message_array(argc);
+	vm->labels = cw_message_array((size_t)argc);
 	for (int i = 0; i < argc; i++) {
 		char **pair = g_strsplit(argv[i], "=", 2);
 
@@ -101,7 +100,7 @@
 		else if (!strcmp(pair[0], "service"))
 			vm->service = strdup(pair[1]);
 		else
-			add_label(vm, pair[0], pair[1]);
+			words_add_label(vm, pair[0], pair[1]);
 		g_strfreev(pair);
 	}
 	return vm;
