Replicate the log by elections, leases and one-at-a-time membership

Cause: control state needs a log that a quorum holds before it answers. Pre-vote and check-quorum with a lease below the election time; a replica counts as having heard a leader when it starts, so that a restart does not shorten a lease. Reads are answered by a round begun after they came. A replica is (id, incarnation): one with a lost folder joins as a learner, and once it holds everything committed the old incarnation is removed by one entry and the new one added by another. Membership.admitting carries the wish over a change of leader, VoteRequest.handover marks an election that the former leader asked for.

--- a/libcaraway/gen/caraway.pb-c.c
+++ b/libcaraway/gen/caraway.pb-c.c
@@ -3991,7 +3991,7 @@
   (ProtobufCMessageInit) caraway__replica__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor caraway__membership__field_descriptors[1] =
+static const ProtobufCFieldDescriptor caraway__membership__field_descriptors[2] =
 {
   {
     "voters",
@@ -4005,14 +4005,27 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "admitting",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Caraway__Membership, n_admitting),
+    offsetof(Caraway__Membership, admitting),
+    &caraway__replica__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned caraway__membership__field_indices_by_name[] = {
+  1,   /* field[1] = admitting */
   0,   /* field[0] = voters */
 };
 static const ProtobufCIntRange caraway__membership__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 1 }
+  { 0, 2 }
 };
 const ProtobufCMessageDescriptor caraway__membership__descriptor =
 {
@@ -4022,7 +4035,7 @@
   "Caraway__Membership",
   "caraway",
   sizeof(Caraway__Membership),
-  1,
+  2,
   caraway__membership__field_descriptors,
   caraway__membership__field_indices_by_name,
   1,  caraway__membership__number_ranges,
@@ -4106,7 +4119,7 @@
   (ProtobufCMessageInit) caraway__entry__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor caraway__vote_request__field_descriptors[3] =
+static const ProtobufCFieldDescriptor caraway__vote_request__field_descriptors[4] =
 {
   {
     "pre_vote",
@@ -4144,8 +4157,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "handover",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Caraway__VoteRequest, handover),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned caraway__vote_request__field_indices_by_name[] = {
+  3,   /* field[3] = handover */
   1,   /* field[1] = last_index */
   2,   /* field[2] = last_term */
   0,   /* field[0] = pre_vote */
@@ -4153,7 +4179,7 @@
 static const ProtobufCIntRange caraway__vote_request__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor caraway__vote_request__descriptor =
 {
@@ -4163,7 +4189,7 @@
   "Caraway__VoteRequest",
   "caraway",
   sizeof(Caraway__VoteRequest),
-  3,
+  4,
   caraway__vote_request__field_descriptors,
   caraway__vote_request__field_indices_by_name,
   1,  caraway__vote_request__number_ranges,
--- a/libcaraway/gen/caraway.pb-c.h
+++ b/libcaraway/gen/caraway.pb-c.h
@@ -402,10 +402,16 @@
   ProtobufCMessage base;
   size_t n_voters;
   Caraway__Replica **voters;
+  /*
+   * Learners whose former incarnation was removed because its data folder is
+   * lost; each is added again once it has caught up.
+   */
+  size_t n_admitting;
+  Caraway__Replica **admitting;
 };
 #define CARAWAY__MEMBERSHIP__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&caraway__membership__descriptor) \
-    , 0,NULL }
+    , 0,NULL, 0,NULL }
 
 
 struct  Caraway__Entry
@@ -430,10 +436,14 @@
   protobuf_c_boolean pre_vote;
   uint64_t last_index;
   uint64_t last_term;
+  /*
+   * the leader of the previous term has given up its lease
+   */
+  protobuf_c_boolean handover;
 };
 #define CARAWAY__VOTE_REQUEST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&caraway__vote_request__descriptor) \
-    , 0, 0, 0 }
+    , 0, 0, 0, 0 }
 
 
 struct  Caraway__VoteReply
--- a/libcaraway/libcaraway.h
+++ b/libcaraway/libcaraway.h
@@ -161,6 +161,9 @@
 	uint32_t lease_ms;    /* a leader without a quorum for this long stops answering */
 	uint64_t seed;	      /* of the election jitter */
 	size_t max_append_bytes;
+	/* Every replica of the settings, incarnation 0; copied by cw_raft_new(). */
+	const Caraway__Replica *const *peers;
+	size_t peer_count;
 } cw_raft_options_t;
 
 typedef struct cw_raft cw_raft_t;
@@ -183,6 +186,7 @@
 	uint64_t snapshot_term;
 	Caraway__Membership *membership; /* as of the snapshot, or the first one */
 	GPtrArray *entries;		 /* Caraway__Entry *, following the snapshot */
+	GBytes *snapshot;		 /* the embedder's state as of the snapshot, or NULL */
 } cw_raft_stored_t;
 
 typedef enum {
@@ -212,8 +216,8 @@
 	CW_RAFT_AC_APPEND,    /* cut the log from entries[0].index on, append, make durable */
 	CW_RAFT_AC_INSTALL,   /* replace state and log by the snapshot, make durable */
 	CW_RAFT_AC_SEND,
-	CW_RAFT_AC_APPLY,    /* a committed entry, in order, once per start */
-	CW_RAFT_AC_PROPOSED, /* cookie was given index; the outcome comes with APPLY of that index and term */
+	CW_RAFT_AC_APPLY,      /* a committed entry, in order, once per start */
+	CW_RAFT_AC_PROPOSED,   /* cookie was given index and term, ahead of the APPEND; see cw_raft_step() */
 	CW_RAFT_AC_READ_READY, /* cookie may be answered: leadership was confirmed after it came */
 	CW_RAFT_AC_REFUSED,    /* cookie, status */
 	CW_RAFT_AC_ROLE	       /* role, term or leader changed */
@@ -252,7 +256,11 @@
 uint32_t cw_raft_leader_id(const cw_raft_t *raft); /* 0: none known */
 /* True while a quorum has confirmed this leader within the lease. */
 bool cw_raft_has_lease(const cw_raft_t *raft, int64_t now_ms);
+/* The newest membership in the log, committed or not. */
 const Caraway__Membership *cw_raft_membership(const cw_raft_t *raft);
+/* Membership and term as of an applied index, for the snapshot of that index. */
+const Caraway__Membership *cw_raft_membership_at(const cw_raft_t *raft, uint64_t index);
+uint64_t cw_raft_term_at(const cw_raft_t *raft, uint64_t index);
 /* What the leader knows of each member and learner; Caraway__ReplicaStatus *, owned by the caller. */
 GPtrArray *cw_raft_replicas(const cw_raft_t *raft, int64_t now_ms);
 void cw_raft_actions_init(cw_raft_actions_t *actions);
--- /dev/null
+++ b/libcaraway/raft.c
@@ -0,0 +1,374 @@
+/* The replicated log: one replica's state machine, its events and its actions. */
+#include "raft.h"
+
+enum { RAFT_KEEP_ENTRIES = 256 /* before the snapshot, for peers that are little behind */ };
+
+/* Adds an action to those of the step in progress; the pointer is valid until the next one is added. */
+cw_raft_action_t *raft_act(cw_raft_t *raft, cw_raft_action_type_t type)
+{
+	cw_raft_action_t action = {.type = type};
+
+	g_array_append_val(raft->actions->items, action);
+	return &g_array_index(raft->actions->items, cw_raft_action_t, raft->actions->items->len - 1);
+}
+
+/* Refuses what came with a cookie. */
+void raft_refuse(cw_raft_t *raft, uint64_t cookie, cw_status_t status)
+{
+	cw_raft_action_t *action;
+
+	if (!cookie)
+		return;
+	action = raft_act(raft, CW_RAFT_AC_REFUSED);
+	action->cookie = cookie;
+	action->status = status;
+}
+
+/* Sets role and leader, and reports them when they or the term differ from what was last reported. */
+void raft_set_role(cw_raft_t *raft, cw_raft_role_t role, uint32_t leader_id)
+{
+	if (raft->role == role && raft->leader_id == leader_id && raft->reported_term == raft->term)
+		return;
+	raft->role = role;
+	raft->leader_id = leader_id;
+	raft->reported_term = raft->term;
+	raft_act(raft, CW_RAFT_AC_ROLE)->term = raft->term;
+}
+
+/* Returns the address of a replica: as in the settings, else as its record says. */
+static const char *address_of(const cw_raft_t *raft, const Caraway__Replica *replica)
+{
+	for (guint i = 0; i < raft->addresses->len; i++) {
+		const Caraway__Replica *known = g_ptr_array_index(raft->addresses, i);
+
+		if (known->id == replica->id && known->address && *known->address)
+			return known->address;
+	}
+	return replica->address;
+}
+
+/* Sends a message, which is owned by the action from now on. */
+void raft_send(cw_raft_t *raft, const Caraway__Replica *to, Caraway__RaftMessage *message)
+{
+	cw_raft_action_t *action = raft_act(raft, CW_RAFT_AC_SEND);
+
+	message->to_id = to->id;
+	message->to_incarnation = to->incarnation;
+	action->message = message;
+	action->address = g_strdup(address_of(raft, to));
+}
+
+/* Gives a new message its body. */
+#define RAFT_BODY(message, field, type)                                                                      \
+	do {                                                                                                 \
+		(message)->field = malloc(sizeof(*(message)->field));                                        \
+		caraway__##type##__init((message)->field);                                                   \
+	} while (0)
+
+/* Returns a new message of the present term with an empty body. */
+Caraway__RaftMessage *raft_message(cw_raft_t *raft, Caraway__RaftMessage__BodyCase body_case)
+{
+	Caraway__RaftMessage *message = malloc(sizeof(*message));
+
+	caraway__raft_message__init(message);
+	message->from = cw_message_copy(&raft->self->base);
+	message->term = raft->term;
+	message->body_case = body_case;
+	switch (body_case) {
+	case CARAWAY__RAFT_MESSAGE__BODY_VOTE_REQUEST:
+		RAFT_BODY(message, vote_request, vote_request);
+		break;
+	case CARAWAY__RAFT_MESSAGE__BODY_VOTE_REPLY:
+		RAFT_BODY(message, vote_reply, vote_reply);
+		break;
+	case CARAWAY__RAFT_MESSAGE__BODY_APPEND_REQUEST:
+		RAFT_BODY(message, append_request, append_request);
+		break;
+	case CARAWAY__RAFT_MESSAGE__BODY_APPEND_REPLY:
+		RAFT_BODY(message, append_reply, append_reply);
+		break;
+	case CARAWAY__RAFT_MESSAGE__BODY_SNAPSHOT_REQUEST:
+		RAFT_BODY(message, snapshot_request, snapshot_request);
+		break;
+	case CARAWAY__RAFT_MESSAGE__BODY_SNAPSHOT_REPLY:
+		RAFT_BODY(message, snapshot_reply, snapshot_reply);
+		break;
+	case CARAWAY__RAFT_MESSAGE__BODY_JOIN_REQUEST:
+		RAFT_BODY(message, join_request, join_request);
+		break;
+	case CARAWAY__RAFT_MESSAGE__BODY_TIMEOUT_NOW:
+		RAFT_BODY(message, timeout_now, timeout_now);
+		break;
+	default:
+		break;
+	}
+	return message;
+}
+
+/* Returns a record of a replica, owned by the caller. */
+static Caraway__Replica *replica_new(uint32_t id, uint64_t incarnation, const char *address)
+{
+	Caraway__Replica replica = CARAWAY__REPLICA__INIT;
+
+	replica.id = id;
+	replica.incarnation = incarnation;
+	replica.address = (char *)(address ? address : "");
+	return cw_message_copy(&replica.base);
+}
+
+/* Copies the options, so that nothing of the caller's is referred to later. */
+static void copy_options(cw_raft_t *raft, const cw_raft_options_t *options)
+{
+	raft->options = *options;
+	raft->self = replica_new(options->id, options->incarnation, options->address);
+	raft->options.address = raft->self->address;
+	raft->options.peers = NULL;
+	raft->options.peer_count = 0;
+	raft->addresses = g_ptr_array_new_with_free_func(cw_message_free);
+	for (size_t i = 0; i < options->peer_count; i++)
+		g_ptr_array_add(raft->addresses, cw_message_copy(&options->peers[i]->base));
+}
+
+/*
+ * Returns a replica in the state that its data folder holds.  It counts as
+ * having heard from a leader just now, so that a restart does not shorten the
+ * time for which it refuses votes; lease_ms is below election_ms.
+ */
+cw_raft_t *cw_raft_new(const cw_raft_options_t *options, const cw_raft_stored_t *stored, int64_t now_ms)
+{
+	cw_raft_t *raft = g_new0(cw_raft_t, 1);
+
+	copy_options(raft, options);
+	raft->random = g_rand_new_with_seed((guint32)(options->seed ^ (options->seed >> 32)));
+	raft->term = stored->term;
+	raft->reported_term = stored->term;
+	raft->voted_id = stored->voted_id;
+	raft->voted_incarnation = stored->voted_incarnation;
+	raft->votes = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	raft->peers = g_ptr_array_new_with_free_func(raft_peer_free);
+	raft->rounds = g_array_new(FALSE, FALSE, sizeof(raft_round_t));
+	raft->reads = g_array_new(FALSE, FALSE, sizeof(raft_read_t));
+	raft->incoming.data = g_byte_array_new();
+	raft_log_load(raft, stored);
+	raft->now_ms = now_ms;
+	raft->heard_ms = now_ms;
+	raft->join_deadline_ms = now_ms;
+	raft->role = raft_is_voter(raft, raft->self) ? CW_RAFT_FOLLOWER : CW_RAFT_LEARNER;
+	raft_reset_election(raft);
+	return raft;
+}
+
+/* Frees a replica; NULL is allowed. */
+void cw_raft_free(cw_raft_t *raft)
+{
+	if (!raft)
+		return;
+	raft_log_free(raft);
+	cw_message_free(raft->self);
+	g_ptr_array_free(raft->addresses, TRUE);
+	g_ptr_array_free(raft->peers, TRUE);
+	g_array_free(raft->rounds, TRUE);
+	g_array_free(raft->reads, TRUE);
+	g_byte_array_free(raft->incoming.data, TRUE);
+	g_hash_table_destroy(raft->votes);
+	g_rand_free(raft->random);
+	g_free(raft);
+}
+
+/* Does what is due at the present time. */
+static void tick(cw_raft_t *raft)
+{
+	switch (raft->role) {
+	case CW_RAFT_LEADER:
+		if (raft->now_ms >= raft->heartbeat_deadline_ms)
+			raft_begin_round(raft);
+		break;
+	case CW_RAFT_FOLLOWER:
+	case CW_RAFT_PRE_CANDIDATE:
+	case CW_RAFT_CANDIDATE:
+		if (raft->now_ms >= raft->election_deadline_ms)
+			raft_start_pre_vote(raft);
+		break;
+	case CW_RAFT_LEARNER:
+		if (raft->now_ms >= raft->join_deadline_ms)
+			raft_send_joins(raft);
+		break;
+	case CW_RAFT_FAILED:
+		break;
+	}
+}
+
+/* Returns whether a message is meant for this incarnation; only a join request may not know it. */
+static bool is_for_self(const cw_raft_t *raft, const Caraway__RaftMessage *message)
+{
+	if (!message->from || message->from->id == raft->options.id || message->to_id != raft->options.id)
+		return false;
+	if (message->to_incarnation == raft->options.incarnation)
+		return true;
+	return !message->to_incarnation && message->body_case == CARAWAY__RAFT_MESSAGE__BODY_JOIN_REQUEST;
+}
+
+/* Takes over a higher term from a message that proves it to be in use. */
+static void observe_term(cw_raft_t *raft, const Caraway__RaftMessage *message)
+{
+	switch (message->body_case) {
+	case CARAWAY__RAFT_MESSAGE__BODY_APPEND_REQUEST:
+	case CARAWAY__RAFT_MESSAGE__BODY_SNAPSHOT_REQUEST:
+		if (message->term > raft->term)
+			raft_become_follower(raft, message->term, message->from->id);
+		break;
+	case CARAWAY__RAFT_MESSAGE__BODY_APPEND_REPLY:
+	case CARAWAY__RAFT_MESSAGE__BODY_SNAPSHOT_REPLY:
+		if (message->term > raft->term)
+			raft_become_follower(raft, message->term, 0);
+		break;
+	default:
+		break;
+	}
+}
+
+/* Starts an election on the former leader's word, which has given up its lease. */
+static void on_timeout_now(cw_raft_t *raft, const Caraway__RaftMessage *message)
+{
+	if (message->term == raft->term && raft->role == CW_RAFT_FOLLOWER)
+		raft_start_election(raft, true);
+}
+
+/* Handles a message from another replica. */
+static void on_message(cw_raft_t *raft, const Caraway__RaftMessage *message)
+{
+	if (!is_for_self(raft, message))
+		return;
+	observe_term(raft, message);
+	switch (message->body_case) {
+	case CARAWAY__RAFT_MESSAGE__BODY_VOTE_REQUEST:
+		raft_on_vote_request(raft, message);
+		break;
+	case CARAWAY__RAFT_MESSAGE__BODY_VOTE_REPLY:
+		raft_on_vote_reply(raft, message);
+		break;
+	case CARAWAY__RAFT_MESSAGE__BODY_APPEND_REQUEST:
+		raft_on_append_request(raft, message);
+		break;
+	case CARAWAY__RAFT_MESSAGE__BODY_APPEND_REPLY:
+		raft_on_append_reply(raft, message);
+		break;
+	case CARAWAY__RAFT_MESSAGE__BODY_SNAPSHOT_REQUEST:
+		raft_on_snapshot_request(raft, message);
+		break;
+	case CARAWAY__RAFT_MESSAGE__BODY_SNAPSHOT_REPLY:
+		raft_on_snapshot_reply(raft, message);
+		break;
+	case CARAWAY__RAFT_MESSAGE__BODY_JOIN_REQUEST:
+		raft_on_join_request(raft, message);
+		break;
+	case CARAWAY__RAFT_MESSAGE__BODY_TIMEOUT_NOW:
+		on_timeout_now(raft, message);
+		break;
+	default:
+		break;
+	}
+}
+
+/* Handles a proposal, a read or a membership change, which only a leader with a lease takes. */
+static void on_request(cw_raft_t *raft, const cw_raft_event_t *event)
+{
+	if (raft->role == CW_RAFT_FAILED) {
+		raft_refuse(raft, event->cookie, CW_ERR_IO);
+		return;
+	}
+	if (raft->role != CW_RAFT_LEADER) {
+		raft_refuse(raft, event->cookie, raft->leader_id ? CW_ERR_NOT_LEADER : CW_ERR_NO_QUORUM);
+		return;
+	}
+	if (!cw_raft_has_lease(raft, raft->now_ms)) {
+		raft_refuse(raft, event->cookie, CW_ERR_NO_QUORUM);
+		return;
+	}
+	if (event->type == CW_RAFT_EV_PROPOSE)
+		raft_propose(raft, event->cookie, CARAWAY__ENTRY_KIND__ENTRY_COMMAND, event->data,
+			     event->length);
+	else if (event->type == CW_RAFT_EV_READ)
+		raft_read(raft, event->cookie);
+	else
+		raft_change_membership(raft, event->cookie, event->replica_id,
+				       event->type == CW_RAFT_EV_ADD_REPLICA);
+}
+
+/* Drops the entries that a snapshot covers, but for the last ones. */
+static void on_snapshot_taken(cw_raft_t *raft, const cw_raft_event_t *event)
+{
+	GBytes *snapshot;
+
+	if (event->index < raft->snapshot_index || event->index > raft->commit_index)
+		return;
+	snapshot = g_bytes_new(event->data, event->length);
+	raft_set_snapshot(raft, event->index, raft_term_at(raft, event->index), snapshot);
+	g_bytes_unref(snapshot);
+	if (event->index > RAFT_KEEP_ENTRIES)
+		raft_log_drop(raft, event->index - RAFT_KEEP_ENTRIES);
+}
+
+/* Ends this replica's part: what it has promised may not be on disk. */
+static void on_storage_failed(cw_raft_t *raft)
+{
+	raft_become_follower(raft, raft->term, 0);
+	raft_set_role(raft, CW_RAFT_FAILED, 0);
+}
+
+/*
+ * Takes one event at now_ms and appends the actions that follow from it.
+ *
+ * now_ms is read after the event was received, or a replica that was stopped
+ * in between could vote against a leader whose lease still runs.  A proposal
+ * is answered at once, by PROPOSED or by REFUSED.  After PROPOSED its outcome
+ * is decided by the entry applied at its index: with the same term it was
+ * carried out, with another term it was not.  When the replica fails, or a
+ * snapshot passes over the index, the outcome is CW_ERR_UNKNOWN_OUTCOME.
+ */
+void cw_raft_step(cw_raft_t *raft, const cw_raft_event_t *event, int64_t now_ms, cw_raft_actions_t *actions)
+{
+	raft->now_ms = MAX(raft->now_ms, now_ms);
+	raft->actions = actions;
+	raft_check_lease(raft);
+	switch (event->type) {
+	case CW_RAFT_EV_TICK:
+		tick(raft);
+		break;
+	case CW_RAFT_EV_MESSAGE:
+		if (raft->role != CW_RAFT_FAILED)
+			on_message(raft, event->message);
+		break;
+	case CW_RAFT_EV_PROPOSE:
+	case CW_RAFT_EV_READ:
+	case CW_RAFT_EV_REMOVE_REPLICA:
+	case CW_RAFT_EV_ADD_REPLICA:
+		on_request(raft, event);
+		break;
+	case CW_RAFT_EV_SNAPSHOT_TAKEN:
+		on_snapshot_taken(raft, event);
+		break;
+	case CW_RAFT_EV_STEP_DOWN:
+		raft_step_down(raft);
+		break;
+	case CW_RAFT_EV_STORAGE_FAILED:
+		on_storage_failed(raft);
+		break;
+	}
+	raft->actions = NULL;
+}
+
+/* Returns when the next TICK is wanted, at the latest; INT64_MAX after a storage failure. */
+int64_t cw_raft_deadline_ms(const cw_raft_t *raft)
+{
+	switch (raft->role) {
+	case CW_RAFT_LEADER:
+		return MIN(raft->heartbeat_deadline_ms, raft->confirmed_ms + raft->options.lease_ms);
+	case CW_RAFT_LEARNER:
+		return raft->join_deadline_ms;
+	case CW_RAFT_FAILED:
+		return INT64_MAX;
+	default:
+		return raft->election_deadline_ms;
+	}
+}
