Keep a replica's state in a data folder of checksummed records

Cause: nothing may be answered that a crash can take back. Files are replaced as a whole by rename; the log is appended and synced, and each record's length has a check of its own, so that a torn tail (cut off) is told from a changed record (CW_ERR_DAMAGED). After a failed write or sync the store refuses everything. At open the log is written anew and synced: after a failed sync the system may show data that is not on the disk. Ruled out: treating a bad record at the end as torn when it is whole by its length; it may have been acknowledged, and forgetting it is worse than a replica that must be replaced. Measured: a log cut at each of its bytes opens with what was whole, one with any byte changed is refused; full disk, short write, failed sync, rename and truncation give their type and nothing more is taken.

--- /dev/null
+++ b/daemon/store.c
@@ -0,0 +1,402 @@
+/* The data folder of a control replica. */
+#include "store_internal.h"
+
+#include <errno.h>
+#include <fcntl.h>
+#include <string.h>
+#include <sys/file.h>
+#include <sys/random.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+enum { FOLDER_MODE = 0700, FILE_MODE = 0600, FIRST_GENERATION = 1 };
+
+#define IDENTITY_FILE "identity"
+#define TERM_FILE     "term"
+#define SNAPSHOT_FILE "snapshot"
+#define LOCK_FILE     "lock"
+
+/* Content of the identity file. */
+typedef struct {
+	uint64_t incarnation;
+} identity_t;
+
+/* Content of the term file. */
+typedef struct {
+	uint64_t term;
+	uint64_t voted_id;
+	uint64_t voted_incarnation;
+} saved_term_t;
+
+/* First record of the snapshot file; the membership and the state follow as two more. */
+typedef struct {
+	uint64_t index;
+	uint64_t term;
+	uint64_t generation;
+} snapshot_header_t;
+
+/* Opens the folder, creating it if need be, and keeps other processes out. */
+static cw_status_t open_folder(store_t *store, const char *folder)
+{
+	if (g_mkdir_with_parents(folder, FOLDER_MODE))
+		return cw_fail(CW_ERR_IO, "%s: %s", folder, strerror(errno));
+	store->folder_fd = open(folder, O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+	if (store->folder_fd < 0)
+		return cw_fail(CW_ERR_IO, "%s: %s", folder, strerror(errno));
+	store->lock_fd = openat(store->folder_fd, LOCK_FILE, O_RDWR | O_CREAT | O_CLOEXEC, FILE_MODE);
+	if (store->lock_fd < 0)
+		return cw_fail(CW_ERR_IO, "%s/%s: %s", folder, LOCK_FILE, strerror(errno));
+	if (flock(store->lock_fd, LOCK_EX | LOCK_NB))
+		return cw_fail(CW_ERR_STATE, "%s: in use by another process", folder);
+	return CW_OK;
+}
+
+/* Writes a file of one record. */
+static cw_status_t put_record(store_t *store, const char *name, const void *data, size_t length)
+{
+	GByteArray *content = g_byte_array_new();
+	cw_status_t status;
+
+	store_frame(content, data, length);
+	status = store_put_file(store->ops, store->folder_fd, name, content);
+	g_byte_array_free(content, TRUE);
+	return status;
+}
+
+/* Reads a file of one record of known length; a torn file is damaged, since files are replaced as a whole. */
+static cw_status_t get_record(store_t *store, const char *name, void *record, size_t expected)
+{
+	GByteArray *content;
+	const uint8_t *data;
+	size_t offset = 0;
+	size_t length;
+	cw_status_t status = store_read_file(store->folder_fd, name, &content);
+
+	if (status != CW_OK)
+		return status;
+	if (store_next_frame(content, &offset, &data, &length) != STORE_FRAME_OK || length != expected ||
+	    offset != content->len)
+		status = cw_fail(CW_ERR_DAMAGED, "%s: damaged", name);
+	else
+		memcpy(record, data, length);
+	g_byte_array_free(content, TRUE);
+	return status;
+}
+
+/* Writes the snapshot file; its replacement switches to the log file of the generation named. */
+static cw_status_t put_snapshot(store_t *store, const snapshot_header_t *header,
+				const Caraway__Membership *membership, const void *data, size_t length)
+{
+	GByteArray *content = g_byte_array_new();
+	GBytes *packed = cw_message_pack(&membership->base);
+	gsize packed_length;
+	const void *packed_data = g_bytes_get_data(packed, &packed_length);
+	cw_status_t status;
+
+	store_frame(content, header, sizeof(*header));
+	store_frame(content, packed_data, packed_length);
+	store_frame(content, data, length);
+	status = store_put_file(store->ops, store->folder_fd, SNAPSHOT_FILE, content);
+	g_bytes_unref(packed);
+	g_byte_array_free(content, TRUE);
+	return status;
+}
+
+/* Takes the three records of a snapshot file apart; false when one is damaged. */
+static bool parse_snapshot(const GByteArray *content, snapshot_header_t *header,
+			   Caraway__Membership **membership, GBytes **state)
+{
+	const uint8_t *data;
+	size_t offset = 0;
+	size_t length;
+
+	if (store_next_frame(content, &offset, &data, &length) != STORE_FRAME_OK || length != sizeof(*header))
+		return false;
+	memcpy(header, data, sizeof(*header));
+	if (store_next_frame(content, &offset, &data, &length) != STORE_FRAME_OK)
+		return false;
+	*membership = caraway__membership__unpack(NULL, length, data);
+	if (!*membership || store_next_frame(content, &offset, &data, &length) != STORE_FRAME_OK ||
+	    offset != content->len)
+		return false;
+	*state = header->index ? g_bytes_new(data, length) : NULL;
+	return true;
+}
+
+/* Reads the snapshot file. */
+static cw_status_t get_snapshot(store_t *store, cw_raft_stored_t *stored)
+{
+	GByteArray *content;
+	snapshot_header_t header;
+	cw_status_t status = store_read_file(store->folder_fd, SNAPSHOT_FILE, &content);
+
+	if (status != CW_OK)
+		return status;
+	if (parse_snapshot(content, &header, &stored->membership, &stored->snapshot)) {
+		store->snapshot_index = stored->snapshot_index = header.index;
+		store->snapshot_term = stored->snapshot_term = header.term;
+		store->generation = header.generation;
+	} else {
+		status = cw_fail(CW_ERR_DAMAGED, "%s: damaged", SNAPSHOT_FILE);
+	}
+	g_byte_array_free(content, TRUE);
+	return status;
+}
+
+/* Removes files that a crash has left behind: unfinished ones and log files of other generations. */
+static void remove_leftovers(store_t *store, const char *folder)
+{
+	char *log_name = store_log_name(store->generation);
+	GDir *dir = g_dir_open(folder, 0, NULL);
+	const char *name;
+
+	while (dir && (name = g_dir_read_name(dir)))
+		if (g_str_has_suffix(name, ".new") ||
+		    (g_str_has_prefix(name, "log-") && strcmp(name, log_name) != 0))
+			unlinkat(store->folder_fd, name, 0);
+	if (dir)
+		g_dir_close(dir);
+	g_free(log_name);
+}
+
+/* Makes the folder's own name durable. */
+static cw_status_t sync_parent(store_t *store)
+{
+	int fd = openat(store->folder_fd, "..", O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+	cw_status_t status;
+
+	if (fd < 0)
+		return cw_fail(CW_ERR_IO, "parent of the data folder: %s", strerror(errno));
+	status = store_sync(store->ops, fd);
+	close(fd);
+	return status;
+}
+
+/* Writes the first state of a data folder, the identity last: without it the folder counts as empty. */
+static cw_status_t write_first_state(store_t *store, uint64_t incarnation,
+				     const Caraway__Membership *membership)
+{
+	GByteArray *nothing = g_byte_array_new();
+	char *log_name = store_log_name(FIRST_GENERATION);
+	saved_term_t term = {0};
+	identity_t identity = {incarnation};
+	snapshot_header_t header = {.generation = FIRST_GENERATION};
+	cw_status_t status = sync_parent(store);
+
+	if (status == CW_OK)
+		status = store_put_file(store->ops, store->folder_fd, log_name, nothing);
+	if (status == CW_OK)
+		status = put_record(store, TERM_FILE, &term, sizeof(term));
+	if (status == CW_OK)
+		status = put_snapshot(store, &header, membership, "", 0);
+	if (status == CW_OK)
+		status = put_record(store, IDENTITY_FILE, &identity, sizeof(identity));
+	g_byte_array_free(nothing, TRUE);
+	g_free(log_name);
+	return status;
+}
+
+/* Draws the incarnation of an empty folder at random; never 0. */
+static cw_status_t draw_incarnation(uint64_t *incarnation)
+{
+	do {
+		if (getrandom(incarnation, sizeof(*incarnation), 0) != sizeof(*incarnation))
+			return cw_fail(CW_ERR_IO, "random numbers: %s", strerror(errno));
+	} while (!*incarnation);
+	return CW_OK;
+}
+
+/* Reads the identity, giving an empty folder a new one. */
+static cw_status_t load_identity(store_t *store)
+{
+	static const Caraway__Membership nobody = CARAWAY__MEMBERSHIP__INIT;
+	identity_t identity = {0};
+	cw_status_t status = get_record(store, IDENTITY_FILE, &identity, sizeof(identity));
+
+	if (status == CW_ERR_NOT_FOUND) {
+		status = draw_incarnation(&identity.incarnation);
+		if (status == CW_OK)
+			status = write_first_state(store, identity.incarnation, &nobody);
+	}
+	store->incarnation = identity.incarnation;
+	return status;
+}
+
+/* Reads everything that the raft replica starts from. */
+static cw_status_t load(store_t *store, const char *folder, cw_raft_stored_t *stored)
+{
+	saved_term_t term = {0};
+	cw_status_t status = load_identity(store);
+
+	if (status == CW_OK)
+		status = get_record(store, TERM_FILE, &term, sizeof(term));
+	if (status == CW_OK)
+		status = get_snapshot(store, stored);
+	if (status == CW_ERR_NOT_FOUND)
+		status = cw_fail(CW_ERR_DAMAGED, "%s: identity without term or snapshot", folder);
+	stored->term = term.term;
+	stored->voted_id = (uint32_t)term.voted_id;
+	stored->voted_incarnation = term.voted_incarnation;
+	if (status != CW_OK)
+		return status;
+	status = store_log_load(store, &stored->entries);
+	if (status == CW_OK)
+		remove_leftovers(store, folder);
+	return status;
+}
+
+/* Returns a store that is not open yet. */
+static store_t *store_new(const store_ops_t *ops)
+{
+	store_t *store = g_new0(store_t, 1);
+
+	store->ops = ops;
+	store->folder_fd = -1;
+	store->lock_fd = -1;
+	store->log.fd = -1;
+	return store;
+}
+
+/* Opens a data folder with other system calls than the usual ones; see store_open(). */
+cw_status_t store_open_with_ops(const char *folder, const store_ops_t *ops, store_t **store,
+				cw_raft_stored_t *stored, GBytes **snapshot)
+{
+	cw_status_t status;
+
+	*store = store_new(ops);
+	*stored = (cw_raft_stored_t){0};
+	*snapshot = NULL;
+	status = open_folder(*store, folder);
+	if (status == CW_OK)
+		status = load(*store, folder, stored);
+	if (status != CW_OK) {
+		store_close(*store);
+		store_stored_clear(stored);
+		*store = NULL;
+		return status;
+	}
+	if (stored->snapshot)
+		*snapshot = g_bytes_ref(stored->snapshot);
+	return CW_OK;
+}
+
+cw_status_t store_open(const char *folder, store_t **store, cw_raft_stored_t *stored, GBytes **snapshot)
+{
+	return store_open_with_ops(folder, &store_system_ops, store, stored, snapshot);
+}
+
+/* Closes a data folder; NULL is allowed. */
+void store_close(store_t *store)
+{
+	if (!store)
+		return;
+	store_log_close(&store->log);
+	if (store->lock_fd >= 0)
+		close(store->lock_fd);
+	if (store->folder_fd >= 0)
+		close(store->folder_fd);
+	g_free(store);
+}
+
+void store_stored_clear(cw_raft_stored_t *stored)
+{
+	cw_message_free(stored->membership);
+	if (stored->entries)
+		g_ptr_array_free(stored->entries, TRUE);
+	if (stored->snapshot)
+		g_bytes_unref(stored->snapshot);
+	*stored = (cw_raft_stored_t){0};
+}
+
+/* Returns the incarnation of the data folder. */
+uint64_t store_incarnation(const store_t *store)
+{
+	return store->incarnation;
+}
+
+cw_status_t store_format(const char *folder, uint64_t incarnation, const Caraway__Membership *membership)
+{
+	store_t *store = store_new(&store_system_ops);
+	identity_t identity;
+	cw_status_t status = open_folder(store, folder);
+
+	if (status == CW_OK)
+		status = get_record(store, IDENTITY_FILE, &identity, sizeof(identity));
+	if (status == CW_OK)
+		status = cw_fail(CW_ERR_STATE, "%s: holds the state of a replica", folder);
+	else if (status == CW_ERR_NOT_FOUND)
+		status = write_first_state(store, incarnation, membership);
+	store_close(store);
+	return status;
+}
+
+/* Remembers the first failure: nothing is known of what is on the disk after it. */
+static cw_status_t note(store_t *store, cw_status_t status)
+{
+	if (status != CW_OK && store->failure == CW_OK)
+		store->failure = status;
+	return status;
+}
+
+/* Returns CW_OK, or the status of the failure after which everything is refused. */
+static cw_status_t usable(const store_t *store)
+{
+	if (store->failure == CW_OK)
+		return CW_OK;
+	return cw_fail(store->failure, "an earlier write to the data folder failed");
+}
+
+cw_status_t store_save_term(store_t *store, uint64_t term, uint32_t voted_id, uint64_t voted_incarnation)
+{
+	saved_term_t record = {term, voted_id, voted_incarnation};
+	cw_status_t status = usable(store);
+
+	if (status != CW_OK)
+		return status;
+	return note(store, put_record(store, TERM_FILE, &record, sizeof(record)));
+}
+
+cw_status_t store_append(store_t *store, const GPtrArray *entries)
+{
+	cw_status_t status = usable(store);
+
+	if (status != CW_OK || !entries->len)
+		return status;
+	return note(store, store_log_append(store, entries));
+}
+
+/* Writes the next generation's log, then the snapshot that switches to it, then removes the former log. */
+static cw_status_t replace_snapshot(store_t *store, const snapshot_header_t *header,
+				    const Caraway__Membership *membership, const void *data, size_t length,
+				    bool keep_later_entries)
+{
+	char *former = store_log_name(store->generation);
+	uint64_t end = store->log.first_index + store->log.offsets->len;
+	uint64_t first_index = keep_later_entries ? header->index + 1 : MAX(end, header->index + 1);
+	cw_status_t status = store_log_rewrite(store, header->generation, first_index);
+
+	if (status == CW_OK)
+		status = put_snapshot(store, header, membership, data, length);
+	if (status == CW_OK) {
+		store->log.first_index = header->index + 1;
+		store->snapshot_index = header->index;
+		store->snapshot_term = header->term;
+		unlinkat(store->folder_fd, former, 0);
+	}
+	g_free(former);
+	return status;
+}
+
+cw_status_t store_snapshot(store_t *store, uint64_t index, uint64_t term,
+			   const Caraway__Membership *membership, const void *data, size_t length,
+			   bool keep_later_entries)
+{
+	snapshot_header_t header = {index, term, store->generation + 1};
+	cw_status_t status = usable(store);
+
+	if (status != CW_OK)
+		return status;
+	if (index < store->snapshot_index)
+		return cw_fail(CW_ERR_STALE, "a newer snapshot is held");
+	return note(store, replace_snapshot(store, &header, membership, data, length, keep_later_entries));
+}
--- a/daemon/store.h
+++ b/daemon/store.h
@@ -18,6 +18,7 @@
  */
 cw_status_t store_open(const char *folder, store_t **store, cw_raft_stored_t *stored, GBytes **snapshot);
 void store_close(store_t *store);
+/* Frees what stored points to; the caller keeps its own reference to the snapshot. */
 void store_stored_clear(cw_raft_stored_t *stored);
 uint64_t store_incarnation(const store_t *store);
 /* First state of a cluster: incarnation and membership into an empty folder; CW_ERR_STATE when it holds state. */
--- /dev/null
+++ b/tests/unit/test_store.c
@@ -0,0 +1,353 @@
+/* Scripted runs of the data folder: tests/store. */
+#include "script.h"
+#include "store_internal.h"
+
+#include <check.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <glib/gstdio.h>
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/resource.h>
+#include <unistd.h>
+
+enum { TIMEOUT_S = 60, DATA_BYTES = 10 };
+
+/* Which system call fails, and after how many good ones. */
+static struct {
+	const char *call;
+	int good;
+	int error;
+} fault;
+
+typedef struct {
+	char *folder;
+	store_t *store;
+} fixture_t;
+
+/* Returns whether a call is the one that fails, with errno set. */
+static bool fails(const char *call)
+{
+	if (!fault.call || strcmp(fault.call, call) != 0 || fault.good-- > 0)
+		return false;
+	errno = fault.error;
+	return true;
+}
+
+/* Writes half of what it is given before it fails. */
+static ssize_t faulty_write(int fd, const void *data, size_t length)
+{
+	return fails("write") ? -1 : write(fd, data, length > 1 ? length / 2 : length);
+}
+
+/* Fails as told, else syncs. */
+static int faulty_sync(int fd)
+{
+	return fails("sync") ? -1 : fsync(fd);
+}
+
+/* Fails as told, else truncates. */
+static int faulty_truncate(int fd, off_t length)
+{
+	return fails("truncate") ? -1 : ftruncate(fd, length);
+}
+
+/* Fails as told, else renames. */
+static int faulty_rename(int folder_fd, const char *from, const char *to)
+{
+	return fails("rename") ? -1 : renameat(folder_fd, from, folder_fd, to);
+}
+
+static const store_ops_t faulty_ops = {faulty_write, faulty_sync, faulty_truncate, faulty_rename};
+
+/* Prints a status word. */
+static void print_status(cw_status_t status, GString *out)
+{
+	g_string_append_printf(out, "%s\n", cw_status_word(status));
+}
+
+/* Opens the folder; prints what it holds. */
+static cw_status_t open_store(fixture_t *fixture, const char *folder, GString *out)
+{
+	cw_raft_stored_t stored;
+	GBytes *snapshot;
+	cw_status_t status = store_open_with_ops(folder, &faulty_ops, &fixture->store, &stored, &snapshot);
+
+	if (status != CW_OK)
+		return status;
+	if (out)
+		g_string_append_printf(out,
+				       "term %" G_GUINT64_FORMAT " vote %u, snapshot %" G_GUINT64_FORMAT
+				       " of %zu bytes, %zu voters, entries",
+				       stored.term, stored.voted_id, stored.snapshot_index,
+				       snapshot ? g_bytes_get_size(snapshot) : 0,
+				       stored.membership->n_voters);
+	for (guint i = 0; out && i < stored.entries->len; i++) {
+		const Caraway__Entry *entry = g_ptr_array_index(stored.entries, i);
+
+		g_string_append_printf(out, " %" G_GUINT64_FORMAT ".%" G_GUINT64_FORMAT, entry->term,
+				       entry->index);
+	}
+	if (out)
+		g_string_append_c(out, '\n');
+	if (snapshot)
+		g_bytes_unref(snapshot);
+	store_stored_clear(&stored);
+	return CW_OK;
+}
+
+/* Closes the folder. */
+static void close_store(fixture_t *fixture)
+{
+	store_close(fixture->store);
+	fixture->store = NULL;
+}
+
+/* Appends entries of one term. */
+static cw_status_t append(fixture_t *fixture, uint64_t first, uint64_t last, uint64_t term)
+{
+	GPtrArray *entries = g_ptr_array_new_with_free_func(cw_message_free);
+	char data[DATA_BYTES] = "command 1";
+	cw_status_t status;
+
+	for (uint64_t index = first; index <= last; index++) {
+		Caraway__Entry entry = CARAWAY__ENTRY__INIT;
+
+		entry.index = index;
+		entry.term = term;
+		entry.data.data = (uint8_t *)data;
+		entry.data.len = sizeof(data);
+		g_ptr_array_add(entries, cw_message_copy(&entry.base));
+	}
+	status = store_append(fixture->store, entries);
+	g_ptr_array_free(entries, TRUE);
+	return status;
+}
+
+/* Returns a membership of one voter. */
+static Caraway__Membership *one_voter(void)
+{
+	Caraway__Replica replica = CARAWAY__REPLICA__INIT;
+	Caraway__Replica *voters[] = {&replica};
+	Caraway__Membership membership = CARAWAY__MEMBERSHIP__INIT;
+
+	replica.id = 1;
+	membership.n_voters = 1;
+	membership.voters = voters;
+	return cw_message_copy(&membership.base);
+}
+
+/* Copies the files of a folder to another one, which is emptied before. */
+static void copy_folder(const char *from, const char *to)
+{
+	GDir *dir;
+	const char *name;
+
+	g_mkdir_with_parents(to, 0700);
+	dir = g_dir_open(to, 0, NULL);
+	while ((name = g_dir_read_name(dir))) {
+		char *path = g_build_filename(to, name, NULL);
+
+		g_unlink(path);
+		g_free(path);
+	}
+	g_dir_close(dir);
+	dir = g_dir_open(from, 0, NULL);
+	while ((name = g_dir_read_name(dir))) {
+		char *source = g_build_filename(from, name, NULL);
+		char *copy = g_build_filename(to, name, NULL);
+		char *data;
+		gsize length;
+
+		ck_assert(g_file_get_contents(source, &data, &length, NULL));
+		ck_assert(g_file_set_contents(copy, data, (gssize)length, NULL));
+		g_free(data);
+		g_free(source);
+		g_free(copy);
+	}
+	g_dir_close(dir);
+}
+
+/* Changes a copy of a file at one place: cuts it there, or inverts a byte. */
+static void spoil(const char *path, gsize position, bool cut)
+{
+	char *data;
+	gsize length;
+
+	ck_assert(g_file_get_contents(path, &data, &length, NULL));
+	if (!cut)
+		data[position] ^= 0x10;
+	ck_assert(g_file_set_contents(path, data, (gssize)(cut ? position : length), NULL));
+	g_free(data);
+}
+
+/* Spoils a file at every byte in turn and counts how opening the folder ends. */
+static void spoil_all(fixture_t *fixture, const char *name, bool cut, GString *out)
+{
+	char *trial = g_strconcat(fixture->folder, "-trial", NULL);
+	char *path = g_build_filename(trial, name, NULL);
+	unsigned counts[CW_STATUS_COUNT] = {0};
+	GStatBuf info;
+
+	copy_folder(fixture->folder, trial);
+	ck_assert(!g_stat(path, &info));
+	for (gsize position = 0; position < (gsize)info.st_size; position++) {
+		GString *held = g_string_new(NULL);
+		cw_status_t status;
+
+		copy_folder(fixture->folder, trial);
+		spoil(path, position, cut);
+		status = open_store(fixture, trial, held);
+		counts[status]++;
+		if (status == CW_OK && (!position || position + 1 == (gsize)info.st_size))
+			g_string_append(out, held->str);
+		close_store(fixture);
+		g_string_free(held, TRUE);
+	}
+	for (int status = 0; status < CW_STATUS_COUNT; status++)
+		if (counts[status])
+			g_string_append_printf(out, "%s %u\n", cw_status_word(status), counts[status]);
+	g_free(path);
+	g_free(trial);
+}
+
+/* Limits the size of files, as a full disk does. */
+static void limit_files(rlim_t bytes)
+{
+	struct rlimit limit;
+
+	signal(SIGXFSZ, SIG_IGN);
+	getrlimit(RLIMIT_FSIZE, &limit);
+	limit.rlim_cur = bytes ? bytes : limit.rlim_max;
+	setrlimit(RLIMIT_FSIZE, &limit);
+}
+
+/* Sets the system call that fails from now on. */
+static void set_fault(int argc, char **argv)
+{
+	static char call[16];
+
+	g_strlcpy(call, argc > 1 ? argv[1] : "", sizeof(call));
+	fault.call = argc > 1 ? call : NULL;
+	fault.good = argc > 2 ? atoi(argv[2]) : 0;
+	fault.error = argc > 3 && !strcmp(argv[3], "full") ? ENOSPC : EIO;
+}
+
+/* Carries out a command that writes; returns whether it is one. */
+static bool write_command(fixture_t *fixture, int argc, char **argv, GString *out)
+{
+	uint64_t first = argc > 1 ? g_ascii_strtoull(argv[1], NULL, 10) : 0;
+	uint64_t second = argc > 2 ? g_ascii_strtoull(argv[2], NULL, 10) : 0;
+	uint64_t third = argc > 3 ? g_ascii_strtoull(argv[3], NULL, 10) : 0;
+	Caraway__Membership *membership = one_voter();
+	bool known = true;
+
+	if (!strcmp(argv[0], "format"))
+		print_status(store_format(fixture->folder, 7, membership), out);
+	else if (!strcmp(argv[0], "append"))
+		print_status(append(fixture, first, second, third), out);
+	else if (!strcmp(argv[0], "term"))
+		print_status(store_save_term(fixture->store, first, (uint32_t)second, 1), out);
+	else if (!strcmp(argv[0], "snapshot"))
+		print_status(store_snapshot(fixture->store, first, second, membership, "state", 5, true),
+			     out);
+	else if (!strcmp(argv[0], "install"))
+		print_status(store_snapshot(fixture->store, first, second, membership, "installed", 9, false),
+			     out);
+	else
+		known = false;
+	cw_message_free(membership);
+	return known;
+}
+
+/* Carries out one line of a script. */
+static void command(void *data, int argc, char **argv, GString *out)
+{
+	fixture_t *fixture = data;
+	cw_status_t status;
+
+	if (write_command(fixture, argc, argv, out))
+		return;
+	if (!strcmp(argv[0], "open")) {
+		close_store(fixture);
+		status = open_store(fixture, fixture->folder, out);
+		if (status != CW_OK)
+			print_status(status, out);
+	} else if (!strcmp(argv[0], "close")) {
+		close_store(fixture);
+	} else if (!strcmp(argv[0], "fail")) {
+		set_fault(argc, argv);
+	} else if (!strcmp(argv[0], "limit")) {
+		limit_files(argc > 1 ? (rlim_t)atoi(argv[1]) : 0);
+	} else if (!strcmp(argv[0], "cut") || !strcmp(argv[0], "flip")) {
+		spoil_all(fixture, argv[1], !strcmp(argv[0], "cut"), out);
+	} else if (!strcmp(argv[0], "remove")) {
+		char *path = g_build_filename(fixture->folder, argv[1], NULL);
+
+		g_unlink(path);
+		g_free(path);
+	} else if (!strcmp(argv[0], "own-incarnation")) {
+		g_string_append(out, store_incarnation(fixture->store) == 7 ? "formatted\n" : "new\n");
+	} else {
+		g_string_append(out, "no such command\n");
+	}
+}
+
+/* Removes a folder of files. */
+static void remove_folder(const char *folder)
+{
+	GDir *dir = g_dir_open(folder, 0, NULL);
+	const char *name;
+
+	while (dir && (name = g_dir_read_name(dir))) {
+		char *path = g_build_filename(folder, name, NULL);
+
+		g_unlink(path);
+		g_free(path);
+	}
+	if (dir)
+		g_dir_close(dir);
+	g_rmdir(folder);
+}
+
+START_TEST(test_script)
+{
+	GPtrArray *files = script_list("tests/store");
+	char *parent = g_dir_make_tmp("store-XXXXXX", NULL);
+	fixture_t fixture = {g_build_filename(parent, "data", NULL), NULL};
+	char *trial = g_strconcat(fixture.folder, "-trial", NULL);
+	char *difference;
+
+	fault.call = NULL;
+	difference = script_run(g_ptr_array_index(files, _i), command, &fixture);
+	close_store(&fixture);
+	remove_folder(fixture.folder);
+	remove_folder(trial);
+	g_rmdir(parent);
+	ck_assert_msg(!difference, "%s", difference);
+	g_ptr_array_free(files, TRUE);
+	g_free(fixture.folder);
+	g_free(trial);
+	g_free(parent);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("store");
+	TCase *scripts = tcase_create("scripts");
+	GPtrArray *files = script_list("tests/store");
+	SRunner *runner;
+	int failed;
+
+	tcase_set_timeout(scripts, TIMEOUT_S);
+	tcase_add_loop_test(scripts, test_script, 0, (int)files->len);
+	suite_add_tcase(suite, scripts);
+	runner = srunner_create(suite);
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	g_ptr_array_free(files, TRUE);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
