--- a/Makefile
+++ b/Makefile
@@ -76,10 +76,23 @@
 	printf '%s\n' $(TIDY_SOURCES) | xargs -P 8 -n 4 sh -c \
 		'clang-tidy --quiet "$$@" -- $(CPPFLAGS) -std=gnu11 2>/dev/null' tidy
 
+# Installs the programs, the library with its headers, and the pages below PREFIX, within DESTDIR if set.
+PREFIX ?= /usr/local
+VERSION = 0.1
+install: $(LIBRARY) $(PROGRAMS)
+	install -d $(addprefix $(DESTDIR)$(PREFIX)/,bin lib/pkgconfig include/caraway/gen share/man/man1)
+	$(if $(PROGRAMS),install $(PROGRAMS) $(DESTDIR)$(PREFIX)/bin)
+	install -m 644 $(LIBRARY) $(DESTDIR)$(PREFIX)/lib
+	install -m 644 libcaraway/libcaraway.h $(DESTDIR)$(PREFIX)/include/caraway
+	install -m 644 libcaraway/gen/caraway.pb-c.h $(DESTDIR)$(PREFIX)/include/caraway/gen
+	install -m 644 man/*.1 $(DESTDIR)$(PREFIX)/share/man/man1
+	sed -e 's|@PREFIX@|$(PREFIX)|' -e 's|@VERSION@|$(VERSION)|' -e 's|@PACKAGES@|$(PACKAGES)|' \
+		libcaraway/libcaraway.pc.in >$(DESTDIR)$(PREFIX)/lib/pkgconfig/libcaraway.pc
+
 clean:
 	rm -rf $(BUILD)
 
 -include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
 
-.PHONY: all units generate format check-format check-lint clean
+.PHONY: all units install generate format check-format check-lint clean
 .SECONDARY:
