Pass feed, members and stamps down a tree of relays

Cause: source load must stay flat in fleet size, no proxy may keep a stale parent, and a proxy restarted without a disk may not end below a version it held. Change: cw_relay_* is one state machine for proxies and control replicas. Parents hold pulls until there is news; each replica serves a bounded number of proxies per availability zone and names those when it refuses more; the others find a parent by rendezvous hashing over the zone's order. A proxy leaves a parent without a newer stamp for the freshness bound. The floor at restart is a numbered question that travels up to a leader and is answered from a confirmation begun after it came; until then nothing is used. Reports and endpoints travel up with the pulls. Ruled out: avoiding a parent for a fixed time after it failed. With a silent cut every try costs the whole freshness bound, so the first replicas tried came free again before the others were reached: one proxy asked two cut-off replicas in turn and never the third. Those left longest ago now come first, and every other choice goes beyond the usual parents. Ruled out: a floor kept by parents. It is lost when a zone dies together.

--- a/Makefile
+++ b/Makefile
@@ -60,6 +60,10 @@
 	@mkdir -p $(@D)
 	$(CC) $(CPPFLAGS) $(CFLAGS) $(if $(findstring gen/,$<),-w,$(WARNINGS)) -MMD -MP -c -o $@ $<
 
+# Relays on a network of virtual time serve a test and a bench.
+$(BUILD)/tests/unit/test_relay: $(BUILD)/tests/unit/relay_net.o $(BUILD)/tests/unit/relay_observer.o
+$(BUILD)/bench/bench_feed: $(BUILD)/tests/unit/relay_net.o
+
 units: $(UNITS)
 
 generate:
--- /dev/null
+++ b/libcaraway/relay.c
@@ -0,0 +1,314 @@
+/*
+ * The relay: passes feed, members and stamps down a tree of proxies, and
+ * endpoints and reports up.
+ *
+ * Freshness: only a leader that a quorum has confirmed issues a stamp, and
+ * stamps are passed on unchanged.  A process that has seen no newer stamp for
+ * the freshness bound leaves its parent, whatever the link looks like; a cycle
+ * of parents or an isolated replica cannot make one up.
+ *
+ * Floor: a proxy that starts uses no configuration before it holds what was
+ * committed at its start.  It asks by a numbered question, which passes up the
+ * tree to a leader; the leader answers from a confirmation begun after the
+ * question came, and the answer passes down the same way.
+ */
+#include "relay_internal.h"
+
+void cw_relay_count(cw_relay_actions_t *actions, cw_relay_count_t count)
+{
+	cw_relay_add(actions, CW_RELAY_AC_COUNT)->count = count;
+}
+
+cw_relay_action_t *cw_relay_add(cw_relay_actions_t *actions, cw_relay_action_type_t type)
+{
+	cw_relay_action_t action = {.type = type};
+
+	g_array_append_val(actions->items, action);
+	return &g_array_index(actions->items, cw_relay_action_t, actions->items->len - 1);
+}
+
+/* Frees what one action owns. */
+static void action_clear(void *data)
+{
+	cw_relay_action_t *action = data;
+
+	cw_message_free(action->message);
+	cw_message_free(action->endpoint);
+	g_free(action->address);
+	if (action->peer)
+		g_bytes_unref(action->peer);
+}
+
+/* Prepares an empty list of actions. */
+void cw_relay_actions_init(cw_relay_actions_t *actions)
+{
+	actions->items = g_array_new(FALSE, FALSE, sizeof(cw_relay_action_t));
+	g_array_set_clear_func(actions->items, action_clear);
+}
+
+/* Frees a list of actions and what they own. */
+void cw_relay_actions_clear(cw_relay_actions_t *actions)
+{
+	g_array_unref(actions->items);
+	actions->items = NULL;
+}
+
+/* Copies the strings of the options into the relay. */
+static void copy_options(cw_relay_t *relay, const cw_relay_options_t *options)
+{
+	relay->options = *options;
+	relay->options.vm = g_strdup(options->vm);
+	relay->options.zone = g_strdup(options->zone);
+	relay->controls = g_new0(char *, options->control_count + 1);
+	for (size_t i = 0; i < options->control_count; i++)
+		relay->controls[i] = g_strdup(options->controls[i]);
+	relay->options.controls = NULL;
+}
+
+/* Returns a relay without parent or children. */
+cw_relay_t *cw_relay_new(const cw_relay_options_t *options, cw_feed_t *feed, cw_members_t *members,
+			 int64_t now_ms)
+{
+	cw_relay_t *relay = g_new0(cw_relay_t, 1);
+
+	copy_options(relay, options);
+	relay->feed = feed;
+	relay->members = members;
+	relay->random = g_rand_new_with_seed((guint32)(options->seed ^ options->seed >> 32));
+	caraway__stamp__init(&relay->stamp);
+	relay->ready = options->kind == CW_RELAY_REPLICA;
+	relay->floor_arrivals = relay->ready ? 0 : 1;
+	relay->floor_round = options->incarnation;
+	relay->request = options->incarnation;
+	relay->parent.retry_ms = now_ms;
+	relay->avoid = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	relay->hints = g_ptr_array_new_with_free_func(g_free);
+	relay->up_endpoints = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, cw_relay_upward_free);
+	relay->up_reports = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, cw_relay_upward_free);
+	relay->urgent_by_ms = INT64_MAX;
+	relay->report_by_ms = now_ms;
+	relay->children = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, cw_relay_child_free);
+	cw_members_follow(members);
+	return relay;
+}
+
+/* Frees a relay, but neither its feed nor its members; NULL is allowed. */
+void cw_relay_free(cw_relay_t *relay)
+{
+	if (!relay)
+		return;
+	g_free((char *)relay->options.vm);
+	g_free((char *)relay->options.zone);
+	g_strfreev(relay->controls);
+	g_rand_free(relay->random);
+	cw_message_free(relay->own);
+	g_free(relay->parent.address);
+	g_free(relay->leader);
+	g_hash_table_unref(relay->avoid);
+	g_ptr_array_unref(relay->hints);
+	g_hash_table_unref(relay->up_endpoints);
+	g_hash_table_unref(relay->up_reports);
+	g_hash_table_unref(relay->children);
+	g_free(relay);
+}
+
+bool cw_relay_take_stamp(cw_relay_t *relay, const Caraway__Stamp *stamp, int64_t now_ms)
+{
+	if (stamp->term < relay->stamp.term ||
+	    (stamp->term == relay->stamp.term && stamp->sequence <= relay->stamp.sequence))
+		return false;
+	relay->stamp.term = stamp->term;
+	relay->stamp.sequence = stamp->sequence;
+	relay->stamp.feed_index = stamp->feed_index;
+	relay->fresh_until_ms = now_ms + relay->options.freshness_ms;
+	return true;
+}
+
+void cw_relay_floor_answered(cw_relay_t *relay, uint64_t covers, uint64_t feed_index)
+{
+	relay->floor_satisfied = MAX(relay->floor_satisfied, covers);
+	if (relay->floor_known)
+		return;
+	relay->floor_known = true;
+	relay->floor_index = feed_index;
+}
+
+void cw_relay_check_ready(cw_relay_t *relay, cw_relay_actions_t *actions)
+{
+	if (relay->ready || !relay->floor_known || cw_feed_index(relay->feed) < relay->floor_index)
+		return;
+	relay->ready = true;
+	cw_relay_add(actions, CW_RELAY_AC_CONFIGURATION);
+}
+
+/* Asks the embedder of a leader to confirm it, for a new stamp. */
+static void begin_confirmation(cw_relay_t *relay, int64_t now_ms, cw_relay_actions_t *actions)
+{
+	relay->confirm_open = true;
+	relay->confirm_covers = relay->floor_arrivals;
+	relay->confirm_by_ms = now_ms + relay->options.stamp_ms;
+	cw_relay_add(actions, CW_RELAY_AC_CONFIRM)->cookie = ++relay->confirm_cookie;
+}
+
+/* Begins a confirmation when a stamp is due or a question waits. */
+static void lead_tick(cw_relay_t *relay, int64_t now_ms, cw_relay_actions_t *actions)
+{
+	bool asked = !relay->confirm_open && relay->floor_arrivals > relay->floor_satisfied;
+
+	if (asked || now_ms >= relay->confirm_by_ms)
+		begin_confirmation(relay, now_ms, actions);
+	if (cw_members_expire(relay->members, now_ms))
+		cw_relay_add(actions, CW_RELAY_AC_ENDPOINTS);
+}
+
+/* Issues a stamp: the leader was confirmed after the confirmation began. */
+static void confirmed(cw_relay_t *relay, const cw_relay_event_t *event, int64_t now_ms)
+{
+	Caraway__Stamp stamp = CARAWAY__STAMP__INIT;
+
+	if (!relay->leading || event->cookie != relay->confirm_cookie || !relay->confirm_open)
+		return;
+	relay->confirm_open = false;
+	stamp.term = relay->lead_term;
+	stamp.sequence = ++relay->lead_sequence;
+	stamp.feed_index = cw_feed_index(relay->feed);
+	cw_relay_take_stamp(relay, &stamp, now_ms);
+	cw_relay_floor_answered(relay, relay->confirm_covers, stamp.feed_index);
+}
+
+/* Becomes the source of stamps and of the members' numbering. */
+static void lead(cw_relay_t *relay, uint64_t term, int64_t now_ms, cw_relay_actions_t *actions)
+{
+	cw_relay_detach(relay, now_ms, actions);
+	relay->leading = true;
+	relay->confirm_open = false;
+	relay->confirm_by_ms = now_ms;
+	relay->lead_term = term;
+	relay->lead_sequence = 0;
+	cw_members_lead(relay->members, term, now_ms);
+	g_hash_table_remove_all(relay->up_endpoints);
+	g_hash_table_remove_all(relay->up_reports);
+}
+
+/* Pulls from a leader, or from nobody while none is known. */
+static void follow(cw_relay_t *relay, const char *address, int64_t now_ms, cw_relay_actions_t *actions)
+{
+	if (!relay->leading && !g_strcmp0(address, relay->leader))
+		return;
+	if (relay->leading)
+		cw_members_follow(relay->members);
+	relay->leading = false;
+	cw_relay_detach(relay, now_ms, actions);
+	g_free(relay->leader);
+	relay->leader = g_strdup(address);
+	g_hash_table_remove_all(relay->avoid);
+	relay->attempts = 0;
+}
+
+/* Takes a new state of this proxy's own endpoint. */
+static void own_endpoint(cw_relay_t *relay, const Caraway__Endpoint *endpoint, int64_t now_ms)
+{
+	cw_message_free(relay->own);
+	relay->own = cw_message_copy(&endpoint->base);
+	cw_relay_up_endpoint(relay, endpoint, now_ms);
+}
+
+/* Takes one event, without what follows from the time. */
+static void take_event(cw_relay_t *relay, const cw_relay_event_t *event, int64_t now_ms,
+		       cw_relay_actions_t *actions)
+{
+	switch (event->type) {
+	case CW_RELAY_EV_TICK:
+	case CW_RELAY_EV_FEED:
+		break;
+	case CW_RELAY_EV_PULL:
+		cw_relay_pull(relay, event, now_ms, actions);
+		break;
+	case CW_RELAY_EV_NEWS:
+		cw_relay_news(relay, event, now_ms, actions);
+		break;
+	case CW_RELAY_EV_REFUSED:
+		cw_relay_refused(relay, event, now_ms, actions);
+		break;
+	case CW_RELAY_EV_SEND_FAILED:
+		cw_relay_send_failed(relay, event, now_ms, actions);
+		break;
+	case CW_RELAY_EV_ENDPOINT:
+		own_endpoint(relay, event->endpoint, now_ms);
+		break;
+	case CW_RELAY_EV_STOPPING:
+		relay->stopping = true;
+		cw_relay_refuse_all(relay, CARAWAY__PULL_REASON__PULL_STOPPING, actions);
+		break;
+	case CW_RELAY_EV_LEAD:
+		lead(relay, event->term, now_ms, actions);
+		break;
+	case CW_RELAY_EV_FOLLOW:
+		follow(relay, event->address, now_ms, actions);
+		break;
+	case CW_RELAY_EV_CONFIRMED:
+		confirmed(relay, event, now_ms);
+		break;
+	}
+}
+
+/* Takes an event, then does all that is due now. */
+void cw_relay_step(cw_relay_t *relay, const cw_relay_event_t *event, int64_t now_ms,
+		   cw_relay_actions_t *actions)
+{
+	take_event(relay, event, now_ms, actions);
+	if (relay->leading) {
+		lead_tick(relay, now_ms, actions);
+	} else {
+		if (cw_members_expire(relay->members, now_ms))
+			cw_relay_add(actions, CW_RELAY_AC_ENDPOINTS);
+		cw_relay_child_tick(relay, now_ms, actions);
+	}
+	cw_relay_serve(relay, now_ms, actions);
+}
+
+/* Returns when the next TICK is wanted, at the latest. */
+int64_t cw_relay_deadline_ms(const cw_relay_t *relay)
+{
+	int64_t deadline_ms = MIN(cw_relay_serve_deadline_ms(relay), cw_members_deadline_ms(relay->members));
+
+	if (relay->leading)
+		return MIN(deadline_ms, relay->confirm_by_ms);
+	return MIN(deadline_ms, cw_relay_child_deadline_ms(relay));
+}
+
+/* Returns true once the configuration may be used. */
+bool cw_relay_ready(const cw_relay_t *relay)
+{
+	return relay->ready;
+}
+
+/* Returns true while a stamp has come within the freshness bound. */
+bool cw_relay_fresh(const cw_relay_t *relay, int64_t now_ms)
+{
+	return now_ms < relay->fresh_until_ms;
+}
+
+/* Returns the address of the parent, or NULL. */
+const char *cw_relay_parent(const cw_relay_t *relay)
+{
+	return relay->parent.answered ? relay->parent.address : NULL;
+}
+
+/* Returns the number of steps from a control replica, as the parent says. */
+uint32_t cw_relay_depth(const cw_relay_t *relay)
+{
+	return relay->options.kind == CW_RELAY_REPLICA ? 0 : relay->parent.depth;
+}
+
+/* Returns the number of children known. */
+size_t cw_relay_child_count(const cw_relay_t *relay)
+{
+	return g_hash_table_size(relay->children);
+}
+
+/* Returns the newest stamp seen; its term is 0 before the first. */
+const Caraway__Stamp *cw_relay_stamp(const cw_relay_t *relay)
+{
+	return &relay->stamp;
+}
