--- a/daemon/counters.h
+++ b/daemon/counters.h
@@ -54,6 +54,10 @@
 	X(PARENT_LEFT_STALE, "parent-left-stale")                                                            \
 	X(PARENT_LEFT_REFUSED, "parent-left-refused")                                                        \
 	X(PARENT_LEFT_SILENT, "parent-left-silent")                                                          \
+	X(PARENT_LEFT_NEWS, "parent-left-news")                                                              \
+	X(PULL_CROSSED, "pull-crossed")                                                                      \
+	X(NEWS_CROSSED, "news-crossed")                                                                      \
+	X(VIEW_REFUSED, "view-refused")                                                                      \
 	X(FEED_BYTES_SENT, "feed-bytes-sent")                                                                \
 	X(FEED_BYTES_RECEIVED, "feed-bytes-received")                                                        \
 	/* calls: refused as receiver, told to callers as origin, and reasons of retries */                  \
