Run the control role: log, ledger, feed and operators in one thread

Cause: the parts of the control state stood apart; nothing ran them. Change: a replica's loop gives messages and the clock to the replicated log, carries out its actions in order (durable before sent), applies commands to the ledger, answers operators when the log does, registers announced VMs, activates what is due, and serves the feed by the relay. A failed data folder stops the replica's part in the log and is counted.

--- /dev/null
+++ b/daemon/control.c
@@ -0,0 +1,171 @@
+/* The loop of a control replica: one thread, one socket for everybody, one client for each other replica. */
+#include "control.h"
+
+#include "clock.h"
+#include "counters.h"
+#include "log.h"
+#include "run.h"
+
+enum {
+	MAX_WAIT_MS = 50,
+	MAX_MESSAGES_PER_ROUND = 1000,
+	HAND_OVER_MS = 1000 /* longest wait for another replica to take the lead on a planned stop */
+};
+
+/* Gives a message of another replica to the log. */
+static void receive_raft(control_t *control, const Caraway__RaftMessage *message)
+{
+	cw_raft_event_t event = {.type = CW_RAFT_EV_MESSAGE, .message = message};
+
+	if (message->from)
+		control_step(control, &event);
+	else
+		counter_add(COUNTER_MESSAGE_UNEXPECTED, 1);
+}
+
+/* Takes one message of a peer. */
+static void receive(control_t *control, GBytes *peer, Caraway__Message *message)
+{
+	switch (message->body_case) {
+	case CARAWAY__MESSAGE__BODY_RAFT:
+		receive_raft(control, message->raft);
+		break;
+	case CARAWAY__MESSAGE__BODY_PULL:
+		relay_io_pull(&control->io, peer, message->pull);
+		break;
+	case CARAWAY__MESSAGE__BODY_OPERATOR_REQUEST:
+		control_operator_request(control, peer, message->operator_request);
+		break;
+	default:
+		counter_add(COUNTER_MESSAGE_UNEXPECTED, 1);
+		break;
+	}
+}
+
+/* Takes the messages that wait, up to a bound that keeps the clock served. */
+static void receive_all(control_t *control)
+{
+	Caraway__Message *message;
+	GBytes *peer;
+
+	for (int i = 0; i < MAX_MESSAGES_PER_ROUND; i++) {
+		message = link_server_receive(control->server, &peer);
+		if (!message)
+			break;
+		receive(control, peer, message);
+		cw_message_free(message);
+		g_bytes_unref(peer);
+	}
+}
+
+/* Takes the answers of the replicas this one has asked. */
+static void receive_answers(control_t *control)
+{
+	const char *address;
+	Caraway__Message *message;
+
+	while ((message = link_clients_receive(control->clients, &address))) {
+		relay_io_answer(&control->io, address, message);
+		cw_message_free(message);
+	}
+}
+
+/* Waits for a message or the next deadline of the log. */
+static void wait_for_work(control_t *control)
+{
+	int64_t wait_ms = cw_raft_deadline_ms(control->raft) - clock_now_ms();
+
+	link_wait(control->server, control->clients, CLAMP(wait_ms, 0, MAX_WAIT_MS));
+}
+
+/* Runs one round: messages, then everything that goes by the clock. */
+static void run_round(control_t *control)
+{
+	cw_raft_event_t tick = {.type = CW_RAFT_EV_TICK};
+	int64_t now_ms;
+
+	wait_for_work(control);
+	receive_all(control);
+	receive_answers(control);
+	now_ms = clock_now_ms();
+	if (cw_raft_deadline_ms(control->raft) <= now_ms)
+		control_step(control, &tick);
+	control_pending_expire(control, now_ms);
+	control_source_tick(control);
+}
+
+/* Hands the lead over before a planned stop, so that the others need no election timeout. */
+static void hand_over(control_t *control)
+{
+	cw_raft_event_t event = {.type = CW_RAFT_EV_STEP_DOWN};
+	int64_t deadline_ms = clock_now_ms() + HAND_OVER_MS;
+
+	control_source_stop(control);
+	if (cw_raft_role(control->raft) != CW_RAFT_LEADER)
+		return;
+	control_step(control, &event);
+	while (cw_raft_role(control->raft) == CW_RAFT_LEADER && clock_now_ms() < deadline_ms)
+		run_round(control);
+}
+
+/* Opens the connections to the other replicas ahead of the first message. */
+static void connect_replicas(control_t *control, const settings_t *settings)
+{
+	for (guint i = 0; i < settings->controls->len; i++) {
+		const control_address_t *entry = &g_array_index(settings->controls, control_address_t, i);
+
+		if (entry->id != control->settings->id)
+			link_clients_connect(control->clients, entry->address);
+	}
+}
+
+/* Frees everything that control_open() made. */
+static void control_close(control_t *control, link_context_t *context)
+{
+	control_source_close(control);
+	g_hash_table_destroy(control->pending_by_index);
+	g_hash_table_destroy(control->pending);
+	control_replica_close(control);
+	link_clients_free(control->clients);
+	link_server_close(control->server);
+	link_context_free(context);
+}
+
+/* Opens the data folder, then the ports. */
+static cw_status_t control_open(control_t *control, const settings_t *settings, link_context_t *context)
+{
+	cw_status_t status;
+
+	control->settings = &settings->control;
+	control->clients = link_clients_new(context);
+	control->pending = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, pending_free);
+	control->pending_by_index = g_hash_table_new(g_int64_hash, g_int64_equal);
+	status = control_replica_open(control, settings);
+	if (status == CW_OK)
+		status = link_server_open(context, control->settings->listen, &control->server);
+	if (status != CW_OK)
+		return status;
+	control_source_open(control, settings);
+	connect_replicas(control, settings);
+	log_info("listening", LOG_STR("address", link_server_address(control->server)),
+		 LOG_UINT("replica", control->settings->id),
+		 LOG_UINT("incarnation", store_incarnation(control->store)), LOG_END);
+	return CW_OK;
+}
+
+/* Runs a control replica until *stop is set.  CW_ERR_IO, CW_ERR_DAMAGED: it could not start. */
+cw_status_t control_run(const settings_t *settings, const volatile sig_atomic_t *stop)
+{
+	link_context_t *context = link_context_new();
+	control_t control = {0};
+	cw_status_t status = control_open(&control, settings, context);
+
+	if (status == CW_OK) {
+		while (!*stop)
+			run_round(&control);
+		hand_over(&control);
+		log_info("stopped", LOG_END);
+	}
+	control_close(&control, context);
+	return status;
+}
--- /dev/null
+++ b/daemon/control.h
@@ -0,0 +1,100 @@
+/* The control role: one replica of the control state, run by one thread. */
+#ifndef CONTROL_H
+#define CONTROL_H
+
+#include "relay_io.h"
+#include "settings.h"
+#include "store.h"
+
+typedef struct control control_t;
+
+typedef enum {
+	PENDING_COMMAND,      /* an operator's command */
+	PENDING_QUERY,	      /* an operator's query that a quorum must confirm */
+	PENDING_ACTIVATION,   /* a change that has fallen due */
+	PENDING_REGISTRATION, /* a VM announced by its proxy */
+	PENDING_CONFIRMATION  /* of leadership, for the relay */
+} pending_type_t;
+
+/* Something asked of the replicated log and not yet answered. */
+typedef struct {
+	pending_type_t type;
+	uint64_t cookie;
+	uint64_t index; /* in the log; 0 until it has one */
+	uint64_t term;
+	int64_t deadline_ms;
+	union {
+		struct {
+			GBytes *peer;
+			Caraway__OperatorRequest *request;
+		} operator_request;    /* COMMAND, QUERY */
+		char *vm;	       /* REGISTRATION */
+		uint64_t relay_cookie; /* CONFIRMATION */
+	};
+} pending_t;
+
+enum {
+	MAX_PUNCTUAL_MS = 1000, /* an activation later than this after its due time counts as late */
+	FIRST_INCARNATION = 1
+};
+
+struct control {
+	const control_settings_t *settings;
+	link_server_t *server;
+	link_clients_t *clients;
+	store_t *store;
+	cw_raft_t *raft;
+	cw_ledger_t *ledger;
+	relay_io_t io; /* passes feed and members to the proxies */
+	cw_members_t *members;
+	GHashTable *pending;	      /* cookie -> pending_t */
+	GHashTable *pending_by_index; /* log index -> borrowed pending_t */
+	GHashTable *registering;      /* VM -> the same, while a registration is pending */
+	GArray *confirmed;	      /* relay cookies to hand on */
+	uint64_t applied_index;
+	uint64_t snapshot_index;
+	uint64_t last_cookie;
+	uint64_t told_feed_index; /* last told to the relay */
+	uint64_t told_term;
+	uint32_t told_leader;
+	bool told_leads;
+	bool activation_pending;
+	bool failed;
+};
+
+/* control_replica.c: the replicated log and what it applies to. */
+cw_status_t control_replica_open(control_t *control, const settings_t *settings);
+void control_replica_close(control_t *control);
+/* Gives an event to the replicated log and carries out what follows. */
+void control_step(control_t *control, const cw_raft_event_t *event);
+/* Proposes a command; the answer comes to the pending entry, which is taken over. */
+void control_propose(control_t *control, pending_t *pending, Caraway__Command *command);
+/* Asks a quorum to confirm leadership; the answer comes to the pending entry, which is taken over. */
+void control_confirm(control_t *control, pending_t *pending);
+bool control_leads(const control_t *control);
+const char *control_voter_address(const control_t *control, uint32_t id);
+const char *control_role_word(cw_raft_role_t role);
+
+/* control_pending.c: what waits for the replicated log. */
+pending_t *pending_new(pending_type_t type, int64_t deadline_ms);
+void pending_free(gpointer pending);
+void control_pending_expire(control_t *control, int64_t now_ms);
+/* Ends a pending entry: with the outcome of its command, or with the failure that it met. */
+void control_pending_finish(control_t *control, pending_t *pending, cw_status_t status, const char *message,
+			    const Caraway__Change *change);
+
+/* control_operator.c: requests of operators. */
+void control_operator_request(control_t *control, GBytes *peer, const Caraway__OperatorRequest *request);
+void control_operator_reply(control_t *control, GBytes *peer, const Caraway__OperatorRequest *request,
+			    cw_status_t status, const char *message, const Caraway__Change *change);
+/* control_query.c: answers to queries, read from the state as it stands. */
+cw_status_t control_query(control_t *control, const Caraway__OperatorRequest *request,
+			  Caraway__OperatorReply *reply);
+
+/* control_source.c: what a replica does for proxies: the relay, registrations, activations. */
+void control_source_open(control_t *control, const settings_t *settings);
+void control_source_close(control_t *control);
+void control_source_tick(control_t *control);
+void control_source_stop(control_t *control);
+
+#endif
--- /dev/null
+++ b/daemon/control_pending.c
@@ -0,0 +1,126 @@
+/* What waits for the replicated log, and how each kind of it ends. */
+#include "control.h"
+
+#include "clock.h"
+#include "counters.h"
+#include "log.h"
+
+/* Creates an entry that ends as unknown when nothing answers it before the deadline. */
+pending_t *pending_new(pending_type_t type, int64_t deadline_ms)
+{
+	pending_t *pending = g_new0(pending_t, 1);
+
+	pending->type = type;
+	pending->deadline_ms = deadline_ms;
+	return pending;
+}
+
+/* Frees an entry. */
+void pending_free(gpointer data)
+{
+	pending_t *pending = data;
+
+	switch (pending->type) {
+	case PENDING_COMMAND:
+	case PENDING_QUERY:
+		g_bytes_unref(pending->operator_request.peer);
+		cw_message_free(pending->operator_request.request);
+		break;
+	case PENDING_REGISTRATION:
+		g_free(pending->vm);
+		break;
+	case PENDING_CONFIRMATION:
+	case PENDING_ACTIVATION:
+		break;
+	}
+	g_free(pending);
+}
+
+/* Answers an operator's command or query. */
+static void finish_operator(control_t *control, const pending_t *pending, cw_status_t status,
+			    const char *message, const Caraway__Change *change)
+{
+	control_operator_reply(control, pending->operator_request.peer, pending->operator_request.request,
+			       status, message, change);
+}
+
+/* Records how an activation ended; a refusal is shown by the change itself. */
+static void finish_activation(control_t *control, cw_status_t status, const char *message,
+			      const Caraway__Change *change)
+{
+	control->activation_pending = false;
+	if (status != CW_OK || !change) {
+		log_warning("activation-failed", LOG_STR("status", cw_status_word(status)),
+			    LOG_STR("message", message), LOG_END);
+		return;
+	}
+	counter_add(COUNTER_ACTIVATED, 1);
+	if (change->in_force_ms > change->due_ms + MAX_PUNCTUAL_MS)
+		counter_add(COUNTER_ACTIVATED_LATE, 1);
+	log_info("activated", LOG_UINT("number", change->number), LOG_UINT("version", change->version),
+		 LOG_INT("late_ms", change->in_force_ms - change->due_ms), LOG_END);
+}
+
+/* Records how a registration ended; a refused one is tried again when the VM announces itself anew. */
+static void finish_registration(control_t *control, const pending_t *pending, cw_status_t status,
+				const char *message)
+{
+	g_hash_table_remove(control->registering, pending->vm);
+	if (status == CW_OK)
+		return;
+	counter_add(COUNTER_REGISTRATION_REFUSED, 1);
+	log_warning("registration-refused", LOG_STR("vm", pending->vm),
+		    LOG_STR("status", cw_status_word(status)), LOG_STR("message", message), LOG_END);
+}
+
+/* Notes a confirmation for the relay, which is told after the log's actions are carried out. */
+static void finish_confirmation(control_t *control, const pending_t *pending, cw_status_t status)
+{
+	if (status == CW_OK)
+		g_array_append_val(control->confirmed, pending->relay_cookie);
+	else
+		counter_add(COUNTER_STAMP_REFUSED, 1);
+}
+
+/* Ends a pending entry and frees it. */
+void control_pending_finish(control_t *control, pending_t *pending, cw_status_t status, const char *message,
+			    const Caraway__Change *change)
+{
+	if (pending->index)
+		g_hash_table_remove(control->pending_by_index, &pending->index);
+	g_hash_table_steal(control->pending, &pending->cookie);
+	switch (pending->type) {
+	case PENDING_COMMAND:
+	case PENDING_QUERY:
+		finish_operator(control, pending, status, message, change);
+		break;
+	case PENDING_ACTIVATION:
+		finish_activation(control, status, message, change);
+		break;
+	case PENDING_REGISTRATION:
+		finish_registration(control, pending, status, message);
+		break;
+	case PENDING_CONFIRMATION:
+		finish_confirmation(control, pending, status);
+		break;
+	}
+	pending_free(pending);
+}
+
+/* Ends the entries whose deadline has passed; their commands may still be carried out. */
+void control_pending_expire(control_t *control, int64_t now_ms)
+{
+	GPtrArray *expired = g_ptr_array_new();
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, control->pending);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		if (((pending_t *)value)->deadline_ms <= now_ms)
+			g_ptr_array_add(expired, value);
+	for (guint i = 0; i < expired->len; i++)
+		control_pending_finish(control, g_ptr_array_index(expired, i), CW_ERR_UNKNOWN_OUTCOME,
+				       "no quorum answered in time: the command may still be carried out",
+				       NULL);
+	g_ptr_array_free(expired, TRUE);
+}
--- /dev/null
+++ b/daemon/control_query.c
@@ -0,0 +1,172 @@
+/* Queries of operators: who holds what, which changes stand, how the replicas are. */
+#include "clock.h"
+#include "control.h"
+#include "operator_reply.h"
+
+#include <inttypes.h>
+#include <string.h>
+
+/* Copies the messages of a table into an array of the same element type. */
+static void *copy_all(const GPtrArray *messages, size_t *count)
+{
+	ProtobufCMessage **copies = g_new(ProtobufCMessage *, messages->len);
+
+	for (guint i = 0; i < messages->len; i++)
+		copies[i] = cw_message_copy(g_ptr_array_index(messages, i));
+	*count = messages->len;
+	return copies;
+}
+
+/* Fills in all changes, in the order of their numbers. */
+static cw_status_t fill_changes(const control_t *control, Caraway__OperatorReply *reply)
+{
+	GPtrArray *changes = cw_ledger_changes(control->ledger);
+
+	reply->changes = copy_all(changes, &reply->n_changes);
+	g_ptr_array_free(changes, TRUE);
+	return CW_OK;
+}
+
+/* Fills in one change with its content.  CW_ERR_NOT_FOUND when the number was never booked. */
+static cw_status_t fill_change(const control_t *control, uint64_t number, Caraway__OperatorReply *reply)
+{
+	const Caraway__Change *change = cw_ledger_change(control->ledger, number);
+
+	if (!change)
+		return cw_fail(CW_ERR_NOT_FOUND, "no change has number %" PRIu64, number);
+	reply->changes = g_new(Caraway__Change *, 1);
+	reply->changes[reply->n_changes++] = cw_message_copy(&change->base);
+	return CW_OK;
+}
+
+/* Returns true when a configuration has the service, or none is asked for. */
+static bool has_service(const cw_config_t *config, const char *service)
+{
+	if (!*service)
+		return true;
+	for (guint i = 0; i < config->services->len; i++) {
+		const Caraway__Service *entry = g_ptr_array_index(config->services, i);
+
+		if (!strcmp(entry->name, service))
+			return true;
+	}
+	return false;
+}
+
+/* Returns what one VM should hold and what it last said it holds. */
+static Caraway__VmInForce *describe_vm(const control_t *control, const Caraway__Vm *vm,
+				       const cw_config_t *config)
+{
+	Caraway__VmInForce *answer = g_new(Caraway__VmInForce, 1);
+	const Caraway__Endpoint *endpoint = cw_members_endpoint(control->members, vm->name);
+	int64_t reported_ms = 0;
+	const Caraway__Report *report = cw_members_last_report(control->members, vm->name, &reported_ms);
+
+	caraway__vm_in_force__init(answer);
+	answer->vm = cw_message_copy(&vm->base);
+	answer->wanted = cw_feed_version(cw_ledger_feed(control->ledger));
+	answer->state = endpoint ? endpoint->state : CARAWAY__ENDPOINT_STATE__ENDPOINT_GONE;
+	answer->reported = report != NULL;
+	answer->version = report ? report->version : 0;
+	answer->reported_ms = reported_ms;
+	answer->services = copy_all(config->services, &answer->n_services);
+	answer->routes = copy_all(config->routes, &answer->n_routes);
+	answer->targets = copy_all(config->targets, &answer->n_targets);
+	return answer;
+}
+
+/* Fills in the VMs that a selector and a service choose. */
+static cw_status_t fill_in_force(const control_t *control, const Caraway__InForceQuery *query,
+				 Caraway__OperatorReply *reply)
+{
+	const cw_catalog_t *catalog = cw_feed_catalog(cw_ledger_feed(control->ledger));
+	cw_selector_t *selector;
+	cw_status_t status = cw_selector_parse(query->selector, &selector);
+	GPtrArray *vms;
+
+	if (status != CW_OK)
+		return status;
+	vms = cw_catalog_vms(catalog);
+	reply->vms = g_new(Caraway__VmInForce *, vms->len);
+	for (guint i = 0; i < vms->len; i++) {
+		const Caraway__Vm *vm = g_ptr_array_index(vms, i);
+		cw_config_t *config;
+
+		if (!cw_selector_match(selector, vm))
+			continue;
+		config = cw_catalog_resolve(catalog, vm);
+		if (has_service(config, query->service))
+			reply->vms[reply->n_vms++] = describe_vm(control, vm, config);
+		cw_config_free(config);
+	}
+	g_ptr_array_free(vms, TRUE);
+	cw_selector_free(selector);
+	return CW_OK;
+}
+
+/* Counts the proxies by how their reports stand to the version in force. */
+static void count_proxies(const control_t *control, Caraway__StatusReport *report)
+{
+	GPtrArray *vms = cw_catalog_vms(cw_feed_catalog(cw_ledger_feed(control->ledger)));
+
+	report->proxies_known = vms->len;
+	for (guint i = 0; i < vms->len; i++) {
+		const Caraway__Vm *vm = g_ptr_array_index(vms, i);
+		int64_t reported_ms;
+		const Caraway__Report *last =
+			cw_members_last_report(control->members, vm->name, &reported_ms);
+
+		if (!last)
+			report->proxies_silent++;
+		else if (last->version < report->version)
+			report->proxies_behind++;
+		else
+			report->proxies_current++;
+	}
+	g_ptr_array_free(vms, TRUE);
+}
+
+/* Fills in how this replica stands and, on the leader, how the others and the proxies do. */
+static cw_status_t fill_status(const control_t *control, Caraway__OperatorReply *reply)
+{
+	Caraway__StatusReport *report = g_new(Caraway__StatusReport, 1);
+	cw_feed_t *feed = cw_ledger_feed(control->ledger);
+	GPtrArray *replicas = cw_raft_replicas(control->raft, clock_now_ms());
+
+	caraway__status_report__init(report);
+	report->id = control->settings->id;
+	report->role = g_strdup(control_role_word(cw_raft_role(control->raft)));
+	report->term = cw_raft_term(control->raft);
+	report->leader_id = cw_raft_leader_id(control->raft);
+	report->commit_index = cw_raft_commit_index(control->raft);
+	report->version = cw_feed_version(feed);
+	report->feed_index = cw_feed_index(feed);
+	report->replicas = copy_all(replicas, &report->n_replicas);
+	g_ptr_array_set_free_func(replicas, cw_message_free);
+	g_ptr_array_free(replicas, TRUE);
+	if (cw_raft_role(control->raft) == CW_RAFT_LEADER)
+		count_proxies(control, report);
+	reply->report = report;
+	return CW_OK;
+}
+
+/* Answers a query from the state as it stands; the status tells why it has no answer. */
+cw_status_t control_query(control_t *control, const Caraway__OperatorRequest *request,
+			  Caraway__OperatorReply *reply)
+{
+	switch (request->body_case) {
+	case CARAWAY__OPERATOR_REQUEST__BODY_CHANGES:
+		return fill_changes(control, reply);
+	case CARAWAY__OPERATOR_REQUEST__BODY_SHOW:
+		return fill_change(control, request->show->number, reply);
+	case CARAWAY__OPERATOR_REQUEST__BODY_IN_FORCE:
+		return fill_in_force(control, request->in_force, reply);
+	case CARAWAY__OPERATOR_REQUEST__BODY_STATUS:
+		return fill_status(control, reply);
+	case CARAWAY__OPERATOR_REQUEST__BODY_COUNTERS:
+		operator_reply_counters(reply);
+		return CW_OK;
+	default:
+		return cw_fail(CW_ERR_DECODE, "the request is no query");
+	}
+}
--- /dev/null
+++ b/daemon/control_replica.c
@@ -0,0 +1,396 @@
+/* The replicated log of a control replica and the ledger that it is applied to. */
+#include "clock.h"
+#include "control.h"
+#include "counters.h"
+#include "log.h"
+#include "run.h"
+
+#include <inttypes.h>
+
+enum { MAX_APPEND_BYTES = 1 << 20 };
+
+/* Stops taking part after a failure of the data folder; the process keeps answering queries of its status. */
+static void fail_storage(control_t *control)
+{
+	cw_raft_event_t event = {.type = CW_RAFT_EV_STORAGE_FAILED};
+
+	if (control->failed)
+		return;
+	control->failed = true;
+	counter_add(COUNTER_STORAGE_FAILED, 1);
+	log_error("storage-failed", LOG_STR("message", cw_last_message()), LOG_END);
+	control_step(control, &event);
+}
+
+/* Writes a snapshot of the ledger once enough entries have been applied, and lets the log drop them. */
+static void take_snapshot(control_t *control)
+{
+	cw_raft_event_t event = {.type = CW_RAFT_EV_SNAPSHOT_TAKEN};
+	GBytes *state;
+	cw_status_t status;
+
+	if (control->applied_index < control->snapshot_index + control->settings->snapshot_entries)
+		return;
+	state = cw_ledger_save(control->ledger);
+	event.data = g_bytes_get_data(state, &event.length);
+	event.index = control->applied_index;
+	status = store_snapshot(control->store, event.index, cw_raft_term_at(control->raft, event.index),
+				cw_raft_membership_at(control->raft, event.index), event.data, event.length,
+				true);
+	if (status == CW_OK) {
+		control->snapshot_index = control->applied_index;
+		counter_add(COUNTER_SNAPSHOT_TAKEN, 1);
+		control_step(control, &event);
+	} else {
+		fail_storage(control);
+	}
+	g_bytes_unref(state);
+}
+
+/* Ends the pending entry that was given this place in the log, by the outcome or as lost to another entry. */
+static void answer_entry(control_t *control, const Caraway__Entry *entry, cw_status_t status,
+			 const Caraway__Change *change)
+{
+	pending_t *pending = g_hash_table_lookup(control->pending_by_index, &entry->index);
+
+	if (!pending)
+		return;
+	if (pending->term != entry->term) {
+		control_pending_finish(control, pending, CW_ERR_NOT_LEADER,
+				       "another leader took over and the command was not carried out", NULL);
+		return;
+	}
+	counter_add(status == CW_OK ? COUNTER_COMMAND_ACCEPTED : COUNTER_COMMAND_REFUSED, 1);
+	control_pending_finish(control, pending, status, status == CW_OK ? "" : cw_last_message(), change);
+}
+
+/* Applies a command of the log to the ledger. */
+static void apply_command(control_t *control, const Caraway__Entry *entry)
+{
+	Caraway__Command *command = caraway__command__unpack(NULL, entry->data.len, entry->data.data);
+	Caraway__Change *change = NULL;
+	cw_status_t status = CW_ERR_DECODE;
+
+	if (command)
+		status = cw_ledger_apply(control->ledger, command, &change);
+	else
+		cw_fail(CW_ERR_DECODE, "log entry %" PRIu64 " does not decode", entry->index);
+	answer_entry(control, entry, status, change);
+	cw_message_free(change);
+	cw_message_free(command);
+}
+
+/* Applies a committed entry; the log itself has taken in a membership. */
+static void apply_entry(control_t *control, const Caraway__Entry *entry)
+{
+	control->applied_index = entry->index;
+	if (entry->kind == CARAWAY__ENTRY_KIND__ENTRY_COMMAND)
+		apply_command(control, entry);
+	else
+		answer_entry(control, entry, CW_OK, NULL);
+}
+
+/* Replaces ledger and log by a snapshot that the leader sent. */
+static cw_status_t install(control_t *control, const cw_raft_action_t *action)
+{
+	gsize length;
+	const void *data = g_bytes_get_data(action->snapshot, &length);
+	cw_status_t status = store_snapshot(control->store, action->index, action->term, action->membership,
+					    data, length, false);
+
+	if (status == CW_OK)
+		status = cw_ledger_load(control->ledger, data, length);
+	if (status != CW_OK)
+		return status;
+	control->applied_index = action->index;
+	control->snapshot_index = action->index;
+	return CW_OK;
+}
+
+/* Sends a message of the log to another replica; one that is lost is made up for by the next. */
+static void send_raft(control_t *control, const cw_raft_action_t *action)
+{
+	Caraway__Message message = CARAWAY__MESSAGE__INIT;
+
+	message.body_case = CARAWAY__MESSAGE__BODY_RAFT;
+	message.raft = action->message;
+	link_clients_send(control->clients, action->address, &message);
+}
+
+/* Notes the place in the log that a proposal was given. */
+static void note_place(control_t *control, const cw_raft_action_t *action)
+{
+	pending_t *pending = g_hash_table_lookup(control->pending, &action->cookie);
+
+	if (!pending)
+		return;
+	pending->index = action->index;
+	pending->term = action->term;
+	g_hash_table_insert(control->pending_by_index, &pending->index, pending);
+}
+
+/* Ends the pending entry of a cookie, if it still waits. */
+static void finish_cookie(control_t *control, uint64_t cookie, cw_status_t status, const char *message)
+{
+	pending_t *pending = g_hash_table_lookup(control->pending, &cookie);
+
+	if (pending)
+		control_pending_finish(control, pending, status, message, NULL);
+}
+
+/* Returns the text for a refusal by the log. */
+static const char *refusal_text(cw_status_t status)
+{
+	switch (status) {
+	case CW_ERR_NOT_LEADER:
+		return "this replica does not lead";
+	case CW_ERR_NO_QUORUM:
+		return "this replica leads but cannot reach a quorum";
+	default:
+		return "the replicated log refused the command";
+	}
+}
+
+/* Ends what the log refused, and counts why. */
+static void refuse(control_t *control, const cw_raft_action_t *action)
+{
+	counter_add(action->status == CW_ERR_NO_QUORUM ? COUNTER_NO_QUORUM : COUNTER_NOT_LEADER, 1);
+	finish_cookie(control, action->cookie, action->status, refusal_text(action->status));
+}
+
+/* Logs a change of role; the relay is told of it by the next round. */
+static void note_role(const control_t *control)
+{
+	cw_raft_role_t role = cw_raft_role(control->raft);
+
+	log_info("role", LOG_STR("role", control_role_word(role)),
+		 LOG_UINT("term", cw_raft_term(control->raft)),
+		 LOG_UINT("leader", cw_raft_leader_id(control->raft)), LOG_END);
+	if (role == CW_RAFT_LEADER)
+		counter_add(COUNTER_ELECTION, 1);
+}
+
+/* Carries out one action of the log. */
+static cw_status_t carry_out(control_t *control, const cw_raft_action_t *action)
+{
+	switch (action->type) {
+	case CW_RAFT_AC_SAVE_TERM:
+		return store_save_term(control->store, action->term, action->voted_id,
+				       action->voted_incarnation);
+	case CW_RAFT_AC_APPEND:
+		return store_append(control->store, action->entries);
+	case CW_RAFT_AC_INSTALL:
+		return install(control, action);
+	case CW_RAFT_AC_SEND:
+		send_raft(control, action);
+		break;
+	case CW_RAFT_AC_APPLY:
+		apply_entry(control, action->entry);
+		break;
+	case CW_RAFT_AC_PROPOSED:
+		note_place(control, action);
+		break;
+	case CW_RAFT_AC_READ_READY:
+		finish_cookie(control, action->cookie, CW_OK, "");
+		break;
+	case CW_RAFT_AC_REFUSED:
+		refuse(control, action);
+		break;
+	case CW_RAFT_AC_ROLE:
+		note_role(control);
+		break;
+	}
+	return CW_OK;
+}
+
+/* Gives an event to the replicated log and carries out its actions in order, up to the first that fails. */
+void control_step(control_t *control, const cw_raft_event_t *event)
+{
+	cw_raft_actions_t actions;
+	cw_status_t status = CW_OK;
+
+	cw_raft_actions_init(&actions);
+	cw_raft_step(control->raft, event, clock_now_ms(), &actions);
+	for (guint i = 0; i < actions.items->len && status == CW_OK; i++)
+		status = carry_out(control, &g_array_index(actions.items, cw_raft_action_t, i));
+	cw_raft_actions_clear(&actions);
+	if (status != CW_OK)
+		fail_storage(control);
+	else if (!control->failed)
+		take_snapshot(control);
+}
+
+/* Enters a pending entry under a new cookie. */
+static void enter(control_t *control, pending_t *pending)
+{
+	pending->cookie = ++control->last_cookie;
+	g_hash_table_insert(control->pending, &pending->cookie, pending);
+}
+
+/* Proposes a command, stamped with the present time. */
+void control_propose(control_t *control, pending_t *pending, Caraway__Command *command)
+{
+	cw_raft_event_t event = {.type = CW_RAFT_EV_PROPOSE};
+	GBytes *packed;
+
+	command->proposed_ms = clock_utc_ms();
+	packed = cw_message_pack(&command->base);
+	enter(control, pending);
+	event.cookie = pending->cookie;
+	event.data = g_bytes_get_data(packed, &event.length);
+	control_step(control, &event);
+	g_bytes_unref(packed);
+}
+
+/* Asks a quorum to confirm that this replica leads. */
+void control_confirm(control_t *control, pending_t *pending)
+{
+	cw_raft_event_t event = {.type = CW_RAFT_EV_READ};
+
+	enter(control, pending);
+	event.cookie = pending->cookie;
+	control_step(control, &event);
+}
+
+/* Returns true while this replica leads and a quorum has confirmed it within the lease. */
+bool control_leads(const control_t *control)
+{
+	return cw_raft_role(control->raft) == CW_RAFT_LEADER &&
+	       cw_raft_has_lease(control->raft, clock_now_ms());
+}
+
+/* Returns the address of a voter, borrowed from the log; NULL when it is none. */
+const char *control_voter_address(const control_t *control, uint32_t id)
+{
+	const Caraway__Membership *membership = cw_raft_membership(control->raft);
+
+	for (size_t i = 0; membership && i < membership->n_voters; i++)
+		if (membership->voters[i]->id == id)
+			return membership->voters[i]->address;
+	return NULL;
+}
+
+/* Returns the word for a role, as logged and shown. */
+const char *control_role_word(cw_raft_role_t role)
+{
+	switch (role) {
+	case CW_RAFT_LEARNER:
+		return "learner";
+	case CW_RAFT_FOLLOWER:
+		return "follower";
+	case CW_RAFT_PRE_CANDIDATE:
+	case CW_RAFT_CANDIDATE:
+		return "candidate";
+	case CW_RAFT_LEADER:
+		return "leader";
+	case CW_RAFT_FAILED:
+		return "failed";
+	}
+	return "unassigned";
+}
+
+/* Returns the address of a replica in the settings, or NULL. */
+static const char *replica_address(const settings_t *settings, uint32_t id)
+{
+	for (guint i = 0; i < settings->controls->len; i++) {
+		const control_address_t *entry = &g_array_index(settings->controls, control_address_t, i);
+
+		if (entry->id == id)
+			return entry->address;
+	}
+	return NULL;
+}
+
+/* Returns every replica of the settings, without incarnations. */
+static Caraway__Membership *settings_membership(const settings_t *settings, uint64_t incarnation)
+{
+	Caraway__Membership membership = CARAWAY__MEMBERSHIP__INIT;
+	guint count = settings->controls->len;
+	Caraway__Replica *replicas = g_new(Caraway__Replica, count);
+	Caraway__Replica **voters = g_new(Caraway__Replica *, count);
+	Caraway__Membership *copy;
+
+	for (guint i = 0; i < count; i++) {
+		const control_address_t *entry = &g_array_index(settings->controls, control_address_t, i);
+
+		caraway__replica__init(&replicas[i]);
+		replicas[i].id = entry->id;
+		replicas[i].incarnation = incarnation;
+		replicas[i].address = entry->address;
+		voters[i] = &replicas[i];
+	}
+	membership.n_voters = count;
+	membership.voters = voters;
+	copy = cw_message_copy(&membership.base);
+	g_free(voters);
+	g_free(replicas);
+	return copy;
+}
+
+/* Creates the log's state machine from what the data folder holds. */
+static void create_raft(control_t *control, const settings_t *settings, const cw_raft_stored_t *stored)
+{
+	Caraway__Membership *peers = settings_membership(settings, 0);
+	cw_raft_options_t options = {
+		.id = control->settings->id,
+		.incarnation = store_incarnation(control->store),
+		.address = replica_address(settings, control->settings->id),
+		.heartbeat_ms = control->settings->heartbeat_ms,
+		.election_ms = control->settings->election_ms,
+		.lease_ms = control->settings->leader_lease_ms,
+		.seed = clock_incarnation() + control->settings->id,
+		.max_append_bytes = MAX_APPEND_BYTES,
+		.peers = (const Caraway__Replica *const *)peers->voters,
+		.peer_count = peers->n_voters,
+	};
+
+	control->raft = cw_raft_new(&options, stored, clock_now_ms());
+	cw_message_free(peers);
+}
+
+/* Opens the data folder and loads ledger and log from it.  CW_ERR_IO, CW_ERR_DAMAGED: the folder cannot be used. */
+cw_status_t control_replica_open(control_t *control, const settings_t *settings)
+{
+	cw_raft_stored_t stored = {0};
+	GBytes *snapshot = NULL;
+	cw_status_t status = store_open(control->settings->data_folder, &control->store, &stored, &snapshot);
+
+	if (status != CW_OK)
+		return status;
+	control->ledger = cw_ledger_new(control->settings->feed_keep_records);
+	if (snapshot) {
+		gsize length;
+		const void *data = g_bytes_get_data(snapshot, &length);
+
+		status = cw_ledger_load(control->ledger, data, length);
+		g_bytes_unref(snapshot);
+	}
+	if (status == CW_OK) {
+		control->applied_index = stored.snapshot_index;
+		control->snapshot_index = stored.snapshot_index;
+		create_raft(control, settings, &stored);
+	}
+	store_stored_clear(&stored);
+	return status;
+}
+
+/* Frees the log, the ledger and the data folder. */
+void control_replica_close(control_t *control)
+{
+	if (control->raft)
+		cw_raft_free(control->raft);
+	if (control->ledger)
+		cw_ledger_free(control->ledger);
+	if (control->store)
+		store_close(control->store);
+}
+
+/* Writes the first state of a replica, with every replica of the settings a voter in its first incarnation. */
+cw_status_t control_format(const settings_t *settings)
+{
+	Caraway__Membership *membership = settings_membership(settings, FIRST_INCARNATION);
+	cw_status_t status = store_format(settings->control.data_folder, FIRST_INCARNATION, membership);
+
+	cw_message_free(membership);
+	return status;
+}
--- /dev/null
+++ b/daemon/control_source.c
@@ -0,0 +1,193 @@
+/* What a control replica does for proxies: the relay, registrations of VMs and activations that fall due. */
+#include "clock.h"
+#include "control.h"
+#include "counters.h"
+#include "log.h"
+
+#include <string.h>
+
+enum { REPORTS_PER_LEASE = 3, COMMAND_TIMEOUT_MS = 5000, FRESHNESS_MS = 5000, HOLD_MS = 1000 };
+
+/* Returns true when an announced VM is not recorded as it says it is. */
+static bool differs(const Caraway__Vm *recorded, const Caraway__Endpoint *endpoint)
+{
+	if (!recorded)
+		return true;
+	return strcmp(recorded->zone, endpoint->zone) != 0 ||
+	       strcmp(recorded->region, endpoint->region) != 0 ||
+	       strcmp(recorded->service, endpoint->service) != 0;
+}
+
+/* Proposes the registration of a VM that is new or differs from its record. */
+static void register_vm(control_t *control, const Caraway__Endpoint *endpoint)
+{
+	const cw_catalog_t *catalog = cw_feed_catalog(cw_ledger_feed(control->ledger));
+	Caraway__Command command = CARAWAY__COMMAND__INIT;
+	Caraway__Register body = CARAWAY__REGISTER__INIT;
+	Caraway__Vm vm = CARAWAY__VM__INIT;
+	pending_t *pending;
+
+	if (!differs(cw_catalog_vm(catalog, endpoint->vm), endpoint))
+		return;
+	if (!g_hash_table_add(control->registering, g_strdup(endpoint->vm)))
+		return;
+	vm.name = endpoint->vm;
+	vm.zone = endpoint->zone;
+	vm.region = endpoint->region;
+	vm.service = endpoint->service;
+	body.vm = &vm;
+	command.body_case = CARAWAY__COMMAND__BODY_REGISTER_VM;
+	command.register_vm = &body;
+	pending = pending_new(PENDING_REGISTRATION, clock_now_ms() + COMMAND_TIMEOUT_MS);
+	pending->vm = g_strdup(endpoint->vm);
+	control_propose(control, pending, &command);
+}
+
+/* Asks for a confirmation of leadership on behalf of the relay. */
+static void confirm(control_t *control, uint64_t cookie)
+{
+	pending_t *pending = pending_new(PENDING_CONFIRMATION, clock_now_ms() + COMMAND_TIMEOUT_MS);
+
+	pending->relay_cookie = cookie;
+	control_confirm(control, pending);
+}
+
+/* Carries out an action of the relay that is this role's own. */
+static void carry_out(void *data, const cw_relay_action_t *action)
+{
+	control_t *control = data;
+
+	switch (action->type) {
+	case CW_RELAY_AC_ANNOUNCED:
+		register_vm(control, action->endpoint);
+		break;
+	case CW_RELAY_AC_CONFIRM:
+		confirm(control, action->cookie);
+		break;
+	default:
+		break;
+	}
+}
+
+/* Creates the relay over the ledger's feed. */
+void control_source_open(control_t *control, const settings_t *settings)
+{
+	char *name = g_strdup_printf("replica-%u", control->settings->id);
+	cw_relay_options_t options = {
+		.kind = CW_RELAY_REPLICA,
+		.vm = name,
+		.zone = "",
+		.incarnation = clock_incarnation(),
+		.freshness_ms = FRESHNESS_MS,
+		.hold_ms = HOLD_MS,
+		.batch_ms = RELAY_BATCH_MS,
+		.stamp_ms = RELAY_STAMP_MS,
+		.report_ms = settings->control.endpoint_lease_ms / REPORTS_PER_LEASE,
+		.children = settings->control.children,
+		.heads = RELAY_HEADS,
+		.max_news_bytes = RELAY_MAX_NEWS_BYTES,
+		.seed = clock_incarnation(),
+	};
+
+	control->members = cw_members_new(0, settings->control.endpoint_lease_ms);
+	control->io.relay =
+		cw_relay_new(&options, cw_ledger_feed(control->ledger), control->members, clock_now_ms());
+	control->io.server = control->server;
+	control->io.clients = control->clients;
+	control->io.action = carry_out;
+	control->io.data = control;
+	control->registering = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	control->confirmed = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	g_free(name);
+}
+
+/* Frees the relay; allowed when it was never opened. */
+void control_source_close(control_t *control)
+{
+	if (!control->io.relay)
+		return;
+	cw_relay_free(control->io.relay);
+	cw_members_free(control->members);
+	g_hash_table_destroy(control->registering);
+	g_array_free(control->confirmed, TRUE);
+}
+
+/* Tells the relay whether this replica leads, or whom it follows, when that has changed. */
+static void tell_role(control_t *control)
+{
+	bool leads = cw_raft_role(control->raft) == CW_RAFT_LEADER;
+	uint64_t term = cw_raft_term(control->raft);
+	uint32_t leader = cw_raft_leader_id(control->raft);
+	cw_relay_event_t event = {.type = leads ? CW_RELAY_EV_LEAD : CW_RELAY_EV_FOLLOW, .term = term};
+
+	if (leads == control->told_leads && term == control->told_term && leader == control->told_leader)
+		return;
+	control->told_leads = leads;
+	control->told_term = term;
+	control->told_leader = leader;
+	if (!leads && leader)
+		event.address = control_voter_address(control, leader);
+	relay_io_step(&control->io, &event);
+}
+
+/* Tells the relay of the confirmations that have come. */
+static void tell_confirmed(control_t *control)
+{
+	for (guint i = 0; i < control->confirmed->len; i++) {
+		cw_relay_event_t event = {.type = CW_RELAY_EV_CONFIRMED};
+
+		event.cookie = g_array_index(control->confirmed, uint64_t, i);
+		relay_io_step(&control->io, &event);
+	}
+	g_array_set_size(control->confirmed, 0);
+}
+
+/* Tells the relay when the feed has grown. */
+static void tell_feed(control_t *control)
+{
+	cw_relay_event_t event = {.type = CW_RELAY_EV_FEED};
+	uint64_t index = cw_feed_index(cw_ledger_feed(control->ledger));
+
+	if (index == control->told_feed_index)
+		return;
+	control->told_feed_index = index;
+	relay_io_step(&control->io, &event);
+}
+
+/* Proposes the activation of the change that is due, one at a time and in order. */
+static void activate_due(control_t *control)
+{
+	Caraway__Command command = CARAWAY__COMMAND__INIT;
+	Caraway__Activate activate = CARAWAY__ACTIVATE__INIT;
+	uint64_t number;
+
+	if (control->activation_pending || !control_leads(control))
+		return;
+	number = cw_ledger_due(control->ledger, clock_utc_ms());
+	if (!number)
+		return;
+	activate.number = number;
+	command.body_case = CARAWAY__COMMAND__BODY_ACTIVATE;
+	command.activate = &activate;
+	control->activation_pending = true;
+	control_propose(control, pending_new(PENDING_ACTIVATION, clock_now_ms() + COMMAND_TIMEOUT_MS),
+			&command);
+}
+
+/* Does what goes by the clock or follows from what the log applied. */
+void control_source_tick(control_t *control)
+{
+	tell_role(control);
+	tell_feed(control);
+	tell_confirmed(control);
+	activate_due(control);
+	relay_io_tick(&control->io);
+}
+
+/* Serves no children from now on. */
+void control_source_stop(control_t *control)
+{
+	cw_relay_event_t event = {.type = CW_RELAY_EV_STOPPING};
+
+	relay_io_step(&control->io, &event);
+}
--- a/daemon/counters.h
+++ b/daemon/counters.h
@@ -40,6 +40,9 @@
 	X(ACTIVATED, "activated")                                                                            \
 	X(ACTIVATED_LATE, "activated-late")                                                                  \
 	X(ELECTION, "election")                                                                              \
+	X(REGISTRATION_REFUSED, "registration-refused")                                                      \
+	X(STAMP_REFUSED, "stamp-refused")                                                                    \
+	X(STORAGE_FAILED, "storage-failed")                                                                  \
 	X(SNAPSHOT_TAKEN, "snapshot-taken")                                                                  \
 	X(ENDPOINT_EXPIRED, "endpoint-expired")                                                              \
 	/* feed */                                                                                           \
@@ -54,10 +57,9 @@
 	X(PARENT_LEFT_STALE, "parent-left-stale")                                                            \
 	X(PARENT_LEFT_REFUSED, "parent-left-refused")                                                        \
 	X(PARENT_LEFT_SILENT, "parent-left-silent")                                                          \
-	X(PARENT_LEFT_NEWS, "parent-left-news")                                                              \
 	X(PULL_CROSSED, "pull-crossed")                                                                      \
 	X(NEWS_CROSSED, "news-crossed")                                                                      \
-	X(VIEW_REFUSED, "view-refused")                                                                      \
+	X(PARENT_LEFT_NEWS, "parent-left-news")                                                              \
 	X(FEED_BYTES_SENT, "feed-bytes-sent")                                                                \
 	X(FEED_BYTES_RECEIVED, "feed-bytes-received")                                                        \
 	/* calls: refused as receiver, told to callers as origin, and reasons of retries */                  \
--- a/daemon/link.c
+++ b/daemon/link.c
@@ -341,3 +341,21 @@
 		sockets[i] = g_hash_table_lookup(clients->sockets, g_ptr_array_index(clients->addresses, i));
 	return count;
 }
+
+/* Waits until a message may be read from the server or the clients, at most timeout_ms. */
+void link_wait(const link_server_t *server, const link_clients_t *clients, int64_t timeout_ms)
+{
+	size_t count = clients->addresses->len;
+	zmq_pollitem_t *items = g_new0(zmq_pollitem_t, count + 1);
+	void **sockets = g_new(void *, count + 1);
+
+	link_clients_sockets(clients, sockets, count);
+	sockets[count] = server->socket;
+	for (size_t i = 0; i <= count; i++) {
+		items[i].socket = sockets[i];
+		items[i].events = ZMQ_POLLIN;
+	}
+	zmq_poll(items, (int)count + 1, timeout_ms);
+	g_free(sockets);
+	g_free(items);
+}
--- a/daemon/link.h
+++ b/daemon/link.h
@@ -37,6 +37,8 @@
 void link_clients_drop(link_clients_t *clients, const char *address);
 /* Returns the next answer and the address it came from (borrowed), or NULL when none waits. */
 Caraway__Message *link_clients_receive(link_clients_t *clients, const char **address);
+/* Waits until a message may be read from the server or the clients, at most timeout_ms. */
+void link_wait(const link_server_t *server, const link_clients_t *clients, int64_t timeout_ms);
 /* Fills items for zmq_poll() with every open socket; returns how many. */
 size_t link_clients_sockets(const link_clients_t *clients, void **sockets, size_t capacity);
 
