--- a/daemon/endpoints.c
+++ b/daemon/endpoints.c
@@ -151,9 +151,10 @@
 
 	urcu_memb_read_lock();
 	view = view_slot_read(views);
-	if (view && view->serial != links->seen_serial) {
+	if (view && (view != links->seen || view->version != links->seen_version)) {
 		wanted = addresses_of(view);
-		links->seen_serial = view->serial;
+		links->seen = view;
+		links->seen_version = view->version;
 	}
 	urcu_memb_read_unlock();
 	if (!wanted)
--- a/libcaraway/relay_choose.c
+++ b/libcaraway/relay_choose.c
@@ -148,7 +148,7 @@
 /* Returns how many proxies of a zone pull from control replicas. */
 static guint zone_heads(const cw_relay_t *relay)
 {
-	return relay->options.heads * (guint)relay->options.control_count;
+	return MAX(1, relay->options.heads * (guint)relay->options.control_count);
 }
 
 /* Returns the first place of the level that a place belongs to; *before becomes that of the level before. */
