--- a/daemon/control.h
+++ b/daemon/control.h
@@ -54,6 +54,7 @@
 	uint64_t applied_index;
 	uint64_t snapshot_index;
 	uint64_t last_cookie;
+	int64_t register_due_ms;  /* when endpoints are next compared with the registered VMs */
 	uint64_t told_feed_index; /* last told to the relay */
 	uint64_t told_term;
 	uint32_t told_leader;
--- a/daemon/control_source.c
+++ b/daemon/control_source.c
@@ -6,7 +6,15 @@
 
 #include <string.h>
 
-enum { REPORTS_PER_LEASE = 3, COMMAND_TIMEOUT_MS = 5000, FRESHNESS_MS = 5000, HOLD_MS = 1000 };
+enum {
+	BATCH_MS = 100,
+	MAX_NEWS_BYTES = 1 << 16,
+	REPORTS_PER_LEASE = 3,
+	REGISTER_MS = 1000,
+	COMMAND_TIMEOUT_MS = 5000,
+	FRESHNESS_MS = 5000,
+	HOLD_MS = 1000
+};
 
 /* Returns true when an announced VM is not recorded as it says it is. */
 static bool differs(const Caraway__Vm *recorded, const Caraway__Endpoint *endpoint)
@@ -43,6 +51,23 @@
 	control_propose(control, pending, &command);
 }
 
+/*
+ * Registers every known endpoint that still needs it: those that announced
+ * themselves before this replica led, or whose registration met a failure.
+ */
+static void register_missing(control_t *control)
+{
+	GPtrArray *endpoints;
+
+	if (clock_now_ms() < control->register_due_ms || !control_leads(control))
+		return;
+	control->register_due_ms = clock_now_ms() + REGISTER_MS;
+	endpoints = cw_members_endpoints(control->members);
+	for (guint i = 0; i < endpoints->len; i++)
+		register_vm(control, g_ptr_array_index(endpoints, i));
+	g_ptr_array_free(endpoints, TRUE);
+}
+
 /* Asks for a confirmation of leadership on behalf of the relay. */
 static void confirm(control_t *control, uint64_t cookie)
 {
@@ -72,6 +97,7 @@
 /* Creates the relay over the ledger's feed. */
 void control_source_open(control_t *control, const settings_t *settings)
 {
+	cw_relay_t *relay;
 	char *name = g_strdup_printf("replica-%u", control->settings->id);
 	cw_relay_options_t options = {
 		.kind = CW_RELAY_REPLICA,
@@ -80,20 +106,18 @@
 		.incarnation = clock_incarnation(),
 		.freshness_ms = FRESHNESS_MS,
 		.hold_ms = HOLD_MS,
-		.batch_ms = RELAY_BATCH_MS,
-		.stamp_ms = RELAY_STAMP_MS,
+		.batch_ms = BATCH_MS,
+		.stamp_ms = settings->control.stamp_ms,
 		.report_ms = settings->control.endpoint_lease_ms / REPORTS_PER_LEASE,
 		.children = settings->control.children,
-		.heads = RELAY_HEADS,
-		.max_news_bytes = RELAY_MAX_NEWS_BYTES,
+		.heads = settings->control.zone_heads,
+		.max_news_bytes = MAX_NEWS_BYTES,
 		.seed = clock_incarnation(),
 	};
 
 	control->members = cw_members_new(0, settings->control.endpoint_lease_ms);
-	control->io.relay =
-		cw_relay_new(&options, cw_ledger_feed(control->ledger), control->members, clock_now_ms());
-	control->io.server = control->server;
-	control->io.clients = control->clients;
+	relay = cw_relay_new(&options, cw_ledger_feed(control->ledger), control->members, clock_now_ms());
+	relay_io_init(&control->io, relay, control->server, control->clients);
 	control->io.action = carry_out;
 	control->io.data = control;
 	control->registering = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
@@ -106,7 +130,7 @@
 {
 	if (!control->io.relay)
 		return;
-	cw_relay_free(control->io.relay);
+	relay_io_clear(&control->io);
 	cw_members_free(control->members);
 	g_hash_table_destroy(control->registering);
 	g_array_free(control->confirmed, TRUE);
@@ -180,6 +204,7 @@
 	tell_role(control);
 	tell_feed(control);
 	tell_confirmed(control);
+	register_missing(control);
 	activate_due(control);
 	relay_io_tick(&control->io);
 }
--- a/daemon/counters.h
+++ b/daemon/counters.h
@@ -60,6 +60,7 @@
 	X(PULL_CROSSED, "pull-crossed")                                                                      \
 	X(NEWS_CROSSED, "news-crossed")                                                                      \
 	X(PARENT_LEFT_NEWS, "parent-left-news")                                                              \
+	X(VIEW_REFUSED, "view-refused")                                                                      \
 	X(FEED_BYTES_SENT, "feed-bytes-sent")                                                                \
 	X(FEED_BYTES_RECEIVED, "feed-bytes-received")                                                        \
 	/* calls: refused as receiver, told to callers as origin, and reasons of retries */                  \
--- a/daemon/endpoints.c
+++ b/daemon/endpoints.c
@@ -151,10 +151,9 @@
 
 	urcu_memb_read_lock();
 	view = view_slot_read(views);
-	if (view && (view != links->seen || view->version != links->seen_version)) {
+	if (view && view->serial != links->seen_serial) {
 		wanted = addresses_of(view);
-		links->seen = view;
-		links->seen_version = view->version;
+		links->seen_serial = view->serial;
 	}
 	urcu_memb_read_unlock();
 	if (!wanted)
--- a/daemon/endpoints.h
+++ b/daemon/endpoints.h
@@ -36,8 +36,7 @@
 
 /* Connections kept to the endpoints of the view, made before the first call needs them. */
 typedef struct {
-	const view_t *seen; /* for comparison only */
-	uint64_t seen_version;
+	uint64_t seen_serial;  /* of the view last followed */
 	GHashTable *addresses; /* connected; char * */
 } endpoint_links_t;
 
--- a/daemon/proxy.c
+++ b/daemon/proxy.c
@@ -1,53 +1,27 @@
-/* The control thread of a proxy: holds the configuration, passes it on, and speaks for the target beside it. */
+/*
+ * The control thread of a proxy: runs the relay over its sockets, publishes
+ * views for the traffic threads, and leaves as planned.
+ */
 #include "clock.h"
 #include "counters.h"
 #include "log.h"
-#include "operator_reply.h"
-#include "relay_io.h"
+#include "proxy_internal.h"
 #include "run.h"
-#include "traffic.h"
 
 enum {
-	MAX_WAIT_MS = 50,
-	MAX_MESSAGES_PER_ROUND = 1000,
-	REPORT_MS = 3000,
-	GOODBYE_MS = 300 /* for the news of leaving to be sent before the process ends */
+	POLL_MS = 100,		/* longest wait before the stop flag is looked at */
+	VIEW_WAIT_MS = 50,	/* a change of endpoints waits for others before a view is built */
+	SPREAD_MS = 2000,	/* longest wait for the news that this proxy drains */
+	SPREAD_MARGIN_MS = 500, /* after the news has come back to this proxy */
+	LEAVE_MS = 200,		/* for the last announcement */
+	NEWS_BYTES = 65536,
+	CARRY_MS = 30000 /* an endpoint that a new source does not name is kept this long */
 };
 
-typedef struct {
-	const settings_t *settings;
-	const proxy_settings_t *own;
-	link_context_t *context;
-	link_server_t *server;
-	link_clients_t *clients;
-	cw_feed_t *feed;
-	cw_members_t *members;
-	relay_io_t io;
-	view_slot_t *views;
-	traffic_t *traffic;
-	uint64_t incarnation;
-	uint64_t sequence;  /* of the endpoint's state */
-	uint64_t published; /* version of the view */
-	bool view_outdated;
-} proxy_t;
-
-/* Announces the state of the target beside this proxy. */
-static void announce(proxy_t *proxy, Caraway__EndpointState state)
+/* Wants a view published at a time at the latest. */
+static void want_view(proxy_t *proxy, int64_t by_ms)
 {
-	Caraway__Endpoint endpoint = CARAWAY__ENDPOINT__INIT;
-	cw_relay_event_t event = {.type = CW_RELAY_EV_ENDPOINT, .endpoint = &endpoint};
-
-	endpoint.vm = proxy->own->vm;
-	endpoint.zone = proxy->own->zone;
-	endpoint.region = proxy->own->region;
-	endpoint.service = proxy->own->service;
-	endpoint.incarnation = proxy->incarnation;
-	endpoint.sequence = ++proxy->sequence;
-	endpoint.state = state;
-	endpoint.call_address = (char *)traffic_call_address(proxy->traffic);
-	endpoint.feed_address = (char *)link_server_address(proxy->server);
-	endpoint.slots = proxy->own->slots;
-	relay_io_step(&proxy->io, &event);
+	proxy->view_by_ms = MIN(proxy->view_by_ms, by_ms);
 }
 
 /* Carries out an action of the relay that is this role's own. */
@@ -57,84 +31,49 @@
 
 	switch (action->type) {
 	case CW_RELAY_AC_CONFIGURATION:
+		want_view(proxy, clock_now_ms());
+		break;
 	case CW_RELAY_AC_ENDPOINTS:
-		proxy->view_outdated = true;
+		want_view(proxy, clock_now_ms() + VIEW_WAIT_MS);
 		break;
 	case CW_RELAY_AC_PARENT:
-		log_info("parent", LOG_STR("address", action->address), LOG_END);
+		log_info("parent", LOG_STR("address", action->address),
+			 LOG_UINT("depth", cw_relay_depth(proxy->io.relay)), LOG_END);
 		break;
 	default:
 		break;
 	}
 }
 
-/* Publishes the view that follows from feed and members, once the configuration may be used. */
-static void publish(proxy_t *proxy)
-{
-	const cw_catalog_t *catalog = cw_feed_catalog(proxy->feed);
-	const Caraway__Vm *vm = cw_catalog_vm(catalog, proxy->own->vm);
-	uint64_t version = cw_feed_version(proxy->feed);
-	GPtrArray *endpoints;
-
-	if (!proxy->view_outdated || !vm || !cw_relay_ready(proxy->io.relay))
-		return;
-	proxy->view_outdated = false;
-	endpoints = cw_members_endpoints(proxy->members);
-	view_slot_publish(proxy->views, view_new(catalog, vm, endpoints));
-	g_ptr_array_free(endpoints, TRUE);
-	if (version == proxy->published)
-		return;
-	proxy->published = version;
-	log_info("configuration", LOG_UINT("version", version), LOG_END);
-}
-
-/* Fills in how this proxy stands. */
-static void fill_status(const proxy_t *proxy, Caraway__OperatorReply *reply)
-{
-	Caraway__StatusReport *report = g_new(Caraway__StatusReport, 1);
-	const Caraway__Stamp *stamp = cw_relay_stamp(proxy->io.relay);
-
-	caraway__status_report__init(report);
-	report->role = g_strdup(cw_relay_fresh(proxy->io.relay, clock_now_ms()) ? "proxy" : "proxy (stale)");
-	report->term = stamp ? stamp->term : 0;
-	report->version = proxy->published;
-	report->feed_index = cw_feed_index(proxy->feed);
-	reply->report = report;
-}
-
-/* Answers an operator: a proxy tells its status and its counters. */
-static void answer_operator(proxy_t *proxy, GBytes *peer, const Caraway__OperatorRequest *request)
+/* Announces the state of this proxy's endpoint. */
+static void announce(proxy_t *proxy, Caraway__EndpointState state)
 {
-	Caraway__OperatorReply *reply = g_new(Caraway__OperatorReply, 1);
+	const proxy_settings_t *settings = &proxy->settings->proxy;
+	Caraway__Endpoint endpoint = CARAWAY__ENDPOINT__INIT;
+	cw_relay_event_t event = {.type = CW_RELAY_EV_ENDPOINT, .endpoint = &endpoint};
 
-	caraway__operator_reply__init(reply);
-	reply->request = request->request;
-	switch (request->body_case) {
-	case CARAWAY__OPERATOR_REQUEST__BODY_STATUS:
-		fill_status(proxy, reply);
-		break;
-	case CARAWAY__OPERATOR_REQUEST__BODY_COUNTERS:
-		operator_reply_counters(reply);
-		break;
-	default:
-		counter_add(COUNTER_MESSAGE_UNEXPECTED, 1);
-		reply->status = CW_ERR_USAGE;
-		reply->message = g_strdup("a proxy answers only status and counters: ask a control replica");
-		break;
-	}
-	operator_reply_send(proxy->server, peer, reply);
-	cw_message_free(reply);
+	endpoint.vm = settings->vm;
+	endpoint.zone = settings->zone;
+	endpoint.region = settings->region;
+	endpoint.service = settings->service;
+	endpoint.incarnation = proxy->incarnation;
+	endpoint.sequence = ++proxy->sequence;
+	endpoint.state = state;
+	endpoint.call_address = (char *)traffic_call_address(proxy->traffic);
+	endpoint.feed_address = (char *)link_server_address(proxy->server);
+	endpoint.slots = settings->slots;
+	relay_io_step(&proxy->io, &event);
 }
 
-/* Takes one message that came to the feed's port. */
-static void receive(proxy_t *proxy, GBytes *peer, const Caraway__Message *message)
+/* Takes a message that came to the feed port. */
+static void take_request(proxy_t *proxy, GBytes *peer, const Caraway__Message *message)
 {
 	switch (message->body_case) {
 	case CARAWAY__MESSAGE__BODY_PULL:
 		relay_io_pull(&proxy->io, peer, message->pull);
 		break;
 	case CARAWAY__MESSAGE__BODY_OPERATOR_REQUEST:
-		answer_operator(proxy, peer, message->operator_request);
+		proxy_answer(proxy, peer, message->operator_request);
 		break;
 	default:
 		counter_add(COUNTER_MESSAGE_UNEXPECTED, 1);
@@ -142,20 +81,17 @@
 	}
 }
 
-/* Takes the messages that wait, from children and operators, then from parents. */
-static void receive_all(proxy_t *proxy)
+/* Takes every message that waits. */
+static void take_messages(proxy_t *proxy)
 {
 	Caraway__Message *message;
 	const char *address;
 	GBytes *peer;
 
-	for (int i = 0; i < MAX_MESSAGES_PER_ROUND; i++) {
-		message = link_server_receive(proxy->server, &peer);
-		if (!message)
-			break;
-		receive(proxy, peer, message);
-		cw_message_free(message);
+	while ((message = link_server_receive(proxy->server, &peer))) {
+		take_request(proxy, peer, message);
 		g_bytes_unref(peer);
+		cw_message_free(message);
 	}
 	while ((message = link_clients_receive(proxy->clients, &address))) {
 		relay_io_answer(&proxy->io, address, message);
@@ -163,135 +99,171 @@
 	}
 }
 
-/* Waits for a message or the relay's next deadline. */
-static void wait_for_work(const proxy_t *proxy)
-{
-	int64_t wait_ms = cw_relay_deadline_ms(proxy->io.relay) - clock_now_ms();
-
-	link_wait(proxy->server, proxy->clients, CLAMP(wait_ms, 0, MAX_WAIT_MS));
-}
-
-/* Runs one round of messages and deadlines. */
-static void run_round(proxy_t *proxy)
+/* Builds and publishes the view of what is held now. */
+static void publish(proxy_t *proxy)
 {
-	wait_for_work(proxy);
-	receive_all(proxy);
-	relay_io_tick(&proxy->io);
-	publish(proxy);
-}
+	const cw_catalog_t *catalog = cw_feed_catalog(proxy->feed);
+	const Caraway__Vm *vm = cw_catalog_vm(catalog, proxy->settings->proxy.vm);
+	GPtrArray *endpoints;
 
-/* Runs rounds until a deadline. */
-static void run_until(proxy_t *proxy, int64_t deadline_ms)
-{
-	while (clock_now_ms() < deadline_ms)
-		run_round(proxy);
+	proxy->view_by_ms = INT64_MAX;
+	if (!vm || !cw_relay_ready(proxy->io.relay))
+		return;
+	if (cw_catalog_check_vm(catalog, vm) != CW_OK) {
+		counter_add(COUNTER_VIEW_REFUSED, 1);
+		log_error("configuration-refused", LOG_UINT("version", cw_catalog_version(catalog)),
+			  LOG_STR("reason", cw_last_message()), LOG_END);
+		return;
+	}
+	endpoints = cw_members_endpoints(proxy->members);
+	view_slot_publish(proxy->views, view_new(catalog, vm, endpoints));
+	g_ptr_array_unref(endpoints);
+	if (cw_catalog_version(catalog) == proxy->version)
+		return;
+	proxy->version = cw_catalog_version(catalog);
+	log_info("configuration", LOG_UINT("version", proxy->version),
+		 LOG_UINT("index", cw_feed_index(proxy->feed)), LOG_END);
 }
 
-/* Leaves the mesh: takes no new work, finishes what is in flight, says goodbye. */
-static void leave(proxy_t *proxy)
+/* Waits for messages until something is due, then takes them and does what is due. */
+static void turn(proxy_t *proxy)
 {
-	cw_relay_event_t stopping = {.type = CW_RELAY_EV_STOPPING};
-	int64_t deadline_ms = clock_now_ms() + proxy->own->drain_ms;
+	int64_t deadline_ms = MIN(cw_relay_deadline_ms(proxy->io.relay), proxy->view_by_ms);
+	int64_t wait_ms = CLAMP(deadline_ms - clock_now_ms(), 0, POLL_MS);
 
-	log_info("draining", LOG_UINT("in_flight", traffic_in_flight(proxy->traffic)), LOG_END);
-	traffic_drain(proxy->traffic);
-	announce(proxy, CARAWAY__ENDPOINT_STATE__ENDPOINT_DRAINING);
-	run_until(proxy, clock_now_ms() + GOODBYE_MS);
-	while (traffic_in_flight(proxy->traffic) && clock_now_ms() < deadline_ms)
-		run_round(proxy);
-	announce(proxy, CARAWAY__ENDPOINT_STATE__ENDPOINT_GONE);
-	relay_io_step(&proxy->io, &stopping);
-	run_until(proxy, clock_now_ms() + GOODBYE_MS);
-	log_info("stopped", LOG_UINT("in_flight", traffic_in_flight(proxy->traffic)), LOG_END);
+	link_wait(proxy->server, proxy->clients, wait_ms);
+	take_messages(proxy);
+	relay_io_tick(&proxy->io);
+	if (clock_now_ms() >= proxy->view_by_ms)
+		publish(proxy);
 }
 
-/* Creates the relay of this proxy. */
-static void open_relay(proxy_t *proxy)
+/* Makes the relay of a proxy. */
+static cw_relay_t *make_relay(const proxy_t *proxy)
 {
-	guint count = proxy->settings->controls->len;
-	const char **controls = g_new(const char *, count);
+	const proxy_settings_t *settings = &proxy->settings->proxy;
+	const GArray *replicas = proxy->settings->controls;
+	g_autofree const char **controls = g_new0(const char *, replicas->len + 1);
 	cw_relay_options_t options = {
 		.kind = CW_RELAY_PROXY,
-		.vm = proxy->own->vm,
-		.zone = proxy->own->zone,
+		.vm = settings->vm,
+		.zone = settings->zone,
 		.incarnation = proxy->incarnation,
 		.controls = controls,
-		.control_count = count,
-		.freshness_ms = proxy->own->freshness_ms,
-		.hold_ms = proxy->own->hold_ms,
-		.batch_ms = RELAY_BATCH_MS,
-		.stamp_ms = RELAY_STAMP_MS,
-		.report_ms = REPORT_MS,
-		.children = proxy->own->children,
-		.heads = RELAY_HEADS,
-		.max_news_bytes = RELAY_MAX_NEWS_BYTES,
+		.control_count = replicas->len,
+		.freshness_ms = settings->freshness_ms,
+		.hold_ms = settings->hold_ms,
+		.batch_ms = settings->batch_ms,
+		.report_ms = settings->report_ms,
+		.children = settings->children,
+		.heads = 1,
+		.max_news_bytes = NEWS_BYTES,
 		.seed = proxy->incarnation,
 	};
 
-	for (guint i = 0; i < count; i++)
-		controls[i] = g_array_index(proxy->settings->controls, control_address_t, i).address;
-	proxy->io.relay = cw_relay_new(&options, proxy->feed, proxy->members, clock_now_ms());
-	proxy->io.server = proxy->server;
-	proxy->io.clients = proxy->clients;
+	for (guint i = 0; i < replicas->len; i++)
+		controls[i] = g_array_index(replicas, control_address_t, i).address;
+	return cw_relay_new(&options, proxy->feed, proxy->members, clock_now_ms());
+}
+
+/* Opens the ports, starts the traffic and announces the endpoint. */
+static cw_status_t open_all(proxy_t *proxy)
+{
+	const proxy_settings_t *settings = &proxy->settings->proxy;
+	cw_status_t status = link_server_open(proxy->context, settings->feed_listen, &proxy->server);
+
+	if (status != CW_OK)
+		return status;
+	status = traffic_start(proxy->context, settings, proxy->incarnation, proxy->views, &proxy->traffic);
+	if (status != CW_OK)
+		return status;
+	relay_io_init(&proxy->io, make_relay(proxy), proxy->server, proxy->clients);
 	proxy->io.action = carry_out;
 	proxy->io.data = proxy;
-	g_free(controls);
+	log_info("listening", LOG_STR("vm", settings->vm),
+		 LOG_STR("http", traffic_http_address(proxy->traffic)),
+		 LOG_STR("call", traffic_call_address(proxy->traffic)),
+		 LOG_STR("feed", link_server_address(proxy->server)),
+		 LOG_UINT("incarnation", proxy->incarnation), LOG_END);
+	announce(proxy, CARAWAY__ENDPOINT_STATE__ENDPOINT_UP);
+	return CW_OK;
 }
 
-/* Opens the ports and starts the traffic.  CW_ERR_IO when a port cannot be bound. */
-static cw_status_t proxy_open(proxy_t *proxy, const settings_t *settings)
+/* Makes the state of a proxy, as yet without ports. */
+static void init(proxy_t *proxy, const settings_t *settings)
 {
-	cw_status_t status;
-
 	proxy->settings = settings;
-	proxy->own = &settings->proxy;
 	proxy->incarnation = clock_incarnation();
 	proxy->context = link_context_new();
 	proxy->clients = link_clients_new(proxy->context);
-	proxy->feed = cw_feed_new(proxy->own->feed_keep_records);
-	proxy->members = cw_members_new(0, 0);
+	proxy->feed = cw_feed_new(settings->proxy.feed_keep_records);
+	proxy->members = cw_members_new(0, CARRY_MS);
 	proxy->views = view_slot_new();
-	status = link_server_open(proxy->context, proxy->own->feed_listen, &proxy->server);
-	if (status == CW_OK)
-		status = traffic_start(proxy->context, proxy->own, proxy->incarnation, proxy->views,
-				       &proxy->traffic);
-	if (status != CW_OK)
-		return status;
-	open_relay(proxy);
-	log_info("listening", LOG_STR("vm", proxy->own->vm),
-		 LOG_STR("http", traffic_http_address(proxy->traffic)),
-		 LOG_STR("calls", traffic_call_address(proxy->traffic)),
-		 LOG_STR("feed", link_server_address(proxy->server)), LOG_END);
-	announce(proxy, CARAWAY__ENDPOINT_STATE__ENDPOINT_UP);
-	return CW_OK;
+	proxy->view_by_ms = INT64_MAX;
 }
 
-/* Stops the traffic and frees everything. */
-static void proxy_close(proxy_t *proxy)
+/* Stops the traffic, closes the ports and frees the state. */
+static void release(proxy_t *proxy)
 {
 	if (proxy->traffic)
 		traffic_stop(proxy->traffic);
-	if (proxy->io.relay)
-		cw_relay_free(proxy->io.relay);
-	view_slot_free(proxy->views);
+	if (proxy->server)
+		link_server_close(proxy->server);
+	link_clients_free(proxy->clients);
+	relay_io_clear(&proxy->io);
 	cw_members_free(proxy->members);
 	cw_feed_free(proxy->feed);
-	link_clients_free(proxy->clients);
-	link_server_close(proxy->server);
+	view_slot_free(proxy->views);
 	link_context_free(proxy->context);
 }
 
-/* Runs a proxy until *stop is set, then leaves the mesh.  CW_ERR_IO: it could not start. */
+/* Returns true when the members show that this proxy drains: the news has come round. */
+static bool drain_is_known(const proxy_t *proxy)
+{
+	const Caraway__Endpoint *shown = cw_members_endpoint(proxy->members, proxy->settings->proxy.vm);
+
+	return shown && shown->incarnation == proxy->incarnation &&
+	       shown->state == CARAWAY__ENDPOINT_STATE__ENDPOINT_DRAINING;
+}
+
+/* Leaves as planned: refuses new work, lets the news spread and the calls end, up to a deadline. */
+static void drain(proxy_t *proxy)
+{
+	int64_t now_ms = clock_now_ms();
+	int64_t stop_by_ms = now_ms + proxy->settings->proxy.drain_ms;
+	int64_t spread_by_ms = now_ms + SPREAD_MS;
+	cw_relay_event_t stopping = {.type = CW_RELAY_EV_STOPPING};
+
+	log_info("draining", LOG_UINT("in-flight", traffic_in_flight(proxy->traffic)), LOG_END);
+	announce(proxy, CARAWAY__ENDPOINT_STATE__ENDPOINT_DRAINING);
+	traffic_drain(proxy->traffic);
+	while (now_ms < stop_by_ms && (now_ms < spread_by_ms || traffic_in_flight(proxy->traffic))) {
+		turn(proxy);
+		now_ms = clock_now_ms();
+		if (drain_is_known(proxy))
+			spread_by_ms = MIN(spread_by_ms, now_ms + SPREAD_MARGIN_MS);
+	}
+	relay_io_step(&proxy->io, &stopping);
+	announce(proxy, CARAWAY__ENDPOINT_STATE__ENDPOINT_GONE);
+	for (now_ms = clock_now_ms(), stop_by_ms = now_ms + LEAVE_MS; now_ms < stop_by_ms;
+	     now_ms = clock_now_ms())
+		turn(proxy);
+	log_info("stopped", LOG_UINT("in-flight", traffic_in_flight(proxy->traffic)), LOG_END);
+}
+
+/* Runs a proxy until *stop is set, then drains it.  CW_ERR_IO when a port cannot be bound. */
 cw_status_t proxy_run(const settings_t *settings, const volatile sig_atomic_t *stop)
 {
 	proxy_t proxy = {0};
-	cw_status_t status = proxy_open(&proxy, settings);
+	cw_status_t status;
 
+	init(&proxy, settings);
+	status = open_all(&proxy);
 	if (status == CW_OK) {
 		while (!*stop)
-			run_round(&proxy);
-		leave(&proxy);
+			turn(&proxy);
+		drain(&proxy);
 	}
-	proxy_close(&proxy);
+	release(&proxy);
 	return status;
 }
--- /dev/null
+++ b/daemon/proxy_internal.h
@@ -0,0 +1,29 @@
+/* The control thread's state of a proxy, shared by its files. */
+#ifndef PROXY_INTERNAL_H
+#define PROXY_INTERNAL_H
+
+#include "relay_io.h"
+#include "settings.h"
+#include "traffic.h"
+#include "view.h"
+
+typedef struct {
+	const settings_t *settings;
+	uint64_t incarnation;
+	link_context_t *context;
+	link_server_t *server;
+	link_clients_t *clients;
+	cw_feed_t *feed;
+	cw_members_t *members;
+	relay_io_t io;
+	view_slot_t *views;
+	traffic_t *traffic;
+	int64_t view_by_ms; /* when a view is to be published; INT64_MAX: nothing has changed */
+	uint64_t version;   /* published; 0: none */
+	uint64_t sequence;  /* of the endpoint announced */
+} proxy_t;
+
+/* Answers an operator's query on the feed port. */
+void proxy_answer(proxy_t *proxy, GBytes *peer, const Caraway__OperatorRequest *request);
+
+#endif
--- /dev/null
+++ b/daemon/proxy_query.c
@@ -0,0 +1,46 @@
+/* Queries that a proxy answers on its feed port: its counters and its state. */
+#include <string.h>
+
+#include "clock.h"
+#include "counters.h"
+#include "operator_reply.h"
+#include "proxy_internal.h"
+
+/* Fills in the state of this proxy. */
+static void fill_status(const proxy_t *proxy, Caraway__OperatorReply *reply)
+{
+	Caraway__StatusReport *report = g_new(Caraway__StatusReport, 1);
+	bool fresh = cw_relay_fresh(proxy->io.relay, clock_now_ms());
+
+	caraway__status_report__init(report);
+	report->role =
+		g_strdup(proxy->version ? (fresh ? "proxy" : "proxy, stale") : "proxy, no configuration");
+	report->term = cw_relay_stamp(proxy->io.relay)->term;
+	report->version = proxy->version;
+	report->feed_index = cw_feed_index(proxy->feed);
+	reply->report = report;
+}
+
+/* Answers counters and status; other requests belong to a control replica. */
+void proxy_answer(proxy_t *proxy, GBytes *peer, const Caraway__OperatorRequest *request)
+{
+	Caraway__OperatorReply *reply = g_new(Caraway__OperatorReply, 1);
+
+	caraway__operator_reply__init(reply);
+	reply->request = request->request;
+	switch (request->body_case) {
+	case CARAWAY__OPERATOR_REQUEST__BODY_COUNTERS:
+		operator_reply_counters(reply);
+		break;
+	case CARAWAY__OPERATOR_REQUEST__BODY_STATUS:
+		fill_status(proxy, reply);
+		break;
+	default:
+		counter_add(COUNTER_MESSAGE_UNEXPECTED, 1);
+		reply->status = CW_ERR_STATE;
+		reply->message = g_strdup("this is a proxy; ask a control replica");
+		break;
+	}
+	operator_reply_send(proxy->server, peer, reply);
+	cw_message_free(reply);
+}
--- a/daemon/relay_io.c
+++ b/daemon/relay_io.c
@@ -27,15 +27,13 @@
 	counter_add(counter, caraway__message__get_packed_size(message));
 }
 
-/* Sends a message to a parent, and tells the relay when nobody took the message. */
+/* Sends a message to a parent; the next tick tells the relay when nobody took it. */
 static void send_message(relay_io_t *io, const cw_relay_action_t *action)
 {
-	cw_relay_event_t failed = {.type = CW_RELAY_EV_SEND_FAILED, .address = action->address};
-
 	if (link_clients_send(io->clients, action->address, action->message) == CW_OK)
 		count_bytes(COUNTER_FEED_BYTES_SENT, action->message);
 	else
-		relay_io_step(io, &failed);
+		g_ptr_array_add(io->unsent, g_strdup(action->address));
 }
 
 /* Answers a child; one that is gone asks again elsewhere. */
@@ -92,10 +90,14 @@
 	relay_io_step(io, &event);
 }
 
-/* Takes a parent's answer; any other message is counted and dropped. */
+/*
+ * Takes a parent's answer; any other message is counted and dropped.  The
+ * address is copied, as the relay may drop the connection that it belongs to.
+ */
 void relay_io_answer(relay_io_t *io, const char *address, const Caraway__Message *message)
 {
-	cw_relay_event_t event = {.address = address};
+	g_autofree char *from = g_strdup(address);
+	cw_relay_event_t event = {.address = from};
 
 	switch (message->body_case) {
 	case CARAWAY__MESSAGE__BODY_NEWS:
@@ -114,11 +116,47 @@
 	relay_io_step(io, &event);
 }
 
-/* Lets the relay do what its clock asks for. */
+/* Tells the relay of the messages that nobody took. */
+static void report_unsent(relay_io_t *io)
+{
+	GPtrArray *unsent = io->unsent;
+
+	if (!unsent->len)
+		return;
+	io->unsent = g_ptr_array_new_with_free_func(g_free);
+	for (guint i = 0; i < unsent->len; i++) {
+		cw_relay_event_t event = {.type = CW_RELAY_EV_SEND_FAILED};
+
+		event.address = g_ptr_array_index(unsent, i);
+		relay_io_step(io, &event);
+	}
+	g_ptr_array_unref(unsent);
+}
+
+/* Tells the relay of messages that nobody took and lets it do what its clock asks for. */
 void relay_io_tick(relay_io_t *io)
 {
 	cw_relay_event_t event = {.type = CW_RELAY_EV_TICK};
 
+	report_unsent(io);
 	if (cw_relay_deadline_ms(io->relay) <= clock_now_ms())
 		relay_io_step(io, &event);
 }
+
+/* Prepares to run a relay, which is taken over; the sockets are borrowed. */
+void relay_io_init(relay_io_t *io, cw_relay_t *relay, link_server_t *server, link_clients_t *clients)
+{
+	io->relay = relay;
+	io->server = server;
+	io->clients = clients;
+	io->unsent = g_ptr_array_new_with_free_func(g_free);
+}
+
+/* Frees the relay; allowed when relay_io_init() was never called. */
+void relay_io_clear(relay_io_t *io)
+{
+	if (!io->relay)
+		return;
+	cw_relay_free(io->relay);
+	g_ptr_array_unref(io->unsent);
+}
--- a/daemon/settings.h
+++ b/daemon/settings.h
@@ -22,7 +22,9 @@
 	uint32_t endpoint_lease_ms;
 	uint32_t snapshot_entries; /* applied entries between snapshots */
 	uint32_t feed_keep_records;
-	uint32_t children; /* most proxies that pull from this replica */
+	uint32_t children;   /* most proxies that pull from this replica */
+	uint32_t zone_heads; /* most of them in one availability zone */
+	uint32_t stamp_ms;   /* between the stamps of a leader */
 } control_settings_t;
 
 typedef struct {
@@ -40,6 +42,8 @@
 	uint32_t timeout_ms;   /* of a call whose caller and service give none */
 	uint32_t freshness_ms; /* a parent without a newer stamp for this long is left */
 	uint32_t hold_ms;      /* longest time a pull is held without news */
+	uint32_t batch_ms;     /* longest time a change of endpoints waits for others */
+	uint32_t report_ms;    /* between reports that renew the lease of the endpoint */
 	uint32_t children;     /* most proxies that pull from this one */
 	uint32_t feed_keep_records;
 	uint32_t drain_ms;	/* longest time a planned stop waits for calls in flight */
--- a/daemon/settings_rules.c
+++ b/daemon/settings_rules.c
@@ -20,10 +20,12 @@
 	{"control", "heartbeat-ms", VALUE_NUMBER, AT(control.heartbeat_ms), "100", 10, 10000},
 	{"control", "election-ms", VALUE_NUMBER, AT(control.election_ms), "1000", 50, 60000},
 	{"control", "leader-lease-ms", VALUE_NUMBER, AT(control.leader_lease_ms), "700", 20, 60000},
-	{"control", "endpoint-lease-ms", VALUE_NUMBER, AT(control.endpoint_lease_ms), "10000", 500, 600000},
+	{"control", "endpoint-lease-ms", VALUE_NUMBER, AT(control.endpoint_lease_ms), "30000", 500, 600000},
 	{"control", "snapshot-entries", VALUE_NUMBER, AT(control.snapshot_entries), "1024", 8, 1000000},
 	{"control", "feed-keep-records", VALUE_NUMBER, AT(control.feed_keep_records), "4096", 1, 1000000},
 	{"control", "children", VALUE_NUMBER, AT(control.children), "64", 1, 10000},
+	{"control", "zone-heads", VALUE_NUMBER, AT(control.zone_heads), "1", 1, 10000},
+	{"control", "stamp-ms", VALUE_NUMBER, AT(control.stamp_ms), "1000", 10, 60000},
 };
 
 static const rule_t proxy_rules[] = {
@@ -41,6 +43,8 @@
 	{"proxy", "timeout-ms", VALUE_NUMBER, AT(proxy.timeout_ms), "2000", 1, 600000},
 	{"proxy", "freshness-ms", VALUE_NUMBER, AT(proxy.freshness_ms), "5000", 100, 600000},
 	{"proxy", "hold-ms", VALUE_NUMBER, AT(proxy.hold_ms), "1000", 10, 60000},
+	{"proxy", "batch-ms", VALUE_NUMBER, AT(proxy.batch_ms), "100", 0, 60000},
+	{"proxy", "report-ms", VALUE_NUMBER, AT(proxy.report_ms), "10000", 100, 600000},
 	{"proxy", "children", VALUE_NUMBER, AT(proxy.children), "16", 0, 10000},
 	{"proxy", "feed-keep-records", VALUE_NUMBER, AT(proxy.feed_keep_records), "1024", 1, 1000000},
 	{"proxy", "drain-ms", VALUE_NUMBER, AT(proxy.drain_ms), "10000", 0, 600000},
--- a/daemon/view.c
+++ b/daemon/view.c
@@ -1,23 +1,55 @@
-/* The view of a proxy: one version of its configuration and the endpoints that its routes lead to. */
+/* Views: the configuration and endpoints that calls read, published under RCU. */
 #include "view.h"
 
+#include <stdlib.h>
 #include <string.h>
 #include <urcu/urcu-memb.h>
 
-struct view_slot {
-	view_t *view;
-};
-
-/* What view_new() gathers the view from. */
+/* Endpoints of a view under construction, with the VMs their labels come from. */
 typedef struct {
 	const cw_catalog_t *catalog;
 	const cw_config_t *config;
-	const GPtrArray *endpoints; /* Caraway__Endpoint * */
-	GHashTable *positions;	    /* VM -> position in the view's endpoints, plus one */
-	GArray *chosen;		    /* view_endpoint_t */
-} builder_t;
+	GPtrArray *endpoints; /* Caraway__Endpoint *, borrowed */
+} view_source_t;
+
+/* Returns true when a route of the configuration leads to a service. */
+static bool is_routed(const cw_config_t *config, const char *service)
+{
+	for (guint i = 0; i < config->routes->len; i++)
+		if (!strcmp(((const Caraway__Route *)g_ptr_array_index(config->routes, i))->service, service))
+			return true;
+	return false;
+}
+
+/* Returns the endpoints that some route leads to, borrowed. */
+static GPtrArray *routed_endpoints(const cw_config_t *config, const GPtrArray *endpoints)
+{
+	GPtrArray *routed = g_ptr_array_new();
+
+	for (guint i = 0; i < endpoints->len; i++) {
+		Caraway__Endpoint *endpoint = g_ptr_array_index(endpoints, i);
 
-/* Returns the target of that name, or NULL. */
+		if (endpoint->state != CARAWAY__ENDPOINT_STATE__ENDPOINT_GONE && *endpoint->call_address &&
+		    is_routed(config, endpoint->service))
+			g_ptr_array_add(routed, endpoint);
+	}
+	return routed;
+}
+
+/* Copies an endpoint into a view. */
+static void copy_endpoint(view_endpoint_t *copy, const Caraway__Endpoint *endpoint)
+{
+	copy->vm = g_strdup(endpoint->vm);
+	copy->zone = g_strdup(endpoint->zone);
+	copy->region = g_strdup(endpoint->region);
+	copy->service = g_strdup(endpoint->service);
+	copy->call_address = g_strdup(endpoint->call_address);
+	copy->incarnation = endpoint->incarnation;
+	copy->slots = endpoint->slots;
+	copy->draining = endpoint->state == CARAWAY__ENDPOINT_STATE__ENDPOINT_DRAINING;
+}
+
+/* Returns the target of a name, or NULL. */
 static const Caraway__Target *find_target(const cw_config_t *config, const char *name)
 {
 	for (guint i = 0; i < config->targets->len; i++) {
@@ -29,8 +61,8 @@
 	return NULL;
 }
 
-/* Returns the longest time a call of a service may take, in ms; 0 takes the proxy's default. */
-static uint32_t service_timeout_ms(const cw_config_t *config, const char *name)
+/* Returns the time limit of a service; 0 takes the proxy's default. */
+static uint32_t service_timeout(const cw_config_t *config, const char *name)
 {
 	for (guint i = 0; i < config->services->len; i++) {
 		const Caraway__Service *service = g_ptr_array_index(config->services, i);
@@ -41,72 +73,67 @@
 	return 0;
 }
 
-/* Copies an endpoint into the view, once, and returns its position there. */
-static uint32_t add_endpoint(builder_t *builder, const Caraway__Endpoint *endpoint)
+/* Returns true when the labels of an endpoint's VM match; a VM not recorded has its place but no labels. */
+static bool selects(const view_source_t *source, const cw_selector_t *selector,
+		    const Caraway__Endpoint *endpoint)
 {
-	gpointer held = g_hash_table_lookup(builder->positions, endpoint->vm);
-	view_endpoint_t copy = {0};
+	const Caraway__Vm *recorded = cw_catalog_vm(source->catalog, endpoint->vm);
+	Caraway__Vm vm = CARAWAY__VM__INIT;
 
-	if (held)
-		return GPOINTER_TO_UINT(held) - 1;
-	copy.vm = g_strdup(endpoint->vm);
-	copy.zone = g_strdup(endpoint->zone);
-	copy.region = g_strdup(endpoint->region);
-	copy.service = g_strdup(endpoint->service);
-	copy.call_address = g_strdup(endpoint->call_address);
-	copy.incarnation = endpoint->incarnation;
-	copy.slots = endpoint->slots;
-	copy.draining = endpoint->state == CARAWAY__ENDPOINT_STATE__ENDPOINT_DRAINING;
-	g_array_append_val(builder->chosen, copy);
-	g_hash_table_insert(builder->positions, endpoint->vm, GUINT_TO_POINTER(builder->chosen->len));
-	return builder->chosen->len - 1;
+	if (recorded)
+		return cw_selector_match(selector, recorded);
+	vm.name = endpoint->vm;
+	vm.zone = endpoint->zone;
+	vm.region = endpoint->region;
+	vm.service = endpoint->service;
+	return cw_selector_match(selector, &vm);
 }
 
-/* Returns true when a selector chooses the VM of an endpoint; no selector chooses all. */
-static bool selects(const builder_t *builder, const cw_selector_t *selector, const char *vm_name)
+/* Returns the selector of a route's target, or NULL for all targets; *none is set when the target is of no use. */
+static cw_selector_t *route_selector(const view_source_t *source, const Caraway__Route *route, bool *none)
 {
-	const Caraway__Vm *vm;
-
-	if (!selector)
-		return true;
-	vm = cw_catalog_vm(builder->catalog, vm_name);
-	return vm && cw_selector_match(selector, vm);
-}
-
-/* Parses the selector of a route's target; NULL when the route leads to every target of its service. */
-static cw_selector_t *target_selector(const cw_config_t *config, const Caraway__Route *route)
-{
-	const Caraway__Target *target = *route->target ? find_target(config, route->target) : NULL;
+	const Caraway__Target *target;
 	cw_selector_t *selector = NULL;
 
-	if (target)
-		cw_selector_parse(target->selector, &selector);
+	*none = false;
+	if (!*route->target)
+		return NULL;
+	target = find_target(source->config, route->target);
+	*none = !target || strcmp(target->service, route->service) != 0 ||
+		cw_selector_parse(target->selector, &selector) != CW_OK;
 	return selector;
 }
 
-/* Fills in the positions of the endpoints that a route leads to. */
-static void gather_endpoints(builder_t *builder, const Caraway__Route *route, view_route_t *copy)
+/* Notes the positions of the endpoints that a route leads to. */
+static void fill_route_endpoints(const view_source_t *source, const Caraway__Route *route, view_route_t *copy)
 {
-	cw_selector_t *selector = target_selector(builder->config, route);
-	GArray *positions = g_array_new(FALSE, FALSE, sizeof(uint32_t));
+	bool none;
+	cw_selector_t *selector = route_selector(source, route, &none);
 
-	for (guint i = 0; i < builder->endpoints->len; i++) {
-		const Caraway__Endpoint *endpoint = g_ptr_array_index(builder->endpoints, i);
-		uint32_t position;
+	copy->endpoints = g_new0(uint32_t, source->endpoints->len + 1);
+	for (guint i = 0; i < source->endpoints->len && !none; i++) {
+		const Caraway__Endpoint *endpoint = g_ptr_array_index(source->endpoints, i);
 
-		if (strcmp(endpoint->service, route->service) != 0 ||
-		    !selects(builder, selector, endpoint->vm))
-			continue;
-		position = add_endpoint(builder, endpoint);
-		g_array_append_val(positions, position);
+		if (!strcmp(endpoint->service, route->service) &&
+		    (!selector || selects(source, selector, endpoint)))
+			copy->endpoints[copy->endpoint_count++] = i;
 	}
-	copy->endpoint_count = positions->len;
-	copy->endpoints = (uint32_t *)(void *)g_array_free(positions, FALSE);
 	if (selector)
 		cw_selector_free(selector);
 }
 
-/* Orders routes by the length of their paths, longest first, then by name. */
+/* Copies a route into a view. */
+static void copy_route(const view_source_t *source, const Caraway__Route *route, view_route_t *copy)
+{
+	copy->name = g_strdup(route->name);
+	copy->path = g_strdup(route->path);
+	copy->service = g_strdup(route->service);
+	copy->idempotence = route->idempotence;
+	copy->timeout_ms = service_timeout(source->config, route->service);
+	fill_route_endpoints(source, route, copy);
+}
+
+/* Orders routes, the longest path first, then by name. */
 static int compare_routes(const void *a, const void *b)
 {
 	const view_route_t *left = a;
@@ -119,40 +146,24 @@
 	return strcmp(left->name, right->name);
 }
 
-/* Fills in the routes of the configuration. */
-static void gather_routes(builder_t *builder, view_t *view)
-{
-	view->route_count = builder->config->routes->len;
-	view->routes = g_new0(view_route_t, view->route_count);
-	for (uint32_t i = 0; i < view->route_count; i++) {
-		const Caraway__Route *route = g_ptr_array_index(builder->config->routes, i);
-		view_route_t *copy = &view->routes[i];
-
-		copy->name = g_strdup(route->name);
-		copy->path = g_strdup(route->path);
-		copy->service = g_strdup(route->service);
-		copy->idempotence = route->idempotence;
-		copy->timeout_ms = service_timeout_ms(builder->config, route->service);
-		gather_endpoints(builder, route, copy);
-	}
-	if (view->route_count)
-		qsort(view->routes, view->route_count, sizeof(*view->routes), compare_routes);
-}
-
-/* Builds a view for a VM; endpoints are borrowed Caraway__Endpoint *. */
+/* Builds the view of a VM from the catalog and the endpoints, which are borrowed. */
 view_t *view_new(const cw_catalog_t *catalog, const Caraway__Vm *vm, const GPtrArray *endpoints)
 {
-	view_t *view = g_new0(view_t, 1);
 	cw_config_t *config = cw_catalog_resolve(catalog, vm);
-	builder_t builder = {.catalog = catalog, .config = config, .endpoints = endpoints};
-
-	builder.positions = g_hash_table_new(g_str_hash, g_str_equal);
-	builder.chosen = g_array_new(FALSE, FALSE, sizeof(view_endpoint_t));
-	view->version = config->version;
-	gather_routes(&builder, view);
-	view->endpoint_count = builder.chosen->len;
-	view->endpoints = (view_endpoint_t *)(void *)g_array_free(builder.chosen, FALSE);
-	g_hash_table_destroy(builder.positions);
+	view_source_t source = {catalog, config, routed_endpoints(config, endpoints)};
+	view_t *view = g_new0(view_t, 1);
+
+	view->version = cw_catalog_version(catalog);
+	view->endpoint_count = source.endpoints->len;
+	view->endpoints = g_new0(view_endpoint_t, view->endpoint_count + 1);
+	for (uint32_t i = 0; i < view->endpoint_count; i++)
+		copy_endpoint(&view->endpoints[i], g_ptr_array_index(source.endpoints, i));
+	view->route_count = config->routes->len;
+	view->routes = g_new0(view_route_t, view->route_count + 1);
+	for (uint32_t i = 0; i < view->route_count; i++)
+		copy_route(&source, g_ptr_array_index(config->routes, i), &view->routes[i]);
+	qsort(view->routes, view->route_count, sizeof(*view->routes), compare_routes);
+	g_ptr_array_unref(source.endpoints);
 	cw_config_free(config);
 	return view;
 }
@@ -180,50 +191,59 @@
 	g_free(view);
 }
 
-/* Returns true when a path is the prefix or lies below it. */
-static bool path_matches(const char *prefix, const char *path)
+/* Returns true when a prefix covers a path: both are equal or the path goes on with a new segment. */
+static bool covers(const char *prefix, const char *path)
 {
 	size_t length = strlen(prefix);
 
 	if (strncmp(prefix, path, length) != 0)
 		return false;
-	return prefix[length - 1] == '/' || !path[length] || path[length] == '/' || path[length] == '?';
+	return !length || prefix[length - 1] == '/' || !path[length] || path[length] == '/';
 }
 
-/* Returns the route with the longest path that matches, or NULL. */
+/* Returns the route with the longest prefix of a path without query, or NULL. */
 const view_route_t *view_route(const view_t *view, const char *path)
 {
 	for (uint32_t i = 0; i < view->route_count; i++)
-		if (path_matches(view->routes[i].path, path))
+		if (covers(view->routes[i].path, path))
 			return &view->routes[i];
 	return NULL;
 }
 
-/* Creates a slot that holds no view yet. */
+struct view_slot {
+	view_t *view;
+	uint64_t serial;
+};
+
+/* Returns a slot without a view. */
 view_slot_t *view_slot_new(void)
 {
 	return g_new0(view_slot_t, 1);
 }
 
-/* Frees a slot and its view; no reader may be left. */
+/* Frees a slot and its view; there may be no readers any more. */
 void view_slot_free(view_slot_t *slot)
 {
+	if (!slot)
+		return;
 	view_free(slot->view);
 	g_free(slot);
 }
 
-/* Replaces the view and frees the old one after every reader has left it; control thread only. */
+/* Replaces the view, waits for the readers of the old one and frees it; control thread only. */
 void view_slot_publish(view_slot_t *slot, view_t *view)
 {
-	view_t *old = rcu_xchg_pointer(&slot->view, view);
+	view_t *old;
 
+	view->serial = ++slot->serial;
+	old = rcu_xchg_pointer(&slot->view, view);
 	if (!old)
 		return;
 	urcu_memb_synchronize_rcu();
 	view_free(old);
 }
 
-/* Returns the published view, valid until the reader unlocks; NULL until there is one. */
+/* Returns the published view, to be used inside a read-side critical section only. */
 const view_t *view_slot_read(const view_slot_t *slot)
 {
 	return rcu_dereference(slot->view);
--- a/daemon/view.h
+++ b/daemon/view.h
@@ -31,6 +31,7 @@
 
 typedef struct {
 	uint64_t version; /* of the configuration */
+	uint64_t serial;  /* rises with every view published in a slot */
 	view_endpoint_t *endpoints;
 	uint32_t endpoint_count;
 	view_route_t *routes; /* longest path first */
--- a/libcaraway/feed_read.c
+++ b/libcaraway/feed_read.c
@@ -141,20 +141,18 @@
 	return caraway__feed_record__unpack(NULL, length, data);
 }
 
-/* Returns true when the records after a position are kept and the chain value there is the one given. */
-static bool holds_position(const cw_feed_t *feed, uint64_t index, uint64_t chain)
+/* Returns the chain value at a position whose record is kept or that is the one before the first kept. */
+static uint64_t chain_at(const cw_feed_t *feed, uint64_t index)
 {
 	Caraway__FeedRecord *record;
-	bool equal;
+	uint64_t chain;
 
-	if (index < feed->base_index)
-		return false;
 	if (index == feed->base_index)
-		return chain == feed->base_chain;
+		return feed->base_chain;
 	record = record_at(feed, (guint)(index - feed->base_index - 1));
-	equal = record->chain == chain;
+	chain = record->chain;
 	cw_message_free(record);
-	return equal;
+	return chain;
 }
 
 /* Puts the records after an index into a news, at least one and at most max_bytes. */
@@ -178,9 +176,9 @@
 
 /*
  * Fills a news with what follows the position of a child: records while they
- * are kept and the chain holds, otherwise the whole snapshot.  Nothing is
- * filled in for a child that is at the end of the feed.  CW_ERR_POSITION when
- * the child is ahead of this feed or differs from it at its end.
+ * are kept, otherwise the whole snapshot.  Nothing is filled in for a child
+ * that is at the end of the feed.  CW_ERR_POSITION when the child is ahead of
+ * this feed, or holds another record at its position.
  */
 cw_status_t cw_feed_read(const cw_feed_t *feed, uint64_t index, uint64_t chain, size_t max_bytes,
 			 Caraway__News *news)
@@ -189,14 +187,14 @@
 		return cw_fail(CW_ERR_POSITION,
 			       "the child holds %" G_GUINT64_FORMAT ", beyond %" G_GUINT64_FORMAT, index,
 			       feed->index);
-	if (index == feed->index && chain == feed->chain)
+	if (index < feed->base_index) {
+		read_snapshot(feed, news);
 		return CW_OK;
-	if (index == feed->index)
+	}
+	if (chain != chain_at(feed, index))
 		return cw_fail(CW_ERR_POSITION, "the child differs at record %" G_GUINT64_FORMAT, index);
-	if (holds_position(feed, index, chain))
+	if (index < feed->index)
 		read_records(feed, index, max_bytes, news);
-	else
-		read_snapshot(feed, news);
 	return CW_OK;
 }
 
--- a/libcaraway/relay_serve.c
+++ b/libcaraway/relay_serve.c
@@ -284,7 +284,7 @@
 static Caraway__PullReason refusal(const cw_relay_t *relay, const relay_child_t *child,
 				   cw_status_t read_status, const Caraway__News *news, int64_t now_ms)
 {
-	if (read_status != CW_OK && child->feed_index == cw_feed_index(relay->feed))
+	if (read_status != CW_OK && child->feed_index <= cw_feed_index(relay->feed))
 		return CARAWAY__PULL_REASON__PULL_UNKNOWN_POSITION;
 	if (news->n_records || news->snapshot.len || has_stamp_news(relay, child) ||
 	    has_floor_news(relay, child) || has_endpoint_news(relay, child))
