--- /dev/null
+++ b/tests/unit/test_ledger_fuzz.c
@@ -0,0 +1,385 @@
+/*
+ * Seeded mutations of change files, selectors, commands and ledger snapshots.
+ * Nothing may crash; a refusal has a type and changes nothing.
+ */
+#include <check.h>
+#include <string.h>
+
+#include "mutate.h"
+#include "words.h"
+
+enum {
+	FILE_ROUNDS = 20000,
+	SELECTOR_ROUNDS = 50000,
+	SNAPSHOT_ROUNDS = 20000,
+	COMMAND_ROUNDS = 20000,
+	HASH_BYTES = 8
+};
+
+static const char *const change_seed =
+	"[change]\ntitle = Winter\nselector = zone=eger,!old\n[service a]\ntimeout-ms = 50\n"
+	"[route r]\npath = /x\nservice = a\ntarget = t\nidempotent = never\n"
+	"[target t]\nservice = a\nselector = tier=new\n[route s]\nremove = true\n";
+static const char *const selector_seed = "zone=eger,service!=konvoj,tier,!old,vm=v1";
+/* Change files: a content that is read passes its own check; a refusal names the file. */
+START_TEST(test_change)
+{
+	GRand *random = g_rand_new_with_seed(1);
+	int read = 0;
+
+	for (int i = 0; i < FILE_ROUNDS; i++) {
+		GByteArray *bytes = mutate_bytes(random, change_seed, strlen(change_seed));
+		Caraway__Content *content;
+		cw_status_t status = cw_change_parse((char *)bytes->data, bytes->len, "f.ini", &content);
+
+		ck_assert(status == CW_OK || status == CW_ERR_CHANGE_FILE || status == CW_ERR_SELECTOR);
+		ck_assert((status == CW_OK) == (content != NULL));
+		if (content)
+			ck_assert_int_eq(cw_content_check(content), CW_OK);
+		else
+			ck_assert(g_str_has_prefix(cw_last_message(), "f.ini: "));
+		read += status == CW_OK;
+		cw_message_free(content);
+		g_byte_array_unref(bytes);
+	}
+	ck_assert_int_gt(read, FILE_ROUNDS / 100);
+	ck_assert_int_lt(read, FILE_ROUNDS);
+	g_rand_free(random);
+}
+END_TEST
+
+/* Selectors: what parses can be matched. */
+START_TEST(test_selector)
+{
+	GRand *random = g_rand_new_with_seed(2);
+	char *labels[] = {"zone=eger", "tier=new"};
+	Caraway__Vm *vm = words_vm("v1", 2, labels);
+	int parsed = 0;
+	int matched = 0;
+
+	for (int i = 0; i < SELECTOR_ROUNDS; i++) {
+		GByteArray *bytes = mutate_bytes(random, selector_seed, strlen(selector_seed));
+		cw_selector_t *selector;
+		cw_status_t status;
+
+		g_byte_array_append(bytes, (const guint8 *)"", 1);
+		status = cw_selector_parse((char *)bytes->data, &selector);
+		ck_assert(status == CW_OK || status == CW_ERR_SELECTOR);
+		parsed += status == CW_OK;
+		if (selector)
+			matched += cw_selector_match(selector, vm);
+		cw_selector_free(selector);
+		g_byte_array_unref(bytes);
+	}
+	ck_assert_int_gt(parsed, SELECTOR_ROUNDS / 100);
+	ck_assert_int_gt(matched, 0);
+	ck_assert_int_lt(matched, parsed);
+	cw_message_free(vm);
+	g_rand_free(random);
+}
+END_TEST
+
+/* Returns the packed form of a booking. */
+static GBytes *packed_book(uint64_t number, const char *selector, int argc, char **argv)
+{
+	Caraway__Command command = CARAWAY__COMMAND__INIT;
+	Caraway__Book book = CARAWAY__BOOK__INIT;
+	GBytes *packed;
+
+	command.proposed_ms = 1000;
+	command.body_case = CARAWAY__COMMAND__BODY_BOOK;
+	command.book = &book;
+	book.number = number;
+	book.operator_name = "anna";
+	book.due_ms = 2000;
+	book.content = words_content(selector, argc, argv);
+	packed = cw_message_pack(&command.base);
+	cw_message_free(book.content);
+	return packed;
+}
+
+/* Returns the packed form of a review, a withdrawal or an activation. */
+static GBytes *packed_step(Caraway__Command__BodyCase body, uint64_t number, int64_t at_ms)
+{
+	Caraway__Command command = CARAWAY__COMMAND__INIT;
+	Caraway__Review review = CARAWAY__REVIEW__INIT;
+	Caraway__Withdraw withdraw = CARAWAY__WITHDRAW__INIT;
+	Caraway__Activate activate = CARAWAY__ACTIVATE__INIT;
+
+	command.proposed_ms = at_ms;
+	command.body_case = body;
+	review.number = withdraw.number = activate.number = number;
+	review.operator_name = withdraw.operator_name = "bela";
+	if (body == CARAWAY__COMMAND__BODY_REVIEW)
+		command.review = &review;
+	else if (body == CARAWAY__COMMAND__BODY_WITHDRAW)
+		command.withdraw = &withdraw;
+	else
+		command.activate = &activate;
+	return cw_message_pack(&command.base);
+}
+
+/* Returns the packed form of a registration with a label command's fields left to mutation. */
+static GBytes *packed_register(const char *name, const char *zone)
+{
+	Caraway__Command command = CARAWAY__COMMAND__INIT;
+	Caraway__Register body = CARAWAY__REGISTER__INIT;
+	Caraway__Vm vm = CARAWAY__VM__INIT;
+
+	command.body_case = CARAWAY__COMMAND__BODY_REGISTER_VM;
+	command.register_vm = &body;
+	body.vm = &vm;
+	vm.name = (char *)name;
+	vm.zone = (char *)zone;
+	return cw_message_pack(&command.base);
+}
+
+/* Returns packed commands (GBytes) that bring a ledger into every state of a change. */
+static GPtrArray *seed_commands(void)
+{
+	char *first[] = {"service=a", "route=r:/:a", "target=t:a:tier=new"};
+	char *second[] = {"route=s:/s:a:t"};
+	char *third[] = {"route=u:/u:missing"};
+	GPtrArray *commands = g_ptr_array_new_with_free_func((GDestroyNotify)g_bytes_unref);
+
+	g_ptr_array_add(commands, packed_register("v1", "eger"));
+	g_ptr_array_add(commands, packed_register("v2", "ozd"));
+	g_ptr_array_add(commands, packed_book(1, "", 3, first));
+	g_ptr_array_add(commands, packed_step(CARAWAY__COMMAND__BODY_REVIEW, 1, 1000));
+	g_ptr_array_add(commands, packed_step(CARAWAY__COMMAND__BODY_ACTIVATE, 1, 2000));
+	g_ptr_array_add(commands, packed_book(2, "zone=eger", 1, second));
+	g_ptr_array_add(commands, packed_step(CARAWAY__COMMAND__BODY_REVIEW, 2, 1000));
+	g_ptr_array_add(commands, packed_book(3, "", 1, third));
+	g_ptr_array_add(commands, packed_step(CARAWAY__COMMAND__BODY_REVIEW, 3, 1000));
+	g_ptr_array_add(commands, packed_book(4, "zone=ozd", 1, second));
+	g_ptr_array_add(commands, packed_step(CARAWAY__COMMAND__BODY_WITHDRAW, 4, 1000));
+	g_ptr_array_add(commands, packed_book(5, "zone=ozd", 1, second));
+	return commands;
+}
+
+/* Applies a packed command; returns CW_ERR_DECODE when it cannot be unpacked. */
+static cw_status_t apply_packed(cw_ledger_t *ledger, const void *data, size_t length)
+{
+	Caraway__Command *command = caraway__command__unpack(NULL, length, data);
+	Caraway__Change *change;
+	cw_status_t status;
+
+	if (!command)
+		return CW_ERR_DECODE;
+	status = cw_ledger_apply(ledger, command, &change);
+	cw_message_free(change);
+	cw_message_free(command);
+	return status;
+}
+
+/* Returns a ledger that the seed commands brought about. */
+static cw_ledger_t *seed_ledger(GPtrArray *commands)
+{
+	cw_ledger_t *ledger = cw_ledger_new(10);
+
+	for (size_t i = 0; i < commands->len; i++) {
+		gsize length;
+		const void *data = g_bytes_get_data(commands->pdata[i], &length);
+
+		apply_packed(ledger, data, length);
+	}
+	return ledger;
+}
+
+/* What is in the catalog must be valid, however it came in. */
+static void judge_vm(const cw_catalog_t *catalog, const Caraway__Vm *vm)
+{
+	cw_config_t *config = cw_catalog_resolve(catalog, vm);
+
+	ck_assert_int_eq(cw_vm_check(vm), CW_OK);
+	for (size_t i = 0; i < config->routes->len; i++)
+		ck_assert_int_eq(((Caraway__Route *)config->routes->pdata[i])->path[0], '/');
+	cw_config_free(config);
+}
+
+/* Asks a ledger everything it answers, and activates what is due. */
+static void use_ledger(cw_ledger_t *ledger)
+{
+	const cw_catalog_t *catalog = cw_feed_catalog(cw_ledger_feed(ledger));
+	GPtrArray *vms = cw_catalog_vms(catalog);
+	GPtrArray *changes = cw_ledger_changes(ledger);
+	GBytes *step =
+		packed_step(CARAWAY__COMMAND__BODY_ACTIVATE, cw_ledger_due(ledger, INT64_MAX), INT64_MAX);
+	gsize length;
+	const void *data = g_bytes_get_data(step, &length);
+
+	for (size_t i = 0; i < vms->len; i++)
+		judge_vm(catalog, vms->pdata[i]);
+	cw_catalog_check(catalog);
+	apply_packed(ledger, data, length);
+	g_bytes_unref(cw_ledger_save(ledger));
+	g_bytes_unref(step);
+	g_ptr_array_unref(vms);
+	g_ptr_array_unref(changes);
+}
+
+/* Returns a packed command with up to three fields altered. */
+static GByteArray *mutate_command(GRand *random, const void *data, size_t length)
+{
+	Caraway__Command *command = caraway__command__unpack(NULL, length, data);
+	GByteArray *bytes = g_byte_array_new();
+	int count = g_rand_int_range(random, 1, 4);
+
+	for (int i = 0; i < count; i++)
+		mutate_message(random, &command->base);
+	g_byte_array_set_size(bytes, (guint)caraway__command__get_packed_size(command));
+	caraway__command__pack(command, bytes->data);
+	cw_message_free(command);
+	return bytes;
+}
+
+/* Commands: whatever decodes is answered, and the ledger goes on. */
+START_TEST(test_command)
+{
+	GRand *random = g_rand_new_with_seed(3);
+	GPtrArray *commands = seed_commands();
+	cw_ledger_t *ledger = seed_ledger(commands);
+	int counts[CW_STATUS_COUNT] = {0};
+
+	for (int i = 0; i < COMMAND_ROUNDS; i++) {
+		gsize length;
+		const void *data = g_bytes_get_data(
+			commands->pdata[g_rand_int_range(random, 0, (gint32)commands->len)], &length);
+		GByteArray *bytes =
+			i % 2 ? mutate_command(random, data, length) : mutate_bytes(random, data, length);
+
+		counts[apply_packed(ledger, bytes->data, bytes->len)]++;
+		g_byte_array_unref(bytes);
+	}
+	use_ledger(ledger);
+	ck_assert_int_gt(counts[CW_OK], 0);
+	ck_assert_int_gt(counts[CW_ERR_DECODE], 0);
+	ck_assert_int_gt(counts[CW_ERR_CONFLICT], 0);
+	ck_assert_int_gt(counts[CW_ERR_CHANGE_FILE], 0);
+	ck_assert_int_eq(counts[CW_ERR_INTERNAL], 0);
+	cw_ledger_free(ledger);
+	g_ptr_array_unref(commands);
+	g_rand_free(random);
+}
+END_TEST
+
+/* Puts the hash of the rest in front of a snapshot, so that its fields are looked at. */
+static void seal(GByteArray *bytes)
+{
+	uint64_t hash = GUINT64_TO_LE(cw_hash(bytes->data + HASH_BYTES, bytes->len - HASH_BYTES, 0));
+
+	memcpy(bytes->data, &hash, HASH_BYTES);
+}
+
+/* Returns a sealed snapshot with up to three fields altered. */
+static GByteArray *mutate_snapshot(GRand *random, const guint8 *data, size_t length)
+{
+	Caraway__LedgerSnapshot *snapshot =
+		caraway__ledger_snapshot__unpack(NULL, length - HASH_BYTES, data + HASH_BYTES);
+	GByteArray *bytes = g_byte_array_new();
+	int count = g_rand_int_range(random, 1, 4);
+
+	for (int i = 0; i < count; i++)
+		mutate_message(random, &snapshot->base);
+	g_byte_array_set_size(bytes, HASH_BYTES + (guint)caraway__ledger_snapshot__get_packed_size(snapshot));
+	caraway__ledger_snapshot__pack(snapshot, bytes->data + HASH_BYTES);
+	cw_message_free(snapshot);
+	return bytes;
+}
+
+/* Loads a snapshot into a ledger that holds something else; a refusal changes nothing. */
+static bool load_snapshot(const GByteArray *bytes, GPtrArray *commands)
+{
+	cw_ledger_t *ledger = cw_ledger_new(10);
+	GBytes *before;
+	GBytes *after;
+	gsize length;
+	const void *data = g_bytes_get_data(commands->pdata[2], &length);
+	cw_status_t status;
+
+	apply_packed(ledger, data, length);
+	before = cw_ledger_save(ledger);
+	status = cw_ledger_load(ledger, bytes->data, bytes->len);
+	ck_assert(status == CW_OK || status == CW_ERR_DECODE || status == CW_ERR_DAMAGED);
+	after = cw_ledger_save(ledger);
+	if (status)
+		ck_assert(g_bytes_equal(before, after));
+	else
+		use_ledger(ledger);
+	g_bytes_unref(before);
+	g_bytes_unref(after);
+	cw_ledger_free(ledger);
+	return status == CW_OK;
+}
+
+/* Snapshots with a valid hash, altered in their bytes or fields. */
+START_TEST(test_snapshot)
+{
+	GRand *random = g_rand_new_with_seed(4);
+	GPtrArray *commands = seed_commands();
+	cw_ledger_t *ledger = seed_ledger(commands);
+	GBytes *saved = cw_ledger_save(ledger);
+	gsize length;
+	const guint8 *data = g_bytes_get_data(saved, &length);
+	int taken = 0;
+
+	for (int i = 0; i < SNAPSHOT_ROUNDS; i++) {
+		GByteArray *bytes =
+			i % 4 ? mutate_snapshot(random, data, length) : mutate_bytes(random, data, length);
+
+		if (bytes->len >= HASH_BYTES)
+			seal(bytes);
+		taken += load_snapshot(bytes, commands);
+		g_byte_array_unref(bytes);
+	}
+	ck_assert_int_gt(taken, 0);
+	ck_assert_int_lt(taken, SNAPSHOT_ROUNDS);
+	g_bytes_unref(saved);
+	cw_ledger_free(ledger);
+	g_ptr_array_unref(commands);
+	g_rand_free(random);
+}
+END_TEST
+
+/* Every byte of a snapshot is under its hash: any one altered, or any cut, is damage. */
+START_TEST(test_damage)
+{
+	GPtrArray *commands = seed_commands();
+	cw_ledger_t *ledger = seed_ledger(commands);
+	GBytes *saved = cw_ledger_save(ledger);
+	gsize length;
+	guint8 *data = g_bytes_unref_to_data(saved, &length);
+
+	for (size_t i = 0; i < length; i++) {
+		data[i] ^= 0x10;
+		ck_assert_int_eq(cw_ledger_load(ledger, data, length), CW_ERR_DAMAGED);
+		data[i] ^= 0x10;
+		ck_assert_int_eq(cw_ledger_load(ledger, data, i), CW_ERR_DAMAGED);
+	}
+	ck_assert_int_eq(cw_ledger_load(ledger, data, length), CW_OK);
+	g_free(data);
+	cw_ledger_free(ledger);
+	g_ptr_array_unref(commands);
+}
+END_TEST
+
+/* Runs the tests; the exit status is the number of failures, at most 1. */
+int main(void)
+{
+	Suite *suite = suite_create("ledger_fuzz");
+	TCase *tcase = tcase_create("ledger_fuzz");
+	SRunner *runner = srunner_create(suite);
+	int failed;
+
+	tcase_set_timeout(tcase, 300);
+	tcase_add_test(tcase, test_change);
+	tcase_add_test(tcase, test_selector);
+	tcase_add_test(tcase, test_command);
+	tcase_add_test(tcase, test_snapshot);
+	tcase_add_test(tcase, test_damage);
+	suite_add_tcase(suite, tcase);
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed != 0;
+}
