Leave a parent whose records lag behind its stamps, and come home

Cause: runs with random faults left 34 of 40 proxies on an old version with fresh stamps: a control replica heard the leader's stamps while its own copy of the log did not advance, and its children believed the stamps. Change: a stamp counts only once the feed has come to the index that the stamp before it named. A proxy with a parent in another availability zone looks for one of its own after half a minute at most. Ruled out: letting every batch of records extend the time with a parent.

--- a/daemon/counters.h
+++ b/daemon/counters.h
@@ -57,6 +57,7 @@
 	X(PARENT_LEFT_STALE, "parent-left-stale")                                                            \
 	X(PARENT_LEFT_REFUSED, "parent-left-refused")                                                        \
 	X(PARENT_LEFT_SILENT, "parent-left-silent")                                                          \
+	X(PARENT_LEFT_FOREIGN, "parent-left-foreign")                                                        \
 	X(PULL_CROSSED, "pull-crossed")                                                                      \
 	X(NEWS_CROSSED, "news-crossed")                                                                      \
 	X(PARENT_LEFT_NEWS, "parent-left-news")                                                              \
--- a/libcaraway/relay.c
+++ b/libcaraway/relay.c
@@ -5,7 +5,9 @@
  * Freshness: only a leader that a quorum has confirmed issues a stamp, and
  * stamps are passed on unchanged.  A process that has seen no newer stamp for
  * the freshness bound leaves its parent, whatever the link looks like; a cycle
- * of parents or an isolated replica cannot make one up.
+ * of parents or an isolated replica cannot make one up.  A stamp counts only
+ * when the feed has come to the index that the one before it named, so a parent
+ * that passes stamps but no records is left too.
  *
  * Floor: a proxy that starts uses no configuration before it holds what was
  * committed at its start.  It asks by a numbered question, which passes up the
@@ -112,14 +114,23 @@
 	g_free(relay);
 }
 
+bool cw_relay_is_newer(const cw_relay_t *relay, const Caraway__Stamp *stamp)
+{
+	if (stamp->term != relay->stamp.term)
+		return stamp->term > relay->stamp.term;
+	return stamp->sequence > relay->stamp.sequence;
+}
+
 bool cw_relay_take_stamp(cw_relay_t *relay, const Caraway__Stamp *stamp, int64_t now_ms)
 {
-	if (stamp->term < relay->stamp.term ||
-	    (stamp->term == relay->stamp.term && stamp->sequence <= relay->stamp.sequence))
+	if (!cw_relay_is_newer(relay, stamp))
 		return false;
 	relay->stamp.term = stamp->term;
 	relay->stamp.sequence = stamp->sequence;
 	relay->stamp.feed_index = stamp->feed_index;
+	if (cw_feed_index(relay->feed) < relay->fresh_index)
+		return false;
+	relay->fresh_index = stamp->feed_index;
 	relay->fresh_until_ms = now_ms + relay->options.freshness_ms;
 	return true;
 }
--- a/libcaraway/relay_child.c
+++ b/libcaraway/relay_child.c
@@ -8,6 +8,7 @@
 	BACKOFF_MS = 40,	/* before the next parent; doubled with each one left */
 	BACKOFF_MAX_MS = 1000,
 	HINT_BACKOFF_MS = 20,
+	HOME_MS = 30000,       /* with a parent of another availability zone */
 	NO_CANDIDATE_MS = 400, /* before looking again when every parent is to be avoided */
 	AVOID_MS = 500,	       /* a parent just left; doubled with each one left */
 	AVOID_MAX_MS = 4000,
@@ -123,6 +124,7 @@
 	parent->connect_by_ms = now_ms + CONNECT_MS;
 	parent->connect_wait_ms = CONNECT_WAIT_MS;
 	parent->stamp_by_ms = now_ms + relay->options.freshness_ms;
+	parent->home_by_ms = now_ms + jitter(relay, HOME_MS);
 	send_pull(relay, now_ms, actions);
 }
 
@@ -135,7 +137,9 @@
 		return true;
 	switch (cw_feed_accept(relay->feed, news)) {
 	case CW_OK:
-		if (relay->ready && cw_feed_index(relay->feed) != index)
+		if (cw_feed_index(relay->feed) == index)
+			return true;
+		if (relay->ready)
 			cw_relay_add(actions, CW_RELAY_AC_CONFIGURATION);
 		return true;
 	case CW_ERR_STALE: /* a second answer to what was asked twice */
@@ -160,15 +164,21 @@
 		cw_relay_add(actions, CW_RELAY_AC_ENDPOINTS);
 }
 
-/* Takes stamp and floor of a news. */
-static void take_stamp(cw_relay_t *relay, const Caraway__News *news, int64_t now_ms,
+/* Takes stamp and floor of a news, by which the feed has advanced or not. */
+static void take_stamp(cw_relay_t *relay, const Caraway__News *news, bool advanced, int64_t now_ms,
 		       cw_relay_actions_t *actions)
 {
+	bool newer;
+
 	if (!news->stamp)
 		return;
+	newer = cw_relay_is_newer(relay, news->stamp);
 	if (cw_relay_take_stamp(relay, news->stamp, now_ms)) {
 		relay->parent.stamp_by_ms = now_ms + relay->options.freshness_ms;
 		relay->attempts = 0;
+	} else if (newer && advanced) {
+		/* Much to catch up with may take longer than the freshness bound. */
+		relay->parent.stamp_by_ms = now_ms + relay->options.freshness_ms;
 	}
 	if (relay->floor_open && news->floor == relay->floor_round) {
 		relay->floor_open = false;
@@ -193,6 +203,7 @@
 		   cw_relay_actions_t *actions)
 {
 	const Caraway__News *news = event->news;
+	uint64_t index = cw_feed_index(relay->feed);
 
 	if (!is_expected(relay, event->address, news->request)) {
 		cw_relay_count(actions, CW_RELAY_NEWS_CROSSED);
@@ -204,7 +215,7 @@
 	}
 	cw_relay_up_acknowledge(relay, news->request);
 	take_endpoints(relay, news, now_ms, actions);
-	take_stamp(relay, news, now_ms, actions);
+	take_stamp(relay, news, cw_feed_index(relay->feed) != index, now_ms, actions);
 	cw_relay_check_ready(relay, actions);
 	/* A later pull that is still out is answered by itself. */
 	if (news->request == relay->parent.request)
@@ -255,6 +266,17 @@
 	parent->connect_wait_ms *= 2;
 }
 
+/* Leaves a parent of another availability zone for one of this zone. */
+static void go_home(cw_relay_t *relay, int64_t now_ms, cw_relay_actions_t *actions)
+{
+	relay->parent.home_by_ms = now_ms + HOME_MS;
+	if (!cw_relay_is_foreign(relay, relay->parent.address))
+		return;
+	cw_relay_count(actions, CW_RELAY_PARENT_LEFT_FOREIGN);
+	relay->attempts = 0;
+	forget_parent(relay, now_ms, actions);
+}
+
 /* Does what is due of a parent that has been asked. */
 static void asked_tick(cw_relay_t *relay, int64_t now_ms, cw_relay_actions_t *actions)
 {
@@ -262,6 +284,8 @@
 		leave(relay, CW_RELAY_PARENT_LEFT_SILENT, now_ms, actions);
 	else if (now_ms >= relay->parent.stamp_by_ms)
 		leave(relay, CW_RELAY_PARENT_LEFT_STALE, now_ms, actions);
+	else if (now_ms >= relay->parent.home_by_ms)
+		go_home(relay, now_ms, actions);
 	else if (now_ms >= relay->urgent_by_ms)
 		send_pull(relay, now_ms, actions);
 }
@@ -291,5 +315,6 @@
 
 	if (parent->state != PARENT_ASKED)
 		return parent->retry_ms;
-	return MIN(MIN(parent->answer_by_ms, parent->stamp_by_ms), relay->urgent_by_ms);
+	return MIN(MIN(parent->answer_by_ms, parent->stamp_by_ms),
+		   MIN(parent->home_by_ms, relay->urgent_by_ms));
 }
--- a/libcaraway/relay_choose.c
+++ b/libcaraway/relay_choose.c
@@ -260,3 +260,18 @@
 	address = take_hint(relay, now_ms);
 	return address ? address : choose_for_proxy(relay, now_ms);
 }
+
+bool cw_relay_is_foreign(const cw_relay_t *relay, const char *address)
+{
+	GPtrArray *endpoints = cw_members_endpoints(relay->members);
+	bool foreign = false;
+
+	for (guint i = 0; i < endpoints->len && !foreign; i++) {
+		const Caraway__Endpoint *endpoint = g_ptr_array_index(endpoints, i);
+
+		foreign = g_str_equal(endpoint->feed_address, address) &&
+			  !g_str_equal(endpoint->zone, relay->options.zone);
+	}
+	g_ptr_array_unref(endpoints);
+	return foreign;
+}
--- a/libcaraway/relay_internal.h
+++ b/libcaraway/relay_internal.h
@@ -42,6 +42,7 @@
 	int64_t connect_wait_ms;
 	int64_t answer_by_ms;
 	int64_t stamp_by_ms; /* left when no newer stamp has come by then */
+	int64_t home_by_ms;  /* one of another zone is left for one of this zone by then */
 	bool answered;
 	uint32_t depth; /* of this process below it */
 } relay_parent_t;
@@ -69,6 +70,7 @@
 	/* freshness */
 	Caraway__Stamp stamp;
 	int64_t fresh_until_ms;
+	uint64_t fresh_index; /* the feed must come to this before the next stamp counts */
 	/* questions for a floor, numbered as they arrive; a proxy's own is the first */
 	uint64_t floor_arrivals;
 	uint64_t floor_satisfied;
@@ -107,7 +109,9 @@
 /* ---- relay.c */
 void cw_relay_count(cw_relay_actions_t *actions, cw_relay_count_t count);
 cw_relay_action_t *cw_relay_add(cw_relay_actions_t *actions, cw_relay_action_type_t type);
-/* Takes a stamp if it is newer than the newest seen; returns whether it is. */
+/* Returns true for a stamp newer than the newest seen. */
+bool cw_relay_is_newer(const cw_relay_t *relay, const Caraway__Stamp *stamp);
+/* Takes a stamp if it is newer than the newest seen; returns whether this process is fresh by it. */
 bool cw_relay_take_stamp(cw_relay_t *relay, const Caraway__Stamp *stamp, int64_t now_ms);
 /* Marks the questions up to one as answered by the newest stamp. */
 void cw_relay_floor_answered(cw_relay_t *relay, uint64_t covers, uint64_t feed_index);
@@ -139,6 +143,8 @@
 /* ---- relay_choose.c */
 /* Returns the address of the next parent to try, owned by the caller, or NULL when all are to be avoided. */
 char *cw_relay_choose(cw_relay_t *relay, int64_t now_ms);
+/* Returns true for the address of a proxy of another availability zone. */
+bool cw_relay_is_foreign(const cw_relay_t *relay, const char *address);
 /* Notes that a parent was left, and keeps it from being chosen for a time. */
 void cw_relay_avoid(cw_relay_t *relay, const char *address, int64_t now_ms, int64_t duration_ms);
 
--- a/tests/unit/relay_net.c
+++ b/tests/unit/relay_net.c
@@ -381,7 +381,7 @@
 		take_confirmed(net, node, event);
 		return;
 	case EV_APPLY:
-		if (is_cut(net, net->leader, node->id))
+		if (node->lags || is_cut(net, net->leader, node->id))
 			return;
 		apply_log(net, node, event->read_index);
 		relay_event.type = CW_RELAY_EV_FEED;
@@ -525,10 +525,9 @@
 			tell_leader(net, net_node(net, i));
 }
 
-/* Commits an entry: the leader applies it at once, the others when they hear of it. */
-static void commit(net_t *net, log_entry_t *entry)
+/* Has the control replicas apply the log: the leader at once, the others when they hear of it. */
+static void spread_log(net_t *net)
 {
-	g_ptr_array_add(net->log, entry);
 	for (uint32_t i = 0; i < net->options.controls; i++) {
 		net_event_t event = {.type = EV_APPLY, .to = (int)i, .from = net->leader};
 
@@ -537,6 +536,13 @@
 	}
 }
 
+/* Commits an entry. */
+static void commit(net_t *net, log_entry_t *entry)
+{
+	g_ptr_array_add(net->log, entry);
+	spread_log(net);
+}
+
 void net_stage(net_t *net, uint64_t number, const Caraway__Content *content)
 {
 	log_entry_t *entry = g_new0(log_entry_t, 1);
@@ -676,6 +682,7 @@
 void net_heal(net_t *net)
 {
 	g_array_set_size(net->cuts, 0);
+	spread_log(net);
 }
 
 void net_inject(net_t *net, net_node_t *from, net_node_t *to, const Caraway__Message *message)
--- a/tests/unit/relay_net.h
+++ b/tests/unit/relay_net.h
@@ -45,6 +45,7 @@
 	cw_members_t *members;
 	cw_relay_t *relay; /* NULL while the process is down */
 	bool damages;	   /* changes what it sends down */
+	bool lags;	   /* control: hears the leader but does not apply the log */
 	size_t applied;	   /* control: entries of the log */
 	uint64_t tick_token;
 	int64_t tick_us;
--- a/tests/unit/test_relay.c
+++ b/tests/unit/test_relay.c
@@ -135,6 +135,8 @@
 			net_start(run->net, node);
 		else if (!strcmp(argv[0], "damage"))
 			node->damages = true;
+		else if (!strcmp(argv[0], "lag"))
+			node->lags = true;
 		else if (!strcmp(argv[0], "drain"))
 			net_announce(run->net, node, CARAWAY__ENDPOINT_STATE__ENDPOINT_DRAINING);
 	}
@@ -185,7 +187,7 @@
 	static const char *const words[CW_RELAY_COUNT_COUNT] = {
 		"served",	"full",		  "stale",	   "stopping",	   "position",
 		"not-ready",	"pull-crossed",	  "news-crossed",  "news-damaged", "news-position",
-		"parent-stale", "parent-refused", "parent-silent", "parent-news",
+		"parent-stale", "parent-refused", "parent-silent", "parent-news",  "parent-foreign",
 	};
 	uint64_t total = 0;
 
@@ -232,6 +234,107 @@
 	g_string_append_printf(out, "%s\n", count ? "yes" : "no");
 }
 
+/* Counts the proxies whose parent is a proxy of another zone. */
+static void run_foreign(const run_t *run, GString *out)
+{
+	size_t count = 0;
+
+	for (size_t i = 0; i < net_node_count(run->net); i++) {
+		const net_node_t *node = net_node(run->net, i);
+		const char *parent = node->relay ? cw_relay_parent(node->relay) : NULL;
+
+		if (parent && !node->control && !net_find(run->net, parent)->control)
+			count += strcmp(net_find(run->net, parent)->zone, node->zone) != 0;
+	}
+	g_string_append_printf(out, "%zu\n", count);
+}
+
+/* Returns a node at random: a control replica or a proxy. */
+static net_node_t *any_node(const run_t *run, GRand *random, bool control)
+{
+	net_node_t *node;
+
+	do
+		node = net_node(run->net,
+				(size_t)g_rand_int_range(random, 0, (gint32)net_node_count(run->net)));
+	while (node->control != control);
+	return node;
+}
+
+/* Cuts the links of a node, one way or both, from the control replicas or from all. */
+static void cut_at_random(const run_t *run, GRand *random, const net_node_t *node)
+{
+	const net_node_t *other = g_rand_boolean(random) ? any_node(run, random, true) : NULL;
+
+	net_cut(run->net, node, other);
+	if (g_rand_boolean(random))
+		net_cut(run->net, other, node);
+}
+
+/* Kills or starts processes at random, some of them of a whole zone. */
+static void restart_at_random(const run_t *run, GRand *random, bool start)
+{
+	char *zone = any_node(run, random, false)->zone;
+	char *name = any_node(run, random, false)->name;
+	char *argv[] = {start ? "start" : "kill", g_rand_int_range(random, 0, 4) ? name : zone};
+
+	if (start)
+		argv[1] = "proxies";
+	run_nodes(run, 2, argv);
+}
+
+/* Brings about one fault, or ends some. */
+static void one_fault(run_t *run, GRand *random)
+{
+	switch (g_rand_int_range(random, 0, 9)) {
+	case 0:
+	case 1:
+	case 2:
+		restart_at_random(run, random, false);
+		break;
+	case 3:
+		restart_at_random(run, random, true);
+		break;
+	case 4:
+		cut_at_random(run, random, any_node(run, random, false));
+		break;
+	case 5:
+		cut_at_random(run, random, any_node(run, random, true));
+		break;
+	case 6:
+		net_heal(run->net);
+		break;
+	case 7:
+		net_elect(run->net, any_node(run, random, true), g_rand_boolean(random));
+		break;
+	default:
+		any_node(run, random, false)->damages ^= true;
+		break;
+	}
+}
+
+/* chaos SEED ROUNDS: faults and changes at random, then none, and time to recover */
+static void run_chaos(run_t *run, char **argv)
+{
+	GRand *random = g_rand_new_with_seed((guint32)atoi(argv[1]));
+	char *all[] = {"start", "proxies"};
+
+	for (int i = 0; i < atoi(argv[2]); i++) {
+		one_fault(run, random);
+		for (int changes = g_rand_int_range(random, 0, 4); changes > 0; changes--) {
+			stage(run);
+			activate(run);
+		}
+		net_run(run->net, (int64_t)g_rand_int_range(random, 1, 1500) * US_PER_MS);
+	}
+	net_heal(run->net);
+	for (size_t i = 0; i < net_node_count(run->net); i++)
+		net_node(run->net, i)->damages = false;
+	run_nodes(run, 2, all);
+	net_elect(run->net, net_node(run->net, 0), true);
+	g_rand_free(random);
+}
+
 /* Carries out one command of a script. */
 static void run_command(void *data, int argc, char **argv, GString *out)
 {
@@ -259,6 +362,10 @@
 		run_observer(run, out);
 	else if (!strcmp(argv[0], "counted"))
 		run_counted(run, argv[1], out);
+	else if (!strcmp(argv[0], "foreign"))
+		run_foreign(run, out);
+	else if (!strcmp(argv[0], "chaos"))
+		run_chaos(run, argv);
 	else if (!strcmp(argv[0], "cycles"))
 		run_cycles(run, out);
 	else if (!strcmp(argv[0], "children"))
