Archive changes that finished long ago

Change: the last 40,000 finished changes are kept whole but for the contents of all but 1,000; of earlier ones the ledger keeps number, state and a hash of content, due time and booker, 16 bytes in a sorted array. Equal bookings of such numbers are still answered as at first, others are conflicts; reviews and withdrawals of them are refused with their state.

Ruled out: forgetting numbers below a floor, as operators choose numbers in any order, and by age, as an equal number must never stand for two contents.

--- a/bench/bench_ledger.c
+++ b/bench/bench_ledger.c
@@ -23,6 +23,7 @@
 	VMS_PER_SERVICE = 5,
 	ROUTES_PER_SERVICE = 2,
 	CHANGES_PER_DAY = 5200,
+	ARCHIVE_CHANGES = 100000,
 	ROUNDS = 100,
 	KEEP_RECORDS = 1000
 };
@@ -397,6 +398,39 @@
 	cw_ledger_free(fleet.ledger);
 }
 
+/* Books and withdraws changes. */
+static void withdraw_many(fleet_t *fleet, unsigned count)
+{
+	for (unsigned i = 0; i < count; i++) {
+		Caraway__Command command = CARAWAY__COMMAND__INIT;
+		Caraway__Withdraw body = CARAWAY__WITHDRAW__INIT;
+
+		book(fleet, 0, parse_content(g_strdup(""), "[service s]\n"));
+		body.number = fleet->number;
+		body.operator_name = "reviewer";
+		command.body_case = CARAWAY__COMMAND__BODY_WITHDRAW;
+		command.withdraw = &body;
+		apply(fleet, &command);
+	}
+}
+
+/* Measures what a change that finished long ago leaves behind for good. */
+static void measure_archive(void)
+{
+	fleet_t fleet = {.ledger = cw_ledger_new(KEEP_RECORDS)};
+	size_t before;
+	size_t snapshot_before;
+
+	withdraw_many(&fleet, ARCHIVE_CHANGES);
+	before = allocated();
+	snapshot_before = snapshot_bytes(&fleet);
+	withdraw_many(&fleet, ARCHIVE_CHANGES);
+	print_bytes(&fleet, "memory per archived change", allocated() - before, ARCHIVE_CHANGES);
+	print_bytes(&fleet, "snapshot per archived change", snapshot_bytes(&fleet) - snapshot_before,
+		    ARCHIVE_CHANGES);
+	cw_ledger_free(fleet.ledger);
+}
+
 /* Measures the sizes given, or the default ones. */
 int main(int argc, char **argv)
 {
@@ -404,5 +438,6 @@
 		measure((unsigned)strtoul(argv[i], NULL, 10));
 	for (size_t i = 0; argc < 2 && i < G_N_ELEMENTS(default_sizes); i++)
 		measure(default_sizes[i]);
+	measure_archive();
 	return 0;
 }
--- a/libcaraway/gen/caraway.pb-c.c
+++ b/libcaraway/gen/caraway.pb-c.c
@@ -1672,6 +1672,51 @@
   assert(message->base.descriptor == &caraway__feed_snapshot__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   caraway__archive__init
+                     (Caraway__Archive         *message)
+{
+  static const Caraway__Archive init_value = CARAWAY__ARCHIVE__INIT;
+  *message = init_value;
+}
+size_t caraway__archive__get_packed_size
+                     (const Caraway__Archive *message)
+{
+  assert(message->base.descriptor == &caraway__archive__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t caraway__archive__pack
+                     (const Caraway__Archive *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &caraway__archive__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t caraway__archive__pack_to_buffer
+                     (const Caraway__Archive *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &caraway__archive__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Caraway__Archive *
+       caraway__archive__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Caraway__Archive *)
+     protobuf_c_message_unpack (&caraway__archive__descriptor,
+                                allocator, len, data);
+}
+void   caraway__archive__free_unpacked
+                     (Caraway__Archive *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &caraway__archive__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   caraway__ledger_snapshot__init
                      (Caraway__LedgerSnapshot         *message)
 {
@@ -5574,7 +5619,58 @@
   (ProtobufCMessageInit) caraway__feed_snapshot__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor caraway__ledger_snapshot__field_descriptors[2] =
+static const ProtobufCFieldDescriptor caraway__archive__field_descriptors[2] =
+{
+  {
+    "numbers",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT64,
+    offsetof(Caraway__Archive, n_numbers),
+    offsetof(Caraway__Archive, numbers),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "identities",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Caraway__Archive, n_identities),
+    offsetof(Caraway__Archive, identities),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned caraway__archive__field_indices_by_name[] = {
+  1,   /* field[1] = identities */
+  0,   /* field[0] = numbers */
+};
+static const ProtobufCIntRange caraway__archive__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor caraway__archive__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "caraway.Archive",
+  "Archive",
+  "Caraway__Archive",
+  "caraway",
+  sizeof(Caraway__Archive),
+  2,
+  caraway__archive__field_descriptors,
+  caraway__archive__field_indices_by_name,
+  1,  caraway__archive__number_ranges,
+  (ProtobufCMessageInit) caraway__archive__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor caraway__ledger_snapshot__field_descriptors[3] =
 {
   {
     "changes",
@@ -5600,15 +5696,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "archive",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Caraway__LedgerSnapshot, archive),
+    &caraway__archive__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned caraway__ledger_snapshot__field_indices_by_name[] = {
+  2,   /* field[2] = archive */
   0,   /* field[0] = changes */
   1,   /* field[1] = feed */
 };
 static const ProtobufCIntRange caraway__ledger_snapshot__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor caraway__ledger_snapshot__descriptor =
 {
@@ -5618,7 +5727,7 @@
   "Caraway__LedgerSnapshot",
   "caraway",
   sizeof(Caraway__LedgerSnapshot),
-  2,
+  3,
   caraway__ledger_snapshot__field_descriptors,
   caraway__ledger_snapshot__field_indices_by_name,
   1,  caraway__ledger_snapshot__number_ranges,
--- a/libcaraway/gen/caraway.pb-c.h
+++ b/libcaraway/gen/caraway.pb-c.h
@@ -52,6 +52,7 @@
 typedef struct Caraway__LayerTarget Caraway__LayerTarget;
 typedef struct Caraway__Catalog Caraway__Catalog;
 typedef struct Caraway__FeedSnapshot Caraway__FeedSnapshot;
+typedef struct Caraway__Archive Caraway__Archive;
 typedef struct Caraway__LedgerSnapshot Caraway__LedgerSnapshot;
 typedef struct Caraway__Stamp Caraway__Stamp;
 typedef struct Caraway__Endpoint Caraway__Endpoint;
@@ -749,16 +750,36 @@
     , 0, 0, NULL, 0,NULL }
 
 
+/*
+ * What answers equal numbers of changes that finished long ago; two lists of equal length, by number.
+ */
+struct  Caraway__Archive
+{
+  ProtobufCMessage base;
+  size_t n_numbers;
+  uint64_t *numbers;
+  /*
+   * hash of content, due time and booker; the low 3 bits are the ChangeState
+   */
+  size_t n_identities;
+  uint64_t *identities;
+};
+#define CARAWAY__ARCHIVE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&caraway__archive__descriptor) \
+    , 0,NULL, 0,NULL }
+
+
 struct  Caraway__LedgerSnapshot
 {
   ProtobufCMessage base;
   size_t n_changes;
   Caraway__Change **changes;
   Caraway__FeedSnapshot *feed;
+  Caraway__Archive *archive;
 };
 #define CARAWAY__LEDGER_SNAPSHOT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&caraway__ledger_snapshot__descriptor) \
-    , 0,NULL, NULL }
+    , 0,NULL, NULL, NULL }
 
 
 /*
@@ -1974,6 +1995,25 @@
 void   caraway__feed_snapshot__free_unpacked
                      (Caraway__FeedSnapshot *message,
                       ProtobufCAllocator *allocator);
+/* Caraway__Archive methods */
+void   caraway__archive__init
+                     (Caraway__Archive         *message);
+size_t caraway__archive__get_packed_size
+                     (const Caraway__Archive   *message);
+size_t caraway__archive__pack
+                     (const Caraway__Archive   *message,
+                      uint8_t             *out);
+size_t caraway__archive__pack_to_buffer
+                     (const Caraway__Archive   *message,
+                      ProtobufCBuffer     *buffer);
+Caraway__Archive *
+       caraway__archive__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   caraway__archive__free_unpacked
+                     (Caraway__Archive *message,
+                      ProtobufCAllocator *allocator);
 /* Caraway__LedgerSnapshot methods */
 void   caraway__ledger_snapshot__init
                      (Caraway__LedgerSnapshot         *message);
@@ -2562,6 +2602,9 @@
 typedef void (*Caraway__FeedSnapshot_Closure)
                  (const Caraway__FeedSnapshot *message,
                   void *closure_data);
+typedef void (*Caraway__Archive_Closure)
+                 (const Caraway__Archive *message,
+                  void *closure_data);
 typedef void (*Caraway__LedgerSnapshot_Closure)
                  (const Caraway__LedgerSnapshot *message,
                   void *closure_data);
@@ -2686,6 +2729,7 @@
 extern const ProtobufCMessageDescriptor caraway__layer_target__descriptor;
 extern const ProtobufCMessageDescriptor caraway__catalog__descriptor;
 extern const ProtobufCMessageDescriptor caraway__feed_snapshot__descriptor;
+extern const ProtobufCMessageDescriptor caraway__archive__descriptor;
 extern const ProtobufCMessageDescriptor caraway__ledger_snapshot__descriptor;
 extern const ProtobufCMessageDescriptor caraway__stamp__descriptor;
 extern const ProtobufCMessageDescriptor caraway__endpoint__descriptor;
--- a/libcaraway/ledger.c
+++ b/libcaraway/ledger.c
@@ -1,7 +1,7 @@
 /* The ledger: changes by number, applied from the replicated log. */
 #include "ledger.h"
 
-enum { KEEP_CONTENTS = 1000 };
+enum { KEEP_CONTENTS = 1000, KEEP_FINISHED = 40000 };
 
 /* Returns a new, empty ledger whose feed keeps as many records for its readers. */
 cw_ledger_t *cw_ledger_new(size_t keep_records)
@@ -12,6 +12,8 @@
 	ledger->changes = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, cw_message_free);
 	ledger->plan = plan_new();
 	ledger->kept = g_queue_new();
+	ledger->recent = g_queue_new();
+	ledger->archive = g_array_new(FALSE, FALSE, sizeof(archived_t));
 	return ledger;
 }
 
@@ -21,6 +23,8 @@
 	if (!ledger)
 		return;
 	g_queue_free(ledger->kept);
+	g_queue_free(ledger->recent);
+	g_array_unref(ledger->archive);
 	plan_free(ledger->plan);
 	g_hash_table_destroy(ledger->changes);
 	cw_feed_free(ledger->feed);
@@ -31,6 +35,8 @@
 void ledger_reset(cw_ledger_t *ledger)
 {
 	g_queue_clear(ledger->kept);
+	g_queue_clear(ledger->recent);
+	g_array_set_size(ledger->archive, 0);
 	plan_free(ledger->plan);
 	ledger->plan = plan_new();
 	g_hash_table_remove_all(ledger->changes);
@@ -86,9 +92,24 @@
 	ledger->open++;
 }
 
+/* Drops the content of a finished change. */
+static void drop_content(Caraway__Change *change)
+{
+	cw_message_free(change->content);
+	change->content = NULL;
+}
+
+/* Archives a finished change. */
+static void archive_change(cw_ledger_t *ledger, const Caraway__Change *change)
+{
+	archive_add(ledger->archive, change);
+	g_hash_table_remove(ledger->changes, &change->number);
+}
+
 /*
  * Gives a change its last state.  The contents of the changes that finished
- * last are kept; of older ones the digest, which answers equal numbers.
+ * last are kept, of many more the other fields, and of those before them what
+ * answers equal numbers.
  */
 void ledger_finish(cw_ledger_t *ledger, Caraway__Change *change, Caraway__ChangeState state)
 {
@@ -96,11 +117,11 @@
 	change->finished = ++ledger->finished;
 	ledger->open--;
 	g_queue_push_tail(ledger->kept, change);
-	if (g_queue_get_length(ledger->kept) <= KEEP_CONTENTS)
-		return;
-	change = g_queue_pop_head(ledger->kept);
-	cw_message_free(change->content);
-	change->content = NULL;
+	g_queue_push_tail(ledger->recent, change);
+	if (g_queue_get_length(ledger->kept) > KEEP_CONTENTS)
+		drop_content(g_queue_pop_head(ledger->kept));
+	if (g_queue_get_length(ledger->recent) > KEEP_FINISHED)
+		archive_change(ledger, g_queue_pop_head(ledger->recent));
 }
 
 /* Returns the number of the change to activate next when it is due at utc_ms; 0 when none is. */
@@ -147,6 +168,24 @@
 	}
 }
 
+/* Returns a copy of a change, of an archived one its number and state; NULL when there is none. */
+static Caraway__Change *copy_change(const cw_ledger_t *ledger, uint64_t number)
+{
+	const Caraway__Change *found = ledger_find(ledger, number);
+	const archived_t *archived = found ? NULL : archive_find(ledger->archive, number);
+	Caraway__Change *change;
+
+	if (found)
+		return cw_message_copy(&found->base);
+	if (!archived)
+		return NULL;
+	change = malloc(sizeof(*change));
+	caraway__change__init(change);
+	change->number = number;
+	change->state = archive_state(archived);
+	return change;
+}
+
 /*
  * Applies a committed command.  Reads no clock but the command's time, so
  * that every replica comes to the same state and answer.  *change, when it is
@@ -159,9 +198,8 @@
 {
 	uint64_t number;
 	cw_status_t status = apply_body(ledger, command, &number);
-	const Caraway__Change *found = number ? ledger_find(ledger, number) : NULL;
 
 	if (change)
-		*change = found ? cw_message_copy(&found->base) : NULL;
+		*change = number ? copy_change(ledger, number) : NULL;
 	return status;
 }
--- a/libcaraway/ledger.h
+++ b/libcaraway/ledger.h
@@ -18,11 +18,19 @@
 	GHashTable *users;    /* kind and name -> GPtrArray of plan_item_t that refer to it */
 } plan_t;
 
+/* A change that finished long ago: its number, and what tells an equal booking and its state. */
+typedef struct {
+	uint64_t number;
+	uint64_t identity;
+} archived_t;
+
 struct cw_ledger {
 	cw_feed_t *feed;
 	GHashTable *changes; /* number -> Caraway__Change */
 	plan_t *plan;
 	GQueue *kept;	   /* finished changes whose content is kept, oldest first */
+	GQueue *recent;	   /* finished changes that are not archived, oldest first */
+	GArray *archive;   /* archived_t, by number */
 	uint64_t finished; /* number of changes that finished */
 	size_t open;	   /* changes that have not finished */
 };
@@ -50,6 +58,17 @@
 void ledger_add(cw_ledger_t *ledger, Caraway__Change *change);
 void ledger_finish(cw_ledger_t *ledger, Caraway__Change *change, Caraway__ChangeState state);
 
+/* ---- archive.c ---- */
+
+uint64_t archive_identity(const Caraway__Change *change);
+uint64_t archive_hash(uint64_t digest, const char *operator_name);
+bool archive_equals(const archived_t *archived, uint64_t hash);
+Caraway__ChangeState archive_state(const archived_t *archived);
+void archive_add(GArray *archive, const Caraway__Change *change);
+const archived_t *archive_find(const GArray *archive, uint64_t number);
+Caraway__Archive *archive_save(const GArray *archive);
+cw_status_t archive_load(const Caraway__Archive *saved, GArray *archive);
+
 /* ---- ledger_change.c ---- */
 
 int64_t change_at_ms(const Caraway__Change *change);
--- a/libcaraway/ledger_change.c
+++ b/libcaraway/ledger_change.c
@@ -61,11 +61,19 @@
 	}
 }
 
-/* Finds a change; CW_ERR_NOT_FOUND. */
+/* Finds a change that is not archived; CW_ERR_NOT_FOUND, or CW_ERR_STATE when it is archived. */
 static cw_status_t find(const cw_ledger_t *ledger, uint64_t number, Caraway__Change **change)
 {
+	const archived_t *archived;
+
 	*change = ledger_find(ledger, number);
-	return *change ? CW_OK : cw_fail(CW_ERR_NOT_FOUND, "no change " NUMBER, number);
+	if (*change)
+		return CW_OK;
+	archived = archive_find(ledger->archive, number);
+	if (!archived)
+		return cw_fail(CW_ERR_NOT_FOUND, "no change " NUMBER, number);
+	return cw_fail(CW_ERR_STATE, "change " NUMBER " is %s and archived", number,
+		       state_words[archive_state(archived)]);
 }
 
 /* Answers a booking of a number that is taken: the first answer again, or CW_ERR_CONFLICT. */
@@ -80,6 +88,19 @@
 		       change->number, change->booked_by, change->due_ms, change->digest);
 }
 
+/* Answers a booking of an archived number: the first answer again, or CW_ERR_CONFLICT. */
+static cw_status_t book_archived(const archived_t *archived, const Caraway__Book *book)
+{
+	uint64_t digest = change_digest(book->content, book->due_ms);
+
+	if (archive_equals(archived, archive_hash(digest, book->operator_name)))
+		return CW_OK;
+	return cw_fail(CW_ERR_CONFLICT,
+		       "change " NUMBER " stands with another content, due time or booker, %s and archived; "
+		       "book under another number",
+		       archived->number, state_words[archive_state(archived)]);
+}
+
 /* Checks the fields of a booking; CW_ERR_USAGE, CW_ERR_CHANGE_FILE or CW_ERR_SELECTOR. */
 static cw_status_t check_book(const Caraway__Book *book)
 {
@@ -95,6 +116,7 @@
 /* Books a change under a number that is free; an equal booking gets the first answer again. */
 cw_status_t ledger_book(cw_ledger_t *ledger, const Caraway__Book *book, int64_t at_ms)
 {
+	const archived_t *archived = archive_find(ledger->archive, book->number);
 	Caraway__Change *change;
 	cw_status_t status = check_book(book);
 
@@ -103,6 +125,8 @@
 	change = ledger_find(ledger, book->number);
 	if (change)
 		return book_again(change, book);
+	if (archived)
+		return book_archived(archived, book);
 	if (ledger->open >= MAX_OPEN_CHANGES)
 		return cw_fail(CW_ERR_FULL, "%d changes are booked and not finished", MAX_OPEN_CHANGES);
 	change = malloc(sizeof(*change));
--- a/libcaraway/ledger_save.c
+++ b/libcaraway/ledger_save.c
@@ -18,12 +18,14 @@
 	snapshot.n_changes = changes->len;
 	snapshot.changes = (Caraway__Change **)changes->pdata;
 	snapshot.feed = cw_feed_save(ledger->feed);
+	snapshot.archive = archive_save(ledger->archive);
 	length = caraway__ledger_snapshot__get_packed_size(&snapshot);
 	data = g_malloc(HASH_BYTES + length);
 	caraway__ledger_snapshot__pack(&snapshot, data + HASH_BYTES);
 	hash = GUINT64_TO_LE(cw_hash(data + HASH_BYTES, length, 0));
 	memcpy(data, &hash, HASH_BYTES);
 	cw_message_free(snapshot.feed);
+	cw_message_free(snapshot.archive);
 	g_ptr_array_unref(changes);
 	return g_bytes_new_take(data, HASH_BYTES + length);
 }
@@ -135,6 +137,22 @@
 	return left->finished < right->finished ? -1 : left->finished > right->finished;
 }
 
+/* Loads the archive of a snapshot, which has none of the changes' numbers; CW_ERR_DECODE. */
+static cw_status_t load_archive(const Caraway__LedgerSnapshot *snapshot, GArray *archive)
+{
+	cw_status_t status;
+
+	if (!snapshot->archive)
+		return cw_fail(CW_ERR_DECODE, "ledger snapshot: the archive is missing");
+	status = archive_load(snapshot->archive, archive);
+	for (size_t i = 0; i < snapshot->n_changes && !status; i++)
+		if (archive_find(archive, snapshot->changes[i]->number))
+			status = cw_fail(CW_ERR_DECODE,
+					 "ledger snapshot: change %" G_GUINT64_FORMAT " is archived as well",
+					 snapshot->changes[i]->number);
+	return status;
+}
+
 /* Takes the changes out of a checked snapshot. */
 static void take_changes(cw_ledger_t *ledger, Caraway__LedgerSnapshot *snapshot)
 {
@@ -145,18 +163,22 @@
 		if (change->finished)
 			ledger->open--;
 		ledger->finished = MAX(ledger->finished, change->finished);
+		if (change->finished)
+			g_queue_push_tail(ledger->recent, change);
 		if (change->finished && change->content)
 			g_queue_push_tail(ledger->kept, change);
 		if (change->state == CARAWAY__CHANGE_STATE__CHANGE_ACCEPTED)
 			plan_add(ledger->plan, change);
 	}
 	g_queue_sort(ledger->kept, compare_finished, NULL);
+	g_queue_sort(ledger->recent, compare_finished, NULL);
 	snapshot->n_changes = 0;
 }
 
 /* Replaces the state of a ledger by an unpacked snapshot, or changes nothing; CW_ERR_DECODE. */
 static cw_status_t take_snapshot(cw_ledger_t *ledger, Caraway__LedgerSnapshot *snapshot)
 {
+	GArray *archive;
 	cw_status_t status;
 
 	if (!snapshot->feed)
@@ -164,13 +186,18 @@
 	status = check_changes(snapshot);
 	if (!status)
 		status = check_staged(snapshot);
+	archive = g_array_new(FALSE, FALSE, sizeof(archived_t));
+	if (!status)
+		status = load_archive(snapshot, archive);
 	if (!status)
 		status = cw_feed_load(ledger->feed, snapshot->feed);
-	if (status)
-		return status;
-	ledger_reset(ledger);
-	take_changes(ledger, snapshot);
-	return CW_OK;
+	if (!status) {
+		ledger_reset(ledger);
+		take_changes(ledger, snapshot);
+		g_array_append_vals(ledger->archive, archive->data, archive->len);
+	}
+	g_array_unref(archive);
+	return status;
 }
 
 /*
--- a/tests/unit/test_ledger.c
+++ b/tests/unit/test_ledger.c
@@ -232,6 +232,43 @@
 }
 END_TEST
 
+/* Numbers of changes that finished long ago are answered as at first, also after a snapshot. */
+START_TEST(test_archive)
+{
+	run_t run = {.ledger = cw_ledger_new(10)};
+	GString *out = g_string_new(NULL);
+	char *book[] = {"book", NULL, "anna", "5", "", "service=a"};
+	char *other[] = {"book", "1", "anna", "6", "", "service=a"};
+	char *withdraw[] = {"withdraw", NULL, "bela"};
+
+	for (int i = 1; i <= 41000; i++) {
+		book[1] = withdraw[1] = g_strdup_printf("%d", i);
+		run_book(&run, G_N_ELEMENTS(book), book, out);
+		run_withdraw(&run, G_N_ELEMENTS(withdraw), withdraw, out);
+		g_free(book[1]);
+	}
+	g_string_set_size(out, 0);
+	book[1] = withdraw[1] = "1";
+	run_book(&run, G_N_ELEMENTS(book), book, out);
+	run_book(&run, G_N_ELEMENTS(other), other, out);
+	run_withdraw(&run, G_N_ELEMENTS(withdraw), withdraw, out);
+	run_reload(&run, 0, NULL, out);
+	run_book(&run, G_N_ELEMENTS(book), book, out);
+	run_book(&run, G_N_ELEMENTS(other), other, out);
+	ck_assert_str_eq(out->str, "ok [withdrawn]\n"
+				   "conflict [withdrawn] change 1 stands with another content, due time or "
+				   "booker, withdrawn and archived; book under another number\n"
+				   "state [withdrawn] change 1 is withdrawn and archived\n"
+				   "ok equal\n"
+				   "ok [withdrawn]\n"
+				   "conflict [withdrawn] change 1 stands with another content, due time or "
+				   "booker, withdrawn and archived; book under another number\n");
+	ck_assert_uint_eq(cw_ledger_changes(run.ledger)->len, 40000);
+	g_string_free(out, TRUE);
+	cw_ledger_free(run.ledger);
+}
+END_TEST
+
 /* Runs the tests; the exit status is the number of failures, at most 1. */
 int main(void)
 {
@@ -241,6 +278,7 @@
 	int failed;
 
 	tcase_add_test(tcase, test_script);
+	tcase_add_test(tcase, test_archive);
 	suite_add_tcase(suite, tcase);
 	srunner_run_all(runner, CK_NORMAL);
 	failed = srunner_ntests_failed(runner);
--- a/tests/unit/test_ledger_fuzz.c
+++ b/tests/unit/test_ledger_fuzz.c
@@ -341,6 +341,51 @@
 }
 END_TEST
 
+/* Loads a snapshot of the seed commands with an archive of two entries put into it. */
+static cw_status_t load_archive(uint64_t first, uint64_t second, size_t identities, uint64_t identity)
+{
+	GPtrArray *commands = seed_commands();
+	cw_ledger_t *ledger = seed_ledger(commands);
+	GBytes *saved = cw_ledger_save(ledger);
+	gsize length;
+	const guint8 *data = g_bytes_get_data(saved, &length);
+	Caraway__LedgerSnapshot *snapshot =
+		caraway__ledger_snapshot__unpack(NULL, length - HASH_BYTES, data + HASH_BYTES);
+	GByteArray *bytes = g_byte_array_new();
+	cw_status_t status;
+
+	snapshot->archive->numbers = calloc(2, sizeof(uint64_t));
+	snapshot->archive->identities = calloc(2, sizeof(uint64_t));
+	snapshot->archive->numbers[0] = first;
+	snapshot->archive->numbers[1] = second;
+	snapshot->archive->identities[0] = snapshot->archive->identities[1] = identity;
+	snapshot->archive->n_numbers = 2;
+	snapshot->archive->n_identities = identities;
+	g_byte_array_set_size(bytes, HASH_BYTES + (guint)caraway__ledger_snapshot__get_packed_size(snapshot));
+	caraway__ledger_snapshot__pack(snapshot, bytes->data + HASH_BYTES);
+	seal(bytes);
+	status = cw_ledger_load(ledger, bytes->data, bytes->len);
+	cw_message_free(snapshot);
+	g_byte_array_unref(bytes);
+	g_bytes_unref(saved);
+	cw_ledger_free(ledger);
+	g_ptr_array_unref(commands);
+	return status;
+}
+
+/* An archive is taken only with rising numbers of their own, each with a last state. */
+START_TEST(test_archive)
+{
+	ck_assert_int_eq(load_archive(100, 101, 2, CARAWAY__CHANGE_STATE__CHANGE_WITHDRAWN), CW_OK);
+	ck_assert_int_eq(load_archive(101, 100, 2, CARAWAY__CHANGE_STATE__CHANGE_WITHDRAWN), CW_ERR_DECODE);
+	ck_assert_int_eq(load_archive(100, 100, 2, CARAWAY__CHANGE_STATE__CHANGE_WITHDRAWN), CW_ERR_DECODE);
+	ck_assert_int_eq(load_archive(1, 100, 2, CARAWAY__CHANGE_STATE__CHANGE_WITHDRAWN), CW_ERR_DECODE);
+	ck_assert_int_eq(load_archive(100, 101, 1, CARAWAY__CHANGE_STATE__CHANGE_WITHDRAWN), CW_ERR_DECODE);
+	ck_assert_int_eq(load_archive(100, 101, 2, CARAWAY__CHANGE_STATE__CHANGE_ACCEPTED), CW_ERR_DECODE);
+	ck_assert_int_eq(load_archive(100, 101, 2, 7), CW_ERR_DECODE);
+}
+END_TEST
+
 /* Every byte of a snapshot is under its hash: any one altered, or any cut, is damage. */
 START_TEST(test_damage)
 {
@@ -376,6 +421,7 @@
 	tcase_add_test(tcase, test_selector);
 	tcase_add_test(tcase, test_command);
 	tcase_add_test(tcase, test_snapshot);
+	tcase_add_test(tcase, test_archive);
 	tcase_add_test(tcase, test_damage);
 	suite_add_tcase(suite, tcase);
 	srunner_run_all(runner, CK_NORMAL);
