Check the keys of every process and the roles of operators

Cause: any process that reached a port could announce itself, pull, forward calls or give commands. Change: connections between processes use ZeroMQ's CURVE. Control replicas share one key pair and proxies another; every operator has a pair and the roles booker and reviewer. A thread answers ZeroMQ's questions about connecting keys; each message is then checked against the role of its connection, and an operator's request takes the name of the key. Refusals are counted as key-unknown and message-denied. Settings without [keys] are refused unless they say insecure = yes. carawayctl key makes a pair. Ruled out: a pair for each proxy; 8,700 public keys would have to follow the churn of VMs to every proxy before a call could be made. The price is that proxies are not told from each other by key.

--- a/cli/arguments.c
+++ b/cli/arguments.c
@@ -30,7 +30,7 @@
 
 static const struct argp_option options[] = {
 	{NULL, 0, NULL, 0, "Where to find the control replicas:", 1},
-	{"config", OPTION_CONFIG, "FILE", 0, "Take [control-replicas] from a settings file", 1},
+	{"config", OPTION_CONFIG, "FILE", 0, "Take [control-replicas] and [keys] from a settings file", 1},
 	{"control", OPTION_CONTROL, "HOST:PORT[,...]", 0, "Addresses of the control replicas", 1},
 	{"timeout", OPTION_TIMEOUT, "SECONDS", 0, "Longest wait for an answer (10)", 1},
 	{NULL, 0, NULL, 0, "For commands:", 2},
@@ -62,7 +62,7 @@
 	[VERB_WITHDRAW] = {"withdraw", 1, 1, "oj"}, [VERB_LABEL] = {"label", 2, G_MAXUINT, "owj"},
 	[VERB_CHANGES] = {"changes", 0, 0, "j"},    [VERB_SHOW] = {"show", 1, 1, "j"},
 	[VERB_IN_FORCE] = {"inforce", 0, 0, "jsS"}, [VERB_STATUS] = {"status", 0, 0, "ja"},
-	[VERB_COUNTERS] = {"counters", 0, 0, "ja"},
+	[VERB_COUNTERS] = {"counters", 0, 0, "ja"}, [VERB_KEY] = {"key", 1, 1, ""},
 };
 
 /* What the parser gathers before it is checked as a whole. */
@@ -72,6 +72,7 @@
 	const char *config;
 	const char *word;
 	const char *due;
+	bool has_control;
 } parse_t;
 
 /* Replaces a list by the parts of a comma-separated text. */
@@ -197,18 +198,19 @@
 		argp_error(state, "%s", cw_last_message());
 }
 
-/* Takes the addresses of the replicas from a settings file. */
-static void load_controls(const parse_t *parse)
+/* Takes the keys, and unless the command line has them the addresses of the replicas, from a settings file. */
+static void load_config(const parse_t *parse)
 {
+	arguments_t *arguments = parse->arguments;
 	g_autoptr(GArray) controls = NULL;
-	cw_status_t status = settings_load_controls(parse->config, &controls);
+	cw_status_t status = settings_load_access(parse->config, &controls, &arguments->keys);
 
 	if (status != CW_OK) {
 		fprintf(stderr, "carawayctl: %s: %s\n", cw_status_word(status), cw_last_message());
 		exit((int)status);
 	}
-	for (guint i = 0; i < controls->len; i++)
-		g_ptr_array_add(parse->arguments->controls,
+	for (guint i = 0; i < controls->len && !parse->has_control; i++)
+		g_ptr_array_add(arguments->controls,
 				g_strdup(g_array_index(controls, control_address_t, i).address));
 }
 
@@ -220,9 +222,11 @@
 	arguments->verb = find_verb(parse->word, state);
 	check_verb(parse, state);
 	check_booking(parse, state);
-	if (parse->config && !arguments->controls->len)
-		load_controls(parse);
-	if (!arguments->controls->len && !arguments->at->len)
+	if (parse->config)
+		load_config(parse);
+	else
+		arguments->keys = keys_new_insecure();
+	if (!arguments->controls->len && !arguments->at->len && arguments->verb != VERB_KEY)
 		argp_error(state, "give --control or --config");
 }
 
@@ -237,6 +241,7 @@
 		return 0;
 	case OPTION_CONTROL:
 		set_list(parse->arguments->controls, value);
+		parse->has_control = true;
 		return 0;
 	case OPTION_TIMEOUT:
 		parse->arguments->timeout_ms = parse_seconds("timeout", value, state);
@@ -254,11 +259,12 @@
 
 static const char usage[] = "book FILE --number N --due TIME\n"
 			    "review N\nwithdraw N\nlabel VM KEY=VALUE...\n"
-			    "changes\nshow N\ninforce\nstatus\ncounters";
+			    "changes\nshow N\ninforce\nstatus\ncounters\nkey FILE";
 
 static const char help[] =
 	"Books, reviews and withdraws changes, labels VMs, and tells what is in force where.\v"
-	"Commands: book, review, withdraw, label.  Queries: changes, show, inforce, status, counters.\n\n"
+	"Commands: book, review, withdraw, label.  Queries: changes, show, inforce, status, counters.\n"
+	"key makes a key pair: the secret one in a new FILE, the public one printed.\n\n"
 	"Examples:\n"
 	"  carawayctl -C 10.0.0.1:7101,10.0.0.2:7101 book pass.ini --number 12 --due 2026-12-24T06:00:00Z\n"
 	"  carawayctl -c /etc/caraway/ctl.ini review 12 --wait\n"
@@ -301,6 +307,7 @@
 	g_ptr_array_unref(arguments->operands);
 	g_ptr_array_unref(arguments->controls);
 	g_ptr_array_unref(arguments->at);
+	keys_free(arguments->keys);
 	g_free(arguments->operator_name);
 	g_free(arguments->selector);
 	g_free(arguments->service);
--- a/cli/arguments.h
+++ b/cli/arguments.h
@@ -2,6 +2,7 @@
 #ifndef ARGUMENTS_H
 #define ARGUMENTS_H
 
+#include "keys.h"
 #include "libcaraway.h"
 
 typedef enum {
@@ -14,6 +15,7 @@
 	VERB_IN_FORCE,
 	VERB_STATUS,
 	VERB_COUNTERS,
+	VERB_KEY,
 	VERB_COUNT
 } verb_t;
 
@@ -21,7 +23,8 @@
 	verb_t verb;
 	GPtrArray *operands; /* char *, after the verb */
 	GPtrArray *controls; /* char *, HOST:PORT of each control replica */
-	GPtrArray *at;	     /* char *, processes to ask instead; may be empty */
+	keys_t *keys;
+	GPtrArray *at; /* char *, processes to ask instead; may be empty */
 	char *operator_name;
 	char *selector;
 	char *service;
--- a/cli/carawayctl.c
+++ b/cli/carawayctl.c
@@ -28,6 +28,7 @@
 		return query_status(session, arguments);
 	case VERB_COUNTERS:
 		return query_counters(session, arguments);
+	case VERB_KEY:
 	case VERB_COUNT:
 		break;
 	}
@@ -71,17 +72,38 @@
 		fprintf(stderr, "%s\n", text);
 }
 
+/* Opens a session and carries the command or query out. */
+static cw_status_t run_session(const arguments_t *arguments)
+{
+	session_t *session = NULL;
+	cw_status_t status = session_new(arguments->controls, arguments->keys, arguments->operator_name,
+					 arguments->timeout_ms, &session);
+
+	if (status == CW_OK)
+		status = run(session, arguments);
+	session_free(session);
+	return status;
+}
+
+/* Makes a key pair and prints the public key. */
+static cw_status_t make_key(const arguments_t *arguments)
+{
+	char public_key[KEY_TEXT_BYTES];
+	cw_status_t status = keys_make(g_ptr_array_index(arguments->operands, 0), public_key);
+
+	if (status == CW_OK)
+		printf("%s\n", public_key);
+	return status;
+}
+
 /* Exits with the number of the status of the command or query. */
 int main(int argc, char **argv)
 {
 	arguments_t *arguments = arguments_parse(argc, argv);
-	session_t *session =
-		session_new(arguments->controls, arguments->operator_name, arguments->timeout_ms);
-	cw_status_t status = run(session, arguments);
+	cw_status_t status = arguments->verb == VERB_KEY ? make_key(arguments) : run_session(arguments);
 
 	if (status != CW_OK)
 		print_failure(status);
-	session_free(session);
 	arguments_free(arguments);
 	return (int)status;
 }
--- a/cli/session.c
+++ b/cli/session.c
@@ -18,17 +18,24 @@
 };
 
 /* Opens a session; nothing is sent yet. */
-session_t *session_new(GPtrArray *addresses, const char *operator_name, uint32_t timeout_ms)
+cw_status_t session_new(GPtrArray *addresses, const keys_t *keys, const char *operator_name,
+			uint32_t timeout_ms, session_t **session)
 {
-	session_t *session = g_new0(session_t, 1);
+	session_t *opened = g_new0(session_t, 1);
+	cw_status_t status;
 
-	session->context = link_context_new();
-	session->clients = link_clients_new(session->context);
-	session->addresses = g_ptr_array_ref(addresses);
-	session->operator_name = g_strdup(operator_name);
-	session->timeout_ms = timeout_ms;
-	session->next_request = clock_incarnation();
-	return session;
+	opened->context = link_context_new();
+	opened->addresses = g_ptr_array_ref(addresses);
+	opened->operator_name = g_strdup(operator_name);
+	opened->timeout_ms = timeout_ms;
+	opened->next_request = clock_incarnation();
+	status = link_context_secure(opened->context, keys, addresses);
+	opened->clients = link_clients_new(opened->context);
+	if (status == CW_OK)
+		*session = opened;
+	else
+		session_free(opened);
+	return status;
 }
 
 /* Closes a session; NULL is allowed. */
--- a/cli/session.h
+++ b/cli/session.h
@@ -2,12 +2,17 @@
 #ifndef SESSION_H
 #define SESSION_H
 
+#include "keys.h"
 #include "libcaraway.h"
 
 typedef struct session session_t;
 
-/* addresses: char *, HOST:PORT of each control replica; the session keeps a reference. */
-session_t *session_new(GPtrArray *addresses, const char *operator_name, uint32_t timeout_ms);
+/*
+ * addresses: char *, HOST:PORT of each control replica; the session keeps a
+ * reference.  keys are borrowed until session_free().
+ */
+cw_status_t session_new(GPtrArray *addresses, const keys_t *keys, const char *operator_name,
+			uint32_t timeout_ms, session_t **session);
 void session_free(session_t *session);
 const char *session_operator(const session_t *session);
 const GPtrArray *session_addresses(const session_t *session);
--- a/daemon/counters.h
+++ b/daemon/counters.h
@@ -31,6 +31,8 @@
 	/* every process */                                                                                  \
 	X(MESSAGE_UNDECODABLE, "message-undecodable")                                                        \
 	X(MESSAGE_UNEXPECTED, "message-unexpected")                                                          \
+	X(MESSAGE_DENIED, "message-denied")                                                                  \
+	X(KEY_UNKNOWN, "key-unknown")                                                                        \
 	X(SEND_REFUSED, "send-refused")                                                                      \
 	/* control */                                                                                        \
 	X(COMMAND_ACCEPTED, "command-accepted")                                                              \
--- a/daemon/link.c
+++ b/daemon/link.c
@@ -6,6 +6,9 @@
 #include <zmq.h>
 
 #include "counters.h"
+#include "guard.h"
+
+#define ZAP_DOMAIN "caraway"
 
 enum {
 	MAX_SOCKETS = 4096,
@@ -22,10 +25,14 @@
 
 struct link_context {
 	void *zmq;
+	const keys_t *keys;		    /* NULL: connections are not encrypted */
+	const GPtrArray *control_addresses; /* char * */
+	guard_t *guard;
 };
 
 struct link_server {
 	void *socket;
+	bool guarded;
 	char *address;
 };
 
@@ -54,9 +61,26 @@
 	if (!context)
 		return;
 	zmq_ctx_term(context->zmq);
+	guard_free(context->guard);
 	g_free(context);
 }
 
+/* Encrypts and checks every connection opened from now on. */
+cw_status_t link_context_secure(link_context_t *context, const keys_t *keys,
+				const GPtrArray *control_addresses)
+{
+	cw_status_t status;
+
+	if (keys->insecure)
+		return CW_OK;
+	status = guard_new(context->zmq, keys, &context->guard);
+	if (status != CW_OK)
+		return status;
+	context->keys = keys;
+	context->control_addresses = control_addresses;
+	return CW_OK;
+}
+
 /* Sets one integer option; the options used here cannot fail on an open socket. */
 static void set_option(void *socket, int option, int value)
 {
@@ -81,6 +105,44 @@
 	return socket;
 }
 
+/* Sets a text option, as the keys are. */
+static void set_text_option(void *socket, int option, const char *text)
+{
+	zmq_setsockopt(socket, option, text, strlen(text) + 1);
+}
+
+/* Makes a socket let in only peers whose keys are known. */
+static void secure_server(const link_context_t *context, void *socket)
+{
+	if (!context->keys)
+		return;
+	set_option(socket, ZMQ_CURVE_SERVER, 1);
+	set_text_option(socket, ZMQ_CURVE_SECRETKEY, context->keys->secret_key);
+	zmq_setsockopt(socket, ZMQ_ZAP_DOMAIN, ZAP_DOMAIN, strlen(ZAP_DOMAIN));
+}
+
+/* Returns whether an address is that of a control replica. */
+static bool is_control_address(const link_context_t *context, const char *address)
+{
+	for (guint i = 0; i < context->control_addresses->len; i++)
+		if (!strcmp(g_ptr_array_index(context->control_addresses, i), address))
+			return true;
+	return false;
+}
+
+/* Makes a socket speak only with the holder of the key expected at an address. */
+static void secure_client(const link_context_t *context, void *socket, const char *address)
+{
+	const keys_t *keys = context->keys;
+
+	if (!keys)
+		return;
+	set_text_option(socket, ZMQ_CURVE_SERVERKEY,
+			is_control_address(context, address) ? keys->control_public : keys->proxy_public);
+	set_text_option(socket, ZMQ_CURVE_PUBLICKEY, keys->public_key);
+	set_text_option(socket, ZMQ_CURVE_SECRETKEY, keys->secret_key);
+}
+
 /* Binds HOST:PORT for many peers; port 0 takes a free one.  CW_ERR_IO when the address cannot be bound. */
 cw_status_t link_server_open(link_context_t *context, const char *address, link_server_t **server)
 {
@@ -92,6 +154,7 @@
 	if (!socket)
 		return cw_fail(CW_ERR_IO, "%s: cannot open a socket: %s", address, zmq_strerror(errno));
 	set_option(socket, ZMQ_ROUTER_MANDATORY, 1);
+	secure_server(context, socket);
 	endpoint = g_strdup_printf("tcp://%s", address);
 	if (zmq_bind(socket, endpoint)) {
 		cw_fail(CW_ERR_IO, "%s: cannot bind: %s", address, zmq_strerror(errno));
@@ -103,6 +166,7 @@
 	zmq_getsockopt(socket, ZMQ_LAST_ENDPOINT, bound, &length);
 	*server = g_new0(link_server_t, 1);
 	(*server)->socket = socket;
+	(*server)->guarded = context->keys != NULL;
 	(*server)->address = g_strdup(bound + strlen("tcp://"));
 	return CW_OK;
 }
@@ -170,25 +234,6 @@
 	return message;
 }
 
-/* Returns the next message and its sender's identity, or NULL when none waits. */
-Caraway__Message *link_server_receive(link_server_t *server, GBytes **peer)
-{
-	Caraway__Message *message = NULL;
-	zmq_msg_t identity;
-	zmq_msg_t frame;
-
-	while (!message && receive_frame(server->socket, &identity)) {
-		if (zmq_msg_more(&identity) && receive_frame(server->socket, &frame))
-			message = decode_frame(server->socket, &frame);
-		else
-			counter_add(COUNTER_MESSAGE_UNDECODABLE, 1);
-		if (message)
-			*peer = g_bytes_new(zmq_msg_data(&identity), zmq_msg_size(&identity));
-		zmq_msg_close(&identity);
-	}
-	return message;
-}
-
 /* Sends a packed message as one frame without waiting. */
 static cw_status_t send_packed(void *socket, const Caraway__Message *message)
 {
@@ -217,6 +262,63 @@
 	return send_packed(server->socket, message);
 }
 
+/* Counts a message that its sender may not send, tells an operator so, and frees it. */
+static void deny(link_server_t *server, GBytes *peer, Caraway__Message *message)
+{
+	Caraway__OperatorReply reply = CARAWAY__OPERATOR_REPLY__INIT;
+	Caraway__Message answer = CARAWAY__MESSAGE__INIT;
+
+	counter_add(COUNTER_MESSAGE_DENIED, 1);
+	if (message->body_case == CARAWAY__MESSAGE__BODY_OPERATOR_REQUEST) {
+		reply.request = message->operator_request->request;
+		reply.status = CW_ERR_DENIED;
+		reply.message = (char *)cw_last_message();
+		answer.body_case = CARAWAY__MESSAGE__BODY_OPERATOR_REPLY;
+		answer.operator_reply = &reply;
+		link_server_send(server, peer, &answer);
+	}
+	cw_message_free(message);
+}
+
+/* Reads the frame after an identity; NULL when the message does not decode or its sender may not send it. */
+static Caraway__Message *receive_body(link_server_t *server, GBytes *peer)
+{
+	Caraway__Message *message;
+	char *user = NULL;
+	zmq_msg_t frame;
+
+	if (!receive_frame(server->socket, &frame))
+		return NULL;
+	if (server->guarded)
+		user = g_strdup(zmq_msg_gets(&frame, "User-Id"));
+	message = decode_frame(server->socket, &frame);
+	if (message && server->guarded && guard_check(user, message) != CW_OK) {
+		deny(server, peer, message);
+		message = NULL;
+	}
+	g_free(user);
+	return message;
+}
+
+/* Returns the next message and its sender's identity, or NULL when none waits. */
+Caraway__Message *link_server_receive(link_server_t *server, GBytes **peer)
+{
+	Caraway__Message *message = NULL;
+	zmq_msg_t identity;
+
+	while (!message && receive_frame(server->socket, &identity)) {
+		*peer = g_bytes_new(zmq_msg_data(&identity), zmq_msg_size(&identity));
+		if (zmq_msg_more(&identity))
+			message = receive_body(server, *peer);
+		else
+			counter_add(COUNTER_MESSAGE_UNDECODABLE, 1);
+		if (!message)
+			g_bytes_unref(*peer);
+		zmq_msg_close(&identity);
+	}
+	return message;
+}
+
 /* Closes a socket; for the table of clients. */
 static void close_socket(gpointer socket)
 {
@@ -253,6 +355,7 @@
 
 	if (!socket)
 		return NULL;
+	secure_client(clients->context, socket, address);
 	set_option(socket, ZMQ_IMMEDIATE, 1);
 	set_option(socket, ZMQ_RECONNECT_IVL, RECONNECT_MS);
 	set_option(socket, ZMQ_RECONNECT_IVL_MAX, RECONNECT_MAX_MS);
--- a/daemon/link.h
+++ b/daemon/link.h
@@ -2,12 +2,21 @@
 #ifndef LINK_H
 #define LINK_H
 
+#include "keys.h"
 #include "libcaraway.h"
 
 /* One per process; holds the ZeroMQ context. */
 typedef struct link_context link_context_t;
 
 link_context_t *link_context_new(void);
+/*
+ * Encrypts and checks every connection opened from now on.  Servers let in
+ * only known keys; clients expect the key of a control replica at the control
+ * addresses (char *) and that of a proxy elsewhere.  Both are borrowed for the
+ * context's life.  Keys that are insecure change nothing.
+ */
+cw_status_t link_context_secure(link_context_t *context, const keys_t *keys,
+				const GPtrArray *control_addresses);
 void link_context_free(link_context_t *context);
 
 /* A bound ROUTER: hears from many peers, answers by their identity. */
--- a/daemon/settings.c
+++ b/daemon/settings.c
@@ -57,6 +57,9 @@
 	return CW_OK;
 }
 
+/* Sections that have a reader of their own. */
+static const char *const groups_read_elsewhere[] = {REPLICAS_GROUP, "keys", "operators", NULL};
+
 /* Refuses sections and keys that no rule for this role names. */
 static cw_status_t refuse_unknown(const char *file, GKeyFile *keys, role_t role)
 {
@@ -66,7 +69,7 @@
 	cw_status_t status = CW_OK;
 
 	for (size_t i = 0; groups[i] && status == CW_OK; i++) {
-		if (strcmp(groups[i], REPLICAS_GROUP) == 0)
+		if (g_strv_contains(groups_read_elsewhere, groups[i]))
 			continue;
 		if (rules_has(process, groups[i], NULL))
 			status = refuse_unknown_keys(file, keys, groups[i], process);
@@ -117,6 +120,18 @@
 	return CW_OK;
 }
 
+/* Checks that the secret key is that of the role. */
+static cw_status_t check_keys(const char *file, const settings_t *settings)
+{
+	const keys_t *keys = settings->keys;
+	const char *wanted = settings->role == ROLE_CONTROL ? keys->control_public : keys->proxy_public;
+
+	if (keys->insecure || strcmp(keys->public_key, wanted) == 0)
+		return CW_OK;
+	return cw_fail(CW_ERR_SETTINGS,
+		       "%s: [keys] secret-file does not belong to the public key of this role", file);
+}
+
 /* Checks what several keys say together. */
 static cw_status_t check_together(const char *file, settings_t *settings)
 {
@@ -141,6 +156,10 @@
 		status = controls_load(file, keys, settings->controls);
 	if (status == CW_OK)
 		status = load_rules(file, keys, rules_role(settings->role), settings);
+	if (status == CW_OK)
+		status = keys_load(file, keys, &settings->keys);
+	if (status == CW_OK)
+		status = check_keys(file, settings);
 	if (status == CW_OK)
 		status = check_together(file, settings);
 	return status;
@@ -175,6 +194,7 @@
 	if (!settings)
 		return;
 	g_array_unref(settings->controls);
+	keys_free(settings->keys);
 	g_free(settings->log_level);
 	g_free(settings->control.listen);
 	g_free(settings->control.data_folder);
--- a/daemon/settings.h
+++ b/daemon/settings.h
@@ -2,6 +2,7 @@
 #ifndef SETTINGS_H
 #define SETTINGS_H
 
+#include "keys.h"
 #include "libcaraway.h"
 
 typedef enum { ROLE_CONTROL, ROLE_PROXY } role_t;
@@ -54,13 +55,16 @@
 	role_t role;
 	GArray *controls; /* control_address_t, every replica */
 	char *log_level;
+	keys_t *keys;
 	control_settings_t control;
 	proxy_settings_t proxy;
 } settings_t;
 
 cw_status_t settings_load(const char *file, settings_t **settings);
-/* Reads only the list of control replicas, control_address_t items. */
-cw_status_t settings_load_controls(const char *file, GArray **controls);
+/* Reads the list of control replicas and the keys, for programs that only talk to them. */
+cw_status_t settings_load_access(const char *file, GArray **controls, keys_t **keys);
+/* Returns the addresses of control replicas, char * owned by the list; freed with g_ptr_array_unref(). */
+GPtrArray *settings_control_addresses(const GArray *controls);
 void settings_free(settings_t *settings);
 
 #endif
--- a/daemon/settings_controls.c
+++ b/daemon/settings_controls.c
@@ -83,18 +83,30 @@
 }
 
 /*
- * Reads only the list of control replicas of a settings file, for programs
- * that talk to them.  The caller frees *controls with g_array_unref().
+ * Reads the list of control replicas and the keys of a settings file.  The
+ * caller frees *controls with g_array_unref() and *keys with keys_free().
  */
-cw_status_t settings_load_controls(const char *file, GArray **controls)
+cw_status_t settings_load_access(const char *file, GArray **controls, keys_t **keys)
 {
-	g_autoptr(GKeyFile) keys = NULL;
+	g_autoptr(GKeyFile) ini = NULL;
 	g_autoptr(GArray) loaded = controls_new();
-	cw_status_t status = ini_load(file, &keys);
+	cw_status_t status = ini_load(file, &ini);
 
 	if (status == CW_OK)
-		status = controls_load(file, keys, loaded);
+		status = controls_load(file, ini, loaded);
+	if (status == CW_OK)
+		status = keys_load(file, ini, keys);
 	if (status == CW_OK)
 		*controls = g_steal_pointer(&loaded);
 	return status;
 }
+
+/* Returns the addresses of control replicas, borrowed from the list. */
+GPtrArray *settings_control_addresses(const GArray *controls)
+{
+	GPtrArray *addresses = g_ptr_array_new();
+
+	for (guint i = 0; i < controls->len; i++)
+		g_ptr_array_add(addresses, g_array_index(controls, control_address_t, i).address);
+	return addresses;
+}
--- a/tests/unit/test_cli.c
+++ b/tests/unit/test_cli.c
@@ -170,11 +170,14 @@
 		request.body_case = CARAWAY__OPERATOR_REQUEST__BODY_SHOW;
 		request.show = &show;
 	}
-	session_t *session = session_new(addresses, "ilona", (uint32_t)atoi(argv[2]));
+	keys_t *keys = keys_new_insecure();
+	session_t *session = NULL;
+	ck_assert_int_eq(session_new(addresses, keys, "ilona", (uint32_t)atoi(argv[2]), &session), CW_OK);
 	status = session_ask(session, &request, &reply);
 	g_string_append_printf(out, "%s\n", cw_status_word(status));
 	cw_message_free(reply);
 	session_free(session);
+	keys_free(keys);
 	g_ptr_array_unref(addresses);
 	stop_fakes(run, out);
 }
--- /dev/null
+++ b/tests/unit/test_keys.c
@@ -0,0 +1,311 @@
+/* Scripted runs of connections under keys: tests/keys. */
+#include <check.h>
+#include <glib/gstdio.h>
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+#include <zmq.h>
+
+#include "clock.h"
+#include "counters.h"
+#include "link.h"
+#include "script.h"
+#include "settings.h"
+
+/* A refused message is awaited by its counter; one that no counter tells of is given QUIET_MS. */
+enum { AWAIT_MS = 5000, QUIET_MS = 400, POLL_MS = 5, MAX_PAIRS = 8 };
+
+typedef struct {
+	char *name;
+	char public_key[KEY_TEXT_BYTES];
+	char secret_key[KEY_TEXT_BYTES];
+} pair_t;
+
+typedef struct {
+	pair_t pairs[MAX_PAIRS];
+	size_t count;
+	char *folder;
+} run_t;
+
+/* Returns the pair of a name, made when first asked for. */
+static const pair_t *pair_of(run_t *run, const char *name)
+{
+	pair_t *pair;
+
+	for (size_t i = 0; i < run->count; i++)
+		if (!strcmp(run->pairs[i].name, name))
+			return &run->pairs[i];
+	pair = &run->pairs[run->count++];
+	pair->name = g_strdup(name);
+	ck_assert_int_eq(zmq_curve_keypair(pair->public_key, pair->secret_key), 0);
+	return pair;
+}
+
+/* Returns the keys of a process that holds one pair and knows the mesh. */
+static keys_t *keys_of(run_t *run, const char *name)
+{
+	const char *const operators[] = {"ilona", "bence", "olga"};
+	const unsigned roles[] = {OPERATOR_BOOKER, OPERATOR_REVIEWER, 0};
+	keys_t *keys = keys_new_insecure();
+
+	if (!strcmp(name, "none"))
+		return keys;
+	keys->insecure = false;
+	g_strlcpy(keys->secret_key, pair_of(run, name)->secret_key, KEY_TEXT_BYTES);
+	g_strlcpy(keys->public_key, pair_of(run, name)->public_key, KEY_TEXT_BYTES);
+	g_strlcpy(keys->control_public, pair_of(run, "control")->public_key, KEY_TEXT_BYTES);
+	g_strlcpy(keys->proxy_public, pair_of(run, "proxy")->public_key, KEY_TEXT_BYTES);
+	for (size_t i = 0; i < G_N_ELEMENTS(operators); i++) {
+		operator_key_t entry = {.name = g_strdup(operators[i]), .roles = roles[i]};
+		g_strlcpy(entry.public_key, pair_of(run, operators[i])->public_key, KEY_TEXT_BYTES);
+		g_array_append_val(keys->operators, entry);
+	}
+	return keys;
+}
+
+/* Fills a message with a body, named as in the schema. */
+static void fill(Caraway__Message *message, const char *body)
+{
+	static Caraway__RaftMessage raft = CARAWAY__RAFT_MESSAGE__INIT;
+	static Caraway__Pull pull = CARAWAY__PULL__INIT;
+	static Caraway__CallRequest call = CARAWAY__CALL_REQUEST__INIT;
+	static Caraway__Book book = CARAWAY__BOOK__INIT;
+	static Caraway__Review review = CARAWAY__REVIEW__INIT;
+	static Caraway__StatusQuery status = CARAWAY__STATUS_QUERY__INIT;
+	static Caraway__OperatorRequest request = CARAWAY__OPERATOR_REQUEST__INIT;
+
+	message->body_case = CARAWAY__MESSAGE__BODY_OPERATOR_REQUEST;
+	message->operator_request = &request;
+	request.operator_name = review.operator_name = "mallory";
+	if (!strcmp(body, "raft")) {
+		message->body_case = CARAWAY__MESSAGE__BODY_RAFT;
+		message->raft = &raft;
+	} else if (!strcmp(body, "pull")) {
+		message->body_case = CARAWAY__MESSAGE__BODY_PULL;
+		message->pull = &pull;
+	} else if (!strcmp(body, "call")) {
+		message->body_case = CARAWAY__MESSAGE__BODY_CALL_REQUEST;
+		message->call_request = &call;
+	} else if (!strcmp(body, "book")) {
+		request.body_case = CARAWAY__OPERATOR_REQUEST__BODY_BOOK;
+		request.book = &book;
+	} else if (!strcmp(body, "review")) {
+		request.body_case = CARAWAY__OPERATOR_REQUEST__BODY_REVIEW;
+		request.review = &review;
+	} else {
+		request.body_case = CARAWAY__OPERATOR_REQUEST__BODY_STATUS;
+		request.status = &status;
+	}
+}
+
+/* Prints a message that the server took in. */
+static void print_heard(const Caraway__Message *message, GString *out)
+{
+	const Caraway__OperatorRequest *request = message->operator_request;
+
+	if (message->body_case != CARAWAY__MESSAGE__BODY_OPERATOR_REQUEST)
+		g_string_append(out, "heard\n");
+	else if (request->body_case == CARAWAY__OPERATOR_REQUEST__BODY_REVIEW)
+		g_string_append_printf(out, "heard, reviewed by %s\n", request->review->operator_name);
+	else
+		g_string_append_printf(out, "heard from %s\n", request->operator_name);
+}
+
+/* Looks once at the server and the counters; true when the outcome is known. */
+static bool look(link_server_t *server, uint64_t unknown, uint64_t denied, GString *out)
+{
+	GBytes *peer;
+	Caraway__Message *message = link_server_receive(server, &peer);
+
+	if (message) {
+		print_heard(message, out);
+		cw_message_free(message);
+		g_bytes_unref(peer);
+	} else if (counter_value(COUNTER_MESSAGE_DENIED) > denied) {
+		g_string_append(out, "message denied\n");
+	} else if (counter_value(COUNTER_KEY_UNKNOWN) > unknown) {
+		g_string_append(out, "key unknown\n");
+	} else {
+		return false;
+	}
+	return true;
+}
+
+/* Sends one message between a server and a client and prints what became of it. */
+static void exchange(link_server_t *server, link_clients_t *clients, const char *body, int64_t limit_ms,
+		     GString *out)
+{
+	int64_t deadline_ms = clock_now_ms() + limit_ms;
+	uint64_t unknown = counter_value(COUNTER_KEY_UNKNOWN);
+	uint64_t denied = counter_value(COUNTER_MESSAGE_DENIED);
+	Caraway__Message message = CARAWAY__MESSAGE__INIT;
+	bool sent = false;
+
+	fill(&message, body);
+	while (clock_now_ms() < deadline_ms) {
+		if (!sent)
+			sent = link_clients_send(clients, link_server_address(server), &message) == CW_OK;
+		if (look(server, unknown, denied, out))
+			return;
+		g_usleep(POLL_MS * 1000);
+	}
+	g_string_append(out, sent ? "sent, nothing heard\n" : "no connection\n");
+}
+
+/* send FROM BODY TO [expecting WHOM]: FROM and TO name pairs, "none" has none. */
+static void send_between(run_t *run, int argc, char **argv, GString *out)
+{
+	link_context_t *near = link_context_new();
+	link_context_t *far = link_context_new();
+	keys_t *near_keys = keys_of(run, argv[1]);
+	keys_t *far_keys = keys_of(run, argv[3]);
+	const char *expected = argc > 5 ? argv[5] : argv[3];
+	GPtrArray *controls = g_ptr_array_new();
+	link_server_t *server;
+	link_clients_t *clients = link_clients_new(near);
+	bool counted = strcmp(argv[1], "none") != 0 && strcmp(argv[3], "none") != 0 && argc <= 5;
+
+	ck_assert_int_eq(link_context_secure(far, far_keys, controls), CW_OK);
+	ck_assert_int_eq(link_server_open(far, "127.0.0.1:0", &server), CW_OK);
+	if (!strcmp(expected, "control"))
+		g_ptr_array_add(controls, (char *)link_server_address(server));
+	ck_assert_int_eq(link_context_secure(near, near_keys, controls), CW_OK);
+	exchange(server, clients, argv[2], counted ? AWAIT_MS : QUIET_MS, out);
+	link_clients_free(clients);
+	link_server_close(server);
+	link_context_free(near);
+	link_context_free(far);
+	keys_free(near_keys);
+	keys_free(far_keys);
+	g_ptr_array_unref(controls);
+}
+
+/* load TEXT...: reads lines as a control replica's [keys], with @NAME for public keys and $NAME for files. */
+static void load(run_t *run, int argc, char **argv, GString *out)
+{
+	GString *text = g_string_new("[process]\nrole = control\n[control-replicas]\n1 = 10.0.0.1:7101\n"
+				     "[control]\nid = 1\ndata-folder = /tmp\n");
+	char *path = g_build_filename(run->folder, "settings.ini", NULL);
+	settings_t *settings = NULL;
+
+	for (int i = 1; i < argc; i++)
+		g_string_append_printf(text, "%s\n", argv[i]);
+	for (size_t i = 0; i < run->count; i++) {
+		const pair_t *pair = &run->pairs[i];
+		char *name = g_strdup_printf("@%s", pair->name);
+		char *file = g_build_filename(run->folder, pair->name, NULL);
+		char *file_name = g_strdup_printf("$%s", pair->name);
+		g_string_replace(text, name, pair->public_key, 0);
+		g_string_replace(text, file_name, file, 0);
+		g_free(name);
+		g_free(file);
+		g_free(file_name);
+	}
+	g_file_set_contents(path, text->str, -1, NULL);
+	if (settings_load(path, &settings) != CW_OK) {
+		char *message = g_strdup(strstr(cw_last_message(), "settings.ini"));
+		char *folder = strstr(message, run->folder);
+		if (folder)
+			memmove(folder, folder + strlen(run->folder) + 1,
+				strlen(folder + strlen(run->folder) + 1) + 1);
+		g_string_append_printf(out, "%s\n", message);
+		g_free(message);
+	} else {
+		g_string_append_printf(out, "ok, %s, %u operators\n",
+				       settings->keys->insecure ? "insecure" : "keyed",
+				       settings->keys->operators->len);
+	}
+	settings_free(settings);
+	g_remove(path);
+	g_free(path);
+	g_string_free(text, TRUE);
+}
+
+/* file NAME MODE: writes the secret key of a pair to a file. */
+static void write_file(run_t *run, char **argv, GString *out)
+{
+	char *path = g_build_filename(run->folder, argv[1], NULL);
+
+	(void)out;
+	g_file_set_contents(path, pair_of(run, argv[1])->secret_key, -1, NULL);
+	g_chmod(path, (int)strtol(argv[2], NULL, 8));
+	g_free(path);
+}
+
+/* make FILE: makes a pair twice under one name; the second time must not replace the first. */
+static void make(run_t *run, char **argv, GString *out)
+{
+	char *path = g_build_filename(run->folder, argv[1], NULL);
+	char public_key[KEY_TEXT_BYTES];
+	char derived[KEY_TEXT_BYTES];
+	char *secret = NULL;
+	GStatBuf info;
+
+	g_string_append_printf(out, "%s, ", cw_status_word(keys_make(path, public_key)));
+	g_file_get_contents(path, &secret, NULL, NULL);
+	g_strchomp(secret);
+	zmq_curve_public(derived, secret);
+	g_stat(path, &info);
+	g_string_append_printf(out, "mode %o, %s, ", info.st_mode & 0777,
+			       strcmp(derived, public_key) ? "other pair" : "pair");
+	g_string_append_printf(out, "again %s\n", cw_status_word(keys_make(path, public_key)));
+	g_remove(path);
+	g_free(path);
+	g_free(secret);
+}
+
+/* Carries out one command of a script. */
+static void command(void *data, int argc, char **argv, GString *out)
+{
+	run_t *run = data;
+
+	if (!strcmp(argv[0], "send") && argc >= 4)
+		send_between(run, argc, argv, out);
+	else if (!strcmp(argv[0], "load"))
+		load(run, argc, argv, out);
+	else if (!strcmp(argv[0], "file") && argc == 3)
+		write_file(run, argv, out);
+	else if (!strcmp(argv[0], "make") && argc == 2)
+		make(run, argv, out);
+	else
+		g_string_append_printf(out, "unknown command %s\n", argv[0]);
+}
+
+START_TEST(test_scripts)
+{
+	GPtrArray *files = script_list("tests/keys");
+	run_t run = {.folder = g_dir_make_tmp("caraway-keys-XXXXXX", NULL)};
+
+	ck_assert_uint_gt(files->len, 0);
+	for (guint i = 0; i < files->len; i++) {
+		char *difference = script_run(files->pdata[i], command, &run);
+		ck_assert_msg(!difference, "%s", difference);
+	}
+	for (size_t i = 0; i < run.count; i++) {
+		char *path = g_build_filename(run.folder, run.pairs[i].name, NULL);
+		g_remove(path);
+		g_free(path);
+		g_free(run.pairs[i].name);
+	}
+	g_rmdir(run.folder);
+	g_free(run.folder);
+	g_ptr_array_unref(files);
+}
+END_TEST
+
+/* Runs every script of the folder. */
+int main(void)
+{
+	Suite *suite = suite_create("keys");
+	TCase *tcase = tcase_create("scripts");
+	SRunner *runner = srunner_create(suite);
+	int failed;
+
+	tcase_set_timeout(tcase, 120);
+	tcase_add_test(tcase, test_scripts);
+	suite_add_tcase(suite, tcase);
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
--- a/tests/unit/test_settings.c
+++ b/tests/unit/test_settings.c
@@ -13,12 +13,12 @@
 	char *path;
 } run_t;
 
-static const char control_base[] = "[process]\nrole = control\n"
+static const char control_base[] = "[process]\nrole = control\n[keys]\ninsecure = yes\n"
 				   "[control-replicas]\n1 = 10.0.0.1:7101\n2 = 10.0.0.2:7101\n"
 				   "[control]\nid = 1\ndata-folder = /var/lib/caraway\n";
 
 static const char proxy_base[] =
-	"[process]\nrole = proxy\n"
+	"[process]\nrole = proxy\n[keys]\ninsecure = yes\n"
 	"[control-replicas]\n1 = 10.0.0.1:7101\n"
 	"[proxy]\nvm = tabla-1\nzone = eger\nregion = eszak\nservice = tabla\nlisten = 10.0.1.1:8080\n"
 	"call-listen = 10.0.1.1:0\nfeed-listen = 10.0.1.1:0\ntarget = 127.0.0.1:9000\n";
