--- a/daemon/proxy.c
+++ b/daemon/proxy.c
@@ -170,8 +170,11 @@
 static cw_status_t open_all(proxy_t *proxy)
 {
 	const proxy_settings_t *settings = &proxy->settings->proxy;
-	cw_status_t status = link_server_open(proxy->context, settings->feed_listen, &proxy->server);
+	cw_status_t status = link_context_secure(proxy->context, proxy->settings->keys,
+						 proxy->settings->control_addresses);
 
+	if (status == CW_OK)
+		status = link_server_open(proxy->context, settings->feed_listen, &proxy->server);
 	if (status != CW_OK)
 		return status;
 	status = traffic_start(proxy->context, settings, proxy->incarnation, proxy->views, &proxy->traffic);
--- a/daemon/settings.c
+++ b/daemon/settings.c
@@ -181,6 +181,7 @@
 	settings_t *loaded = g_new0(settings_t, 1);
 	loaded->controls = controls_new();
 	status = load_all(file, keys, loaded);
+	loaded->control_addresses = controls_addresses(loaded->controls);
 	if (status == CW_OK)
 		*settings = loaded;
 	else
@@ -193,6 +194,7 @@
 {
 	if (!settings)
 		return;
+	g_ptr_array_unref(settings->control_addresses);
 	g_array_unref(settings->controls);
 	keys_free(settings->keys);
 	g_free(settings->log_level);
--- a/daemon/settings.h
+++ b/daemon/settings.h
@@ -53,7 +53,8 @@
 
 typedef struct {
 	role_t role;
-	GArray *controls; /* control_address_t, every replica */
+	GArray *controls;	      /* control_address_t, every replica */
+	GPtrArray *control_addresses; /* char *, of the same, owned by the list above */
 	char *log_level;
 	keys_t *keys;
 	control_settings_t control;
@@ -63,8 +64,6 @@
 cw_status_t settings_load(const char *file, settings_t **settings);
 /* Reads the list of control replicas and the keys, for programs that only talk to them. */
 cw_status_t settings_load_access(const char *file, GArray **controls, keys_t **keys);
-/* Returns the addresses of control replicas, char * owned by the list; freed with g_ptr_array_unref(). */
-GPtrArray *settings_control_addresses(const GArray *controls);
 void settings_free(settings_t *settings);
 
 #endif
--- a/daemon/settings_controls.c
+++ b/daemon/settings_controls.c
@@ -102,7 +102,7 @@
 }
 
 /* Returns the addresses of control replicas, borrowed from the list. */
-GPtrArray *settings_control_addresses(const GArray *controls)
+GPtrArray *controls_addresses(const GArray *controls)
 {
 	GPtrArray *addresses = g_ptr_array_new();
 
--- a/daemon/settings_controls.h
+++ b/daemon/settings_controls.h
@@ -6,6 +6,7 @@
 
 GArray *controls_new(void);
 cw_status_t controls_load(const char *file, GKeyFile *keys, GArray *controls);
+GPtrArray *controls_addresses(const GArray *controls);
 const char *controls_find(const GArray *controls, uint32_t id);
 
 #endif
