--- a/tests/tools/standin_target.c
+++ b/tests/tools/standin_target.c
@@ -4,7 +4,8 @@
  *
  *   ANY /...          runs for the service time and answers; the body echoes the request
  *   GET /health       says that all is well, whatever is true
- *   GET /executions   JSON: how often each X-Request-Id ran
+ *   GET /executions     JSON: how often each X-Request-Id ran
+ *   GET /executions/ID  how often that one did
  *   GET /set?K=V      changes a setting
  *
  * SIGTERM drains: answers carry Caraway-Draining, the port closes after the
@@ -199,6 +200,17 @@
 	return answer(connection, MHD_HTTP_OK, text, strlen(text));
 }
 
+/* Answers with the executions of one request id. */
+static enum MHD_Result answer_count(struct MHD_Connection *connection, const char *id)
+{
+	char *text;
+
+	pthread_mutex_lock(&lock);
+	text = g_strdup_printf("%d", GPOINTER_TO_INT(g_hash_table_lookup(executions, id)));
+	pthread_mutex_unlock(&lock);
+	return answer(connection, MHD_HTTP_OK, text, strlen(text));
+}
+
 /* Changes one setting. */
 static enum MHD_Result set_value(void *data, enum MHD_ValueKind kind, const char *name, const char *value)
 {
@@ -248,6 +260,8 @@
 	}
 	if (!strcmp(url, "/executions"))
 		return answer_executions(connection);
+	if (g_str_has_prefix(url, "/executions/"))
+		return answer_count(connection, url + strlen("/executions/"));
 	if (!strcmp(url, "/set"))
 		MHD_get_connection_values(connection, MHD_GET_ARGUMENT_KIND, set_value, NULL);
 	if (!strcmp(url, "/set") || !strcmp(url, "/health"))
--- /dev/null
+++ b/tests/tools/traffic_driver.c
@@ -0,0 +1,313 @@
+/*
+ * Runs the traffic of one proxy without a control plane: the view comes from
+ * an INI file that is read again when it changes.  For tests and the bench.
+ *
+ *   [view]                      [endpoint VM]              [route NAME]
+ *   version = 1                 zone, service, address     path, service
+ *                               incarnation, slots         idempotence = by-method|always|never
+ *                               draining = true|false      timeout-ms
+ *
+ * Prints one JSON line with its ports.  SIGTERM is a planned stop, SIGUSR1
+ * prints the counters as a JSON line; they are printed at the end as well.
+ */
+#include <argp.h>
+#include <glib/gstdio.h>
+#include <jansson.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include <urcu/urcu-memb.h>
+
+#include "clock.h"
+#include "counters.h"
+#include "traffic.h"
+
+enum { STEP_US = 10000, DRAIN_NOTICE_MS = 300 };
+
+/* What the command line gives. */
+typedef struct {
+	proxy_settings_t proxy;
+	uint64_t incarnation;
+	const char *view_file;
+	int drain_notice_ms;
+} options_t;
+
+static volatile sig_atomic_t stopping;
+static volatile sig_atomic_t counters_wanted;
+
+/* Reads a text of a group, "" when it is absent. */
+static char *read_text(GKeyFile *file, const char *group, const char *key)
+{
+	char *text = g_key_file_get_string(file, group, key, NULL);
+
+	return text ? text : g_strdup("");
+}
+
+/* Reads one endpoint. */
+static view_endpoint_t read_endpoint(GKeyFile *file, const char *group)
+{
+	return (view_endpoint_t){.vm = g_strdup(group + strlen("endpoint ")),
+				 .zone = read_text(file, group, "zone"),
+				 .region = read_text(file, group, "region"),
+				 .service = read_text(file, group, "service"),
+				 .call_address = read_text(file, group, "address"),
+				 .incarnation = g_key_file_get_uint64(file, group, "incarnation", NULL),
+				 .slots = (uint32_t)g_key_file_get_uint64(file, group, "slots", NULL),
+				 .draining = g_key_file_get_boolean(file, group, "draining", NULL)};
+}
+
+/* Reads one route; its endpoints are those of its service. */
+static view_route_t read_route(GKeyFile *file, const char *group, const GArray *endpoints)
+{
+	view_route_t route = {.name = g_strdup(group + strlen("route ")),
+			      .path = read_text(file, group, "path"),
+			      .service = read_text(file, group, "service"),
+			      .timeout_ms = (uint32_t)g_key_file_get_uint64(file, group, "timeout-ms", NULL)};
+	char *word = read_text(file, group, "idempotence");
+	GArray *positions = g_array_new(FALSE, FALSE, sizeof(uint32_t));
+
+	if (!strcmp(word, "always"))
+		route.idempotence = CARAWAY__IDEMPOTENCE__ALWAYS;
+	else if (!strcmp(word, "never"))
+		route.idempotence = CARAWAY__IDEMPOTENCE__NEVER;
+	g_free(word);
+	for (uint32_t i = 0; i < endpoints->len; i++)
+		if (!strcmp(g_array_index(endpoints, view_endpoint_t, i).service, route.service))
+			g_array_append_val(positions, i);
+	route.endpoint_count = positions->len;
+	route.endpoints = (uint32_t *)(void *)g_array_free(positions, FALSE);
+	return route;
+}
+
+/* Orders routes by the length of their path, longest first. */
+static gint compare_routes(gconstpointer a, gconstpointer b)
+{
+	const view_route_t *left = a, *right = b;
+
+	return (gint)strlen(right->path) - (gint)strlen(left->path);
+}
+
+/* Reads a view; NULL when the file cannot be read. */
+static view_t *read_view(const char *name)
+{
+	GKeyFile *file = g_key_file_new();
+	GArray *endpoints = g_array_new(FALSE, TRUE, sizeof(view_endpoint_t));
+	GArray *routes = g_array_new(FALSE, TRUE, sizeof(view_route_t));
+	view_t *view = NULL;
+	char **groups;
+
+	if (g_key_file_load_from_file(file, name, G_KEY_FILE_NONE, NULL)) {
+		groups = g_key_file_get_groups(file, NULL);
+		for (size_t i = 0; groups[i]; i++)
+			if (g_str_has_prefix(groups[i], "endpoint ")) {
+				view_endpoint_t endpoint = read_endpoint(file, groups[i]);
+				g_array_append_val(endpoints, endpoint);
+			}
+		for (size_t i = 0; groups[i]; i++)
+			if (g_str_has_prefix(groups[i], "route ")) {
+				view_route_t route = read_route(file, groups[i], endpoints);
+				g_array_append_val(routes, route);
+			}
+		g_strfreev(groups);
+		g_array_sort(routes, compare_routes);
+		view = g_new0(view_t, 1);
+		view->version = g_key_file_get_uint64(file, "view", "version", NULL);
+		view->endpoint_count = endpoints->len;
+		view->route_count = routes->len;
+		view->endpoints = (view_endpoint_t *)(void *)g_array_free(g_steal_pointer(&endpoints), FALSE);
+		view->routes = (view_route_t *)(void *)g_array_free(g_steal_pointer(&routes), FALSE);
+	}
+	if (endpoints)
+		g_array_free(endpoints, TRUE);
+	if (routes)
+		g_array_free(routes, TRUE);
+	g_key_file_free(file);
+	return view;
+}
+
+/* Publishes the view when its file has changed; *seen holds what was published. */
+static void follow_view(const options_t *options, view_slot_t *slot, char **seen)
+{
+	char *text = NULL;
+	view_t *view;
+
+	if (!g_file_get_contents(options->view_file, &text, NULL, NULL) || !g_strcmp0(text, *seen)) {
+		g_free(text);
+		return;
+	}
+	view = read_view(options->view_file);
+	if (view) {
+		view_slot_publish(slot, view);
+		g_free(*seen);
+		*seen = text;
+	} else {
+		g_free(text);
+	}
+}
+
+/* Prints every counter that is not 0. */
+static void print_counters(void)
+{
+	json_t *object = json_object();
+	char *text;
+
+	for (int i = 0; i < COUNTER_COUNT; i++)
+		if (counter_value((counter_t)i))
+			json_object_set_new(object, counter_word((counter_t)i),
+					    json_integer((json_int_t)counter_value((counter_t)i)));
+	text = json_dumps(object, JSON_COMPACT);
+	puts(text);
+	fflush(stdout);
+	free(text);
+	json_decref(object);
+}
+
+/* Notes SIGTERM. */
+static void on_term(int number)
+{
+	(void)number;
+	stopping = 1;
+}
+
+/* Notes SIGUSR1. */
+static void on_usr1(int number)
+{
+	(void)number;
+	counters_wanted = 1;
+}
+
+static const struct argp_option option_list[] = {
+	{"vm", 'm', "NAME", 0, "VM of this proxy", 0},
+	{"zone", 'z', "NAME", 0, "availability zone", 0},
+	{"service", 's', "NAME", 0, "service of the target beside this proxy", 0},
+	{"listen", 'l', "HOST:PORT", 0, "port of callers", 0},
+	{"call-listen", 'c', "HOST:PORT", 0, "port of other proxies", 0},
+	{"target", 't', "HOST:PORT", 0, "the target", 0},
+	{"slots", 'n', "N", 0, "calls that the target runs at once", 0},
+	{"queue", 'q', "N", 0, "calls that may wait", 0},
+	{"connections", 'x', "N", 0, "most connections of callers", 0},
+	{"timeout-ms", 'o', "N", 0, "longest time of a call", 0},
+	{"retry-percent", 'r', "N", 0, "retries as a share of calls", 0},
+	{"incarnation", 'i', "N", 0, "of this process; default the time", 0},
+	{"view", 'v', "FILE", 0, "the view", 0},
+	{"drain-notice-ms", 'd', "N", 0, "time to serve on after SIGTERM", 0},
+	{0},
+};
+
+/* Reads one option. */
+static error_t parse_option(int key, char *value, struct argp_state *state)
+{
+	options_t *options = state->input;
+
+	switch (key) {
+	case 'm':
+		options->proxy.vm = value;
+		return 0;
+	case 'z':
+		options->proxy.zone = value;
+		return 0;
+	case 's':
+		options->proxy.service = value;
+		return 0;
+	case 'l':
+		options->proxy.listen = value;
+		return 0;
+	case 'c':
+		options->proxy.call_listen = value;
+		return 0;
+	case 't':
+		options->proxy.target = value;
+		return 0;
+	case 'n':
+		options->proxy.slots = (uint32_t)atoi(value);
+		return 0;
+	case 'q':
+		options->proxy.queue = (uint32_t)atoi(value);
+		return 0;
+	case 'x':
+		options->proxy.connections = (uint32_t)atoi(value);
+		return 0;
+	case 'o':
+		options->proxy.timeout_ms = (uint32_t)atoi(value);
+		return 0;
+	case 'r':
+		options->proxy.retry_percent = (uint32_t)atoi(value);
+		return 0;
+	case 'i':
+		options->incarnation = g_ascii_strtoull(value, NULL, 10);
+		return 0;
+	case 'v':
+		options->view_file = value;
+		return 0;
+	case 'd':
+		options->drain_notice_ms = atoi(value);
+		return 0;
+	default:
+		return ARGP_ERR_UNKNOWN;
+	}
+}
+
+/* Refuses new work to the target, serves callers for the notice time and stops. */
+static void stop_traffic(traffic_t *traffic, const options_t *options)
+{
+	traffic_drain(traffic);
+	usleep((useconds_t)options->drain_notice_ms * 1000);
+	traffic_stop(traffic);
+}
+
+int main(int argc, char **argv)
+{
+	options_t options = {.proxy = {.vm = "vm",
+				       .zone = "zone",
+				       .region = "",
+				       .service = "s",
+				       .listen = "127.0.0.1:0",
+				       .call_listen = "127.0.0.1:0",
+				       .target = "127.0.0.1:1",
+				       .slots = 12,
+				       .queue = 24,
+				       .connections = 120,
+				       .timeout_ms = 1000,
+				       .drain_ms = 10000,
+				       .retry_percent = 20},
+			     .incarnation = clock_incarnation(),
+			     .drain_notice_ms = DRAIN_NOTICE_MS};
+	const struct argp argp = {
+		.options = option_list, .parser = parse_option, .doc = "Traffic of a proxy"};
+	struct sigaction term = {.sa_handler = on_term}, usr1 = {.sa_handler = on_usr1};
+	link_context_t *context = link_context_new();
+	view_slot_t *slot = view_slot_new();
+	char *seen = NULL;
+	traffic_t *traffic;
+
+	argp_parse(&argp, argc, argv, 0, NULL, &options);
+	sigaction(SIGTERM, &term, NULL);
+	sigaction(SIGUSR1, &usr1, NULL);
+	signal(SIGPIPE, SIG_IGN);
+	urcu_memb_register_thread();
+	if (traffic_start(context, &options.proxy, options.incarnation, slot, &traffic) != CW_OK) {
+		fprintf(stderr, "%s\n", cw_last_message());
+		return EXIT_FAILURE;
+	}
+	printf("{\"http\":\"%s\",\"call\":\"%s\",\"incarnation\":%" G_GUINT64_FORMAT "}\n",
+	       traffic_http_address(traffic), traffic_call_address(traffic), (guint64)options.incarnation);
+	fflush(stdout);
+	while (!stopping) {
+		follow_view(&options, slot, &seen);
+		if (counters_wanted) {
+			counters_wanted = 0;
+			print_counters();
+		}
+		usleep(STEP_US);
+	}
+	stop_traffic(traffic, &options);
+	print_counters();
+	view_slot_free(slot);
+	link_context_free(context);
+	urcu_memb_unregister_thread();
+	g_free(seen);
+	return EXIT_SUCCESS;
+}
