Prove calls under failure on real processes

The witness is the target's count of executions by request id; the caller is plain sockets. tests/calls/run.sh builds each naive variant of naive.txt and checks that its test fails.

--- /dev/null
+++ b/tests/calls/run.sh
@@ -0,0 +1,33 @@
+#!/bin/sh
+# Builds each naive variant of tests/calls/naive.txt in a scratch copy and checks
+# that the test named for it fails there.  Arguments select variants by name.
+# Exit status 1 when a variant passes, does not build or changes nothing.
+set -u
+scratch=$(mktemp -d)
+trap 'rm -rf "$scratch"' EXIT
+cp -r Makefile libcaraway daemon cli tests bench "$scratch" 2>/dev/null
+make -s -j4 -C "$scratch" build/tests/tools/standin_target build/tests/tools/standin_link >/dev/null || exit 1
+failed=0
+wanted=" $* "
+while IFS='|' read -r name program test file expression; do
+	case "$name" in '#'* | '') continue ;; esac
+	case "$wanted" in '  ' | *" $name "*) ;; *) continue ;; esac
+	cp "$scratch/$file" "$scratch/original"
+	sed -i "$expression" "$scratch/$file"
+	if cmp -s "$scratch/$file" "$scratch/original"; then
+		echo "$name: the expression changes nothing"
+		failed=1
+	elif ! make -s -j4 -C "$scratch" WARNINGS='-std=gnu11 -w' build/tests/tools/traffic_driver \
+		"build/tests/unit/$program" >/dev/null 2>"$scratch/errors"; then
+		echo "$name: does not build"
+		cat "$scratch/errors"
+		failed=1
+	elif (cd "$scratch" && CK_RUN_CASE="$test" timeout 120 "build/tests/unit/$program" >output 2>&1); then
+		echo "$name: PASSES $test, so the test shows nothing"
+		failed=1
+	else
+		echo "$name: refuted by $test: $(grep -m1 ":[FE]:" "$scratch/output" | sed 's/^[^:]*:[0-9]*:[FE]:[^:]*:[^:]*:[0-9]*: //')"
+	fi
+	cp "$scratch/original" "$scratch/$file"
+done <tests/calls/naive.txt
+exit $failed
--- /dev/null
+++ b/tests/unit/caller.c
@@ -0,0 +1,90 @@
+/* A caller on plain sockets: one request a connection, and the answer judged by its bytes alone. */
+#include "caller.h"
+
+#include <arpa/inet.h>
+#include <glib.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+int caller_send(int port, const char *method, const char *path, const char *id, int deadline_ms)
+{
+	struct sockaddr_in address = {.sin_family = AF_INET, .sin_port = htons((uint16_t)port)};
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	g_autofree char *text =
+		g_strdup_printf("%s %s HTTP/1.1\r\nHost: t\r\nConnection: close\r\nX-Request-Id: %s\r\n"
+				"Caraway-Deadline-Ms: %d\r\nContent-Length: %zu\r\n\r\n%s",
+				method, path, id, deadline_ms, strlen(id), id);
+
+	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	if (connect(fd, (struct sockaddr *)&address, sizeof(address))) {
+		close(fd);
+		return -1;
+	}
+	if (send(fd, text, strlen(text), MSG_NOSIGNAL) < 0)
+		shutdown(fd, SHUT_RDWR);
+	return fd;
+}
+
+/* Copies the value of a header out of an answer's head. */
+static void read_header(const char *head, const char *name, char *value, size_t size)
+{
+	const char *line = head;
+
+	value[0] = '\0';
+	while ((line = strstr(line, "\r\n"))) {
+		line += strlen("\r\n");
+		if (!strncasecmp(line, name, strlen(name)) && line[strlen(name)] == ':') {
+			line += strlen(name) + 1;
+			line += strspn(line, " ");
+			g_strlcpy(value, line, MIN(size, strcspn(line, "\r\n") + 1));
+			return;
+		}
+	}
+}
+
+/* Takes an answer apart. */
+static void parse(const GString *text, answer_t *answer)
+{
+	const char *body = strstr(text->str, "\r\n\r\n");
+	char length[32];
+
+	if (!body || sscanf(text->str, "HTTP/1.1 %d", &answer->status) != 1)
+		return;
+	body += strlen("\r\n\r\n");
+	read_header(text->str, "Caraway-Outcome", answer->outcome, sizeof(answer->outcome));
+	read_header(text->str, "Caraway-Reason", answer->reason, sizeof(answer->reason));
+	read_header(text->str, "Content-Length", length, sizeof(length));
+	answer->whole = *length && strlen(body) == strtoul(length, NULL, 10);
+	g_strlcpy(answer->body, body, sizeof(answer->body));
+}
+
+void caller_receive(int fd, answer_t *answer)
+{
+	GString *text = g_string_new(NULL);
+	char buffer[4096];
+	ssize_t length;
+
+	memset(answer, 0, sizeof(*answer));
+	while ((length = recv(fd, buffer, sizeof(buffer), 0)) > 0)
+		g_string_append_len(text, buffer, length);
+	close(fd);
+	parse(text, answer);
+	g_string_free(text, TRUE);
+}
+
+void caller_call(int port, const char *method, const char *path, const char *id, int deadline_ms,
+		 answer_t *answer)
+{
+	int fd = caller_send(port, method, path, id, deadline_ms);
+
+	if (fd >= 0) {
+		caller_receive(fd, answer);
+		return;
+	}
+	memset(answer, 0, sizeof(*answer));
+	answer->refused = true;
+}
--- /dev/null
+++ b/tests/unit/mesh.c
@@ -0,0 +1,161 @@
+/* A small mesh of real processes. */
+#include "mesh.h"
+
+#include <check.h>
+#include <glib.h>
+#include <glib/gstdio.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+enum { STEP_US = 10000, MAX_STEPS = 1500, ID_BYTES = 64, PATH_BYTES = 256 };
+
+static const char *const names[MESH_PROXIES] = {"a", "b", "o"};
+static const char *const zones[MESH_PROXIES] = {"near", "far", "near"};
+
+/* Writes the view: one service with a route for every path, through the links. */
+static void write_view(const mesh_t *mesh)
+{
+	GString *text = g_string_new("[view]\nversion=1\n[route all]\npath=/\nservice=s\n");
+	g_autofree char *name = g_build_filename(mesh->folder, "view.ini", NULL);
+
+	for (int i = MESH_A; i <= MESH_B; i++)
+		g_string_append_printf(text,
+				       "[endpoint %s]\nzone=%s\nservice=s\naddress=127.0.0.1:%d\n"
+				       "incarnation=%u\nslots=12\n",
+				       names[i], zones[i], mesh->link_ports[i], mesh->incarnations[i]);
+	ck_assert(g_file_set_contents(name, text->str, -1, NULL));
+	g_string_free(text, TRUE);
+}
+
+void mesh_start_target(mesh_t *mesh, int target, const char *const *arguments)
+{
+	g_autofree char *port = g_strdup_printf("--port=%d", mesh->target_ports[target]);
+	GPtrArray *list = g_ptr_array_new();
+	g_autofree char *line = NULL;
+
+	g_ptr_array_add(list, port);
+	for (size_t i = 0; arguments[i]; i++)
+		g_ptr_array_add(list, (char *)arguments[i]);
+	g_ptr_array_add(list, NULL);
+	process_start(&mesh->targets[target], "standin_target", (const char *const *)list->pdata);
+	g_ptr_array_free(list, TRUE);
+	line = process_read_line(&mesh->targets[target]);
+	mesh->target_ports[target] = atoi(line);
+}
+
+void mesh_start_proxy(mesh_t *mesh, int proxy)
+{
+	g_autofree char *listen = g_strdup_printf("127.0.0.1:%d", mesh->http_ports[proxy]);
+	g_autofree char *call_listen = g_strdup_printf("127.0.0.1:%d", mesh->call_ports[proxy]);
+	g_autofree char *target =
+		g_strdup_printf("127.0.0.1:%d", proxy == MESH_O ? 1 : mesh->target_ports[proxy]);
+	g_autofree char *incarnation = g_strdup_printf("%u", ++mesh->incarnations[proxy]);
+	g_autofree char *view = g_build_filename(mesh->folder, "view.ini", NULL);
+	const char *arguments[] = {"--vm",   names[proxy], "--zone",	    zones[proxy],    "--listen",
+				   listen,   "--target",   target,	    "--call-listen", call_listen,
+				   "--view", view,	   "--incarnation", incarnation,     "--timeout-ms",
+				   "5000",   NULL};
+	g_autofree char *line = NULL;
+
+	process_start(&mesh->proxies[proxy], "traffic_driver", arguments);
+	line = process_read_line(&mesh->proxies[proxy]);
+	ck_assert_int_eq(sscanf(line, "{\"http\":\"127.0.0.1:%d\",\"call\":\"127.0.0.1:%d\"",
+				&mesh->http_ports[proxy], &mesh->call_ports[proxy]),
+			 2);
+	if (proxy != MESH_O)
+		write_view(mesh);
+}
+
+/* Starts the link before a proxy. */
+static void start_link(mesh_t *mesh, int proxy)
+{
+	g_autofree char *to = g_strdup_printf("%d", mesh->call_ports[proxy]);
+	const char *arguments[] = {"0", to, NULL};
+	g_autofree char *line = NULL;
+
+	process_start(&mesh->links[proxy], "standin_link", arguments);
+	line = process_read_line(&mesh->links[proxy]);
+	mesh->link_ports[proxy] = atoi(line);
+}
+
+void mesh_start(mesh_t *mesh, const char *const *target_arguments)
+{
+	memset(mesh, 0, sizeof(*mesh));
+	mesh->folder = g_dir_make_tmp("mesh-XXXXXX", NULL);
+	for (int i = MESH_A; i <= MESH_B; i++) {
+		mesh->incarnations[i] = (unsigned)(i + 1) * 100;
+		mesh_start_target(mesh, i, target_arguments);
+		mesh_start_proxy(mesh, i);
+		start_link(mesh, i);
+	}
+	mesh->incarnations[MESH_O] = 1000;
+	write_view(mesh);
+	mesh_start_proxy(mesh, MESH_O);
+	mesh_wait_served(mesh, MESH_A);
+	mesh_wait_served(mesh, MESH_B);
+	mesh_wait_served(mesh, MESH_O);
+}
+
+void mesh_stop(mesh_t *mesh)
+{
+	g_autofree char *view = g_build_filename(mesh->folder, "view.ini", NULL);
+
+	for (int i = 0; i < MESH_PROXIES; i++)
+		process_kill(&mesh->proxies[i]);
+	for (int i = MESH_A; i <= MESH_B; i++) {
+		process_kill(&mesh->targets[i]);
+		process_kill(&mesh->links[i]);
+	}
+	g_unlink(view);
+	g_rmdir(mesh->folder);
+	g_free(mesh->folder);
+}
+
+int mesh_ran_at(const mesh_t *mesh, int target, const char *id)
+{
+	char path[PATH_BYTES];
+	answer_t answer;
+
+	snprintf(path, sizeof(path), "/executions/%s", id);
+	caller_call(mesh->target_ports[target], "GET", path, "-", 1000, &answer);
+	ck_assert_int_eq(answer.status, 200);
+	return atoi(answer.body);
+}
+
+int mesh_ran(const mesh_t *mesh, const char *id)
+{
+	return mesh_ran_at(mesh, MESH_A, id) + mesh_ran_at(mesh, MESH_B, id);
+}
+
+void mesh_wait_ran_at(const mesh_t *mesh, int target, const char *id)
+{
+	for (int i = 0; i < MAX_STEPS && !mesh_ran_at(mesh, target, id); i++)
+		usleep(STEP_US);
+	ck_assert_int_gt(mesh_ran_at(mesh, target, id), 0);
+}
+
+void mesh_wait_served(const mesh_t *mesh, int proxy)
+{
+	answer_t answer = {0};
+	char id[ID_BYTES];
+
+	for (int i = 0; i < MAX_STEPS && answer.status != 200; i++) {
+		snprintf(id, sizeof(id), "wait-%d-%d", proxy, i);
+		caller_call(mesh->http_ports[proxy], "GET", "/", id, 2000, &answer);
+		if (answer.status != 200)
+			usleep(STEP_US);
+	}
+	ck_assert_int_eq(answer.status, 200);
+}
+
+void mesh_set(const mesh_t *mesh, int target, const char *setting)
+{
+	char path[PATH_BYTES];
+	answer_t answer;
+
+	snprintf(path, sizeof(path), "/set?%s", setting);
+	caller_call(mesh->target_ports[target], "GET", path, "-", 1000, &answer);
+	ck_assert_int_eq(answer.status, 200);
+}
--- /dev/null
+++ b/tests/unit/test_drain.c
@@ -0,0 +1,195 @@
+/*
+ * Planned stops under load on real processes: no call is cut, lost or doubled.
+ * Callers post without pause, each post under an id of its own, to proxies that
+ * are up; a port that refuses the connection is tried no further.
+ */
+#include <check.h>
+#include <glib.h>
+#include <signal.h>
+#include <stdatomic.h>
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "mesh.h"
+
+enum { CALLERS = 12, TIMEOUT_S = 90, ID_BYTES = 32, WARM_US = 300000, DEADLINE_MS = 4000 };
+
+static const char *const target_arguments[] = {"--service-ms=10", "--grace-ms=1500", NULL};
+
+/* The load on a mesh. */
+typedef struct {
+	mesh_t *mesh;
+	GThread *threads[CALLERS];
+	atomic_bool stop;
+	atomic_int last_id;
+	atomic_int answered;
+	atomic_int not_run; /* truthfully refused: the caller may send again */
+	GAsyncQueue *bad;   /* texts of answers that a planned stop must not give */
+	bool every_proxy;   /* callers turn to the next proxy when one refuses the connection */
+} load_t;
+
+/* Sends one call to the first proxy that takes the connection. */
+static void call_once(const load_t *load, const char *id, unsigned turn, answer_t *answer)
+{
+	int proxies = load->every_proxy ? MESH_PROXIES : 1;
+
+	for (int i = 0; i < proxies; i++) {
+		int proxy = load->every_proxy ? (int)((turn + (unsigned)i) % MESH_PROXIES) : MESH_O;
+
+		caller_call(load->mesh->http_ports[proxy], "POST", "/", id, DEADLINE_MS, answer);
+		if (!answer->refused)
+			return;
+	}
+}
+
+/* One caller: posts until told to stop. */
+static void *run_caller(void *data)
+{
+	load_t *load = data;
+
+	while (!atomic_load(&load->stop)) {
+		unsigned number = (unsigned)atomic_fetch_add(&load->last_id, 1);
+		g_autofree char *id = g_strdup_printf("load-%u", number);
+		answer_t answer;
+
+		call_once(load, id, number, &answer);
+		if (answer.status == 200 && answer.whole)
+			atomic_fetch_add(&load->answered, 1);
+		else
+			g_async_queue_push(load->bad,
+					   g_strdup_printf("%s: %s status %d %s %s", id,
+							   answer.refused ? "refused" : "taken",
+							   answer.status, answer.outcome, answer.reason));
+	}
+	return NULL;
+}
+
+/* Starts the callers. */
+static void load_start(load_t *load, mesh_t *mesh, bool every_proxy)
+{
+	memset(load, 0, sizeof(*load));
+	load->mesh = mesh;
+	load->every_proxy = every_proxy;
+	load->bad = g_async_queue_new_full(g_free);
+	for (int i = 0; i < CALLERS; i++)
+		load->threads[i] = g_thread_new("caller", run_caller, load);
+	usleep(WARM_US);
+}
+
+/* Stops the callers and checks that every call was answered. */
+static void load_stop(load_t *load)
+{
+	char *bad;
+
+	usleep(WARM_US);
+	atomic_store(&load->stop, true);
+	for (int i = 0; i < CALLERS; i++)
+		g_thread_join(load->threads[i]);
+	bad = g_async_queue_try_pop(load->bad);
+	ck_assert_msg(!bad, "%d more; %s", g_async_queue_length(load->bad), bad);
+	ck_assert_int_gt(atomic_load(&load->answered), CALLERS);
+	g_async_queue_unref(load->bad);
+}
+
+/* Returns how often a call ran on the targets from the first given on. */
+static int runs_of(const load_t *load, int call, int first)
+{
+	char id[ID_BYTES];
+	int runs = 0;
+
+	snprintf(id, sizeof(id), "load-%d", call);
+	for (int target = first; target <= MESH_B; target++)
+		runs += mesh_ran_at(load->mesh, target, id);
+	return runs;
+}
+
+/* Checks that every call ran once. */
+static void check_ran_once(const load_t *load)
+{
+	for (int i = 0; i < atomic_load(&load->last_id); i++)
+		ck_assert_msg(runs_of(load, i, MESH_A) == 1, "load-%d ran %d times", i,
+			      runs_of(load, i, MESH_A));
+}
+
+/* A proxy beside a target stops and comes back. */
+START_TEST(test_receiver_stops)
+{
+	load_t load;
+	mesh_t mesh;
+
+	mesh_start(&mesh, target_arguments);
+	load_start(&load, &mesh, false);
+	process_signal(&mesh.proxies[MESH_A], SIGTERM);
+	ck_assert(process_wait(&mesh.proxies[MESH_A]));
+	usleep(WARM_US);
+	mesh_start_proxy(&mesh, MESH_A);
+	load_stop(&load);
+	check_ran_once(&load);
+	mesh_stop(&mesh);
+}
+END_TEST
+
+/* Every proxy stops and comes back, one after the other. */
+START_TEST(test_every_proxy_stops)
+{
+	load_t load;
+	mesh_t mesh;
+
+	mesh_start(&mesh, target_arguments);
+	load_start(&load, &mesh, true);
+	for (int i = 0; i < MESH_PROXIES; i++) {
+		process_signal(&mesh.proxies[i], SIGTERM);
+		ck_assert(process_wait(&mesh.proxies[i]));
+		mesh_start_proxy(&mesh, i);
+		usleep(WARM_US);
+	}
+	load_stop(&load);
+	check_ran_once(&load);
+	mesh_stop(&mesh);
+}
+END_TEST
+
+/* A target stops; its executions are lost with it, so that the answers are checked, and the runs at the other. */
+START_TEST(test_target_stops)
+{
+	load_t load;
+	mesh_t mesh;
+
+	mesh_start(&mesh, target_arguments);
+	load_start(&load, &mesh, false);
+	process_signal(&mesh.targets[MESH_A], SIGTERM);
+	ck_assert(process_wait(&mesh.targets[MESH_A]));
+	usleep(WARM_US);
+	load_stop(&load);
+	for (int i = 0; i < atomic_load(&load.last_id); i++)
+		ck_assert_int_le(runs_of(&load, i, MESH_B), 1);
+	mesh_stop(&mesh);
+}
+END_TEST
+
+/* Adds a test as a case of its own, so that CK_RUN_CASE can select it. */
+static void add(Suite *suite, const TTest *test)
+{
+	TCase *tcase = tcase_create(test->name);
+
+	tcase_set_timeout(tcase, TIMEOUT_S);
+	tcase_add_test(tcase, test);
+	suite_add_tcase(suite, tcase);
+}
+
+/* Runs the tests; the exit status is the number of failures, at most 1. */
+int main(void)
+{
+	Suite *suite = suite_create("drain");
+	SRunner *runner = srunner_create(suite);
+	int failed;
+
+	add(suite, test_receiver_stops);
+	add(suite, test_every_proxy_stops);
+	add(suite, test_target_stops);
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed != 0;
+}
--- /dev/null
+++ b/tests/unit/test_peers.c
@@ -0,0 +1,301 @@
+/*
+ * A proxy against peers that double, cross and delay their messages.  The test
+ * plays the peer; callers and targets are judged by their own bytes and counts.
+ */
+#include <check.h>
+#include <glib.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "caller.h"
+#include "link.h"
+#include "process.h"
+
+enum { STEP_US = 5000, MAX_STEPS = 1000, TIMEOUT_S = 60, ORIGIN = 77, RECEIVER = 500, SETTLE_US = 200000 };
+
+/* The proxy under test with its view's folder. */
+typedef struct {
+	process_t target;
+	process_t proxy;
+	int target_port;
+	int http_port;
+	int call_port;
+	char *folder;
+} fixture_t;
+
+/* Starts a target and a proxy of incarnation RECEIVER whose only endpoint is the address given. */
+static void start(fixture_t *fixture, const char *address)
+{
+	const char *target_arguments[] = {"--service-ms=5", NULL};
+	g_autofree char *line = NULL, *ports = NULL, *target = NULL, *view = NULL, *text = NULL;
+	const char *arguments[] = {"--vm", "x", "--incarnation", "500", "--target", NULL, "--view",
+				   NULL,   NULL};
+
+	fixture->folder = g_dir_make_tmp("peers-XXXXXX", NULL);
+	view = g_build_filename(fixture->folder, "view.ini", NULL);
+	text = g_strdup_printf("[view]\nversion=1\n[route all]\npath=/\nservice=s\n[endpoint peer]\nzone=z\n"
+			       "service=s\naddress=%s\nincarnation=9\nslots=12\n",
+			       address);
+	ck_assert(g_file_set_contents(view, text, -1, NULL));
+	process_start(&fixture->target, "standin_target", target_arguments);
+	line = process_read_line(&fixture->target);
+	fixture->target_port = atoi(line);
+	target = g_strdup_printf("127.0.0.1:%s", line);
+	arguments[5] = target;
+	arguments[7] = view;
+	process_start(&fixture->proxy, "traffic_driver", arguments);
+	ports = process_read_line(&fixture->proxy);
+	ck_assert_int_eq(sscanf(ports, "{\"http\":\"127.0.0.1:%d\",\"call\":\"127.0.0.1:%d\"",
+				&fixture->http_port, &fixture->call_port),
+			 2);
+}
+
+/* Stops both. */
+static void stop(fixture_t *fixture)
+{
+	g_autofree char *view = g_build_filename(fixture->folder, "view.ini", NULL);
+
+	process_kill(&fixture->proxy);
+	process_kill(&fixture->target);
+	unlink(view);
+	rmdir(fixture->folder);
+	g_free(fixture->folder);
+}
+
+/* A call that the test, as receiver, has been sent. */
+typedef struct {
+	Caraway__Message *request;
+	GBytes *peer;
+} received_t;
+
+/* Waits for the next request. */
+static received_t receive(link_server_t *server)
+{
+	received_t received = {0};
+
+	for (int i = 0; i < MAX_STEPS && !received.request; i++) {
+		received.request = link_server_receive(server, &received.peer);
+		if (!received.request)
+			usleep(STEP_US);
+	}
+	ck_assert_ptr_nonnull(received.request);
+	ck_assert_int_eq(received.request->body_case, CARAWAY__MESSAGE__BODY_CALL_REQUEST);
+	return received;
+}
+
+/* Answers a request with its own body, so many times. */
+static void answer(link_server_t *server, const received_t *received, int times)
+{
+	Caraway__Message message = CARAWAY__MESSAGE__INIT;
+	Caraway__CallReply reply = CARAWAY__CALL_REPLY__INIT;
+
+	message.body_case = CARAWAY__MESSAGE__BODY_CALL_REPLY;
+	message.call_reply = &reply;
+	reply.id = received->request->call_request->id;
+	reply.status = 200;
+	reply.body = received->request->call_request->body;
+	for (int i = 0; i < times; i++)
+		ck_assert_int_eq(link_server_send(server, received->peer, &message), CW_OK);
+}
+
+/* Frees a received request. */
+static void release(received_t *received)
+{
+	cw_message_free(received->request);
+	g_bytes_unref(received->peer);
+}
+
+/* Answers come crossed, doubled and again after their call: each caller gets its own, whole. */
+START_TEST(test_crossed_answers)
+{
+	link_context_t *context = link_context_new();
+	received_t first, second, third;
+	link_server_t *server;
+	fixture_t fixture;
+	answer_t got;
+	int fds[3];
+
+	ck_assert_int_eq(link_server_open(context, "127.0.0.1:0", &server), CW_OK);
+	start(&fixture, link_server_address(server));
+	fds[0] = caller_send(fixture.http_port, "POST", "/", "first", 5000);
+	first = receive(server);
+	fds[1] = caller_send(fixture.http_port, "POST", "/", "second", 5000);
+	second = receive(server);
+	answer(server, &second, 2);
+	answer(server, &first, 2);
+	caller_receive(fds[1], &got);
+	ck_assert_str_eq(got.body, "second");
+	caller_receive(fds[0], &got);
+	ck_assert_str_eq(got.body, "first");
+	fds[2] = caller_send(fixture.http_port, "POST", "/", "third", 5000);
+	third = receive(server);
+	answer(server, &first, 1);
+	answer(server, &third, 1);
+	caller_receive(fds[2], &got);
+	ck_assert_str_eq(got.body, "third");
+	release(&first);
+	release(&second);
+	release(&third);
+	stop(&fixture);
+	link_server_close(server);
+	link_context_free(context);
+}
+END_TEST
+
+/* Sends a request of the test, as origin, to the proxy. */
+static void send_request(link_clients_t *clients, const char *address, uint64_t sequence, uint64_t receiver,
+			 const char *id)
+{
+	Caraway__Message message = CARAWAY__MESSAGE__INIT;
+	Caraway__CallRequest request = CARAWAY__CALL_REQUEST__INIT;
+	Caraway__CallId call = CARAWAY__CALL_ID__INIT;
+	Caraway__Header header = CARAWAY__HEADER__INIT;
+	Caraway__Header *headers[] = {&header};
+
+	call.origin = ORIGIN;
+	call.sequence = sequence;
+	header.name = (char *)"X-Request-Id";
+	header.value = (char *)id;
+	request.id = &call;
+	request.receiver = receiver;
+	request.deadline_ms = INT64_MAX / 2;
+	request.method = (char *)"POST";
+	request.path = (char *)"/";
+	request.headers = headers;
+	request.n_headers = 1;
+	message.body_case = CARAWAY__MESSAGE__BODY_CALL_REQUEST;
+	message.call_request = &request;
+	for (int i = 0; i < MAX_STEPS && link_clients_send(clients, address, &message) != CW_OK; i++)
+		usleep(STEP_US);
+}
+
+/* Sends a revocation to the proxy. */
+static void send_revoke(link_clients_t *clients, const char *address, uint64_t sequence, uint64_t receiver)
+{
+	Caraway__Message message = CARAWAY__MESSAGE__INIT;
+	Caraway__Revoke revoke = CARAWAY__REVOKE__INIT;
+	Caraway__CallId call = CARAWAY__CALL_ID__INIT;
+
+	call.origin = ORIGIN;
+	call.sequence = sequence;
+	revoke.id = &call;
+	revoke.receiver = receiver;
+	message.body_case = CARAWAY__MESSAGE__BODY_REVOKE;
+	message.revoke = &revoke;
+	for (int i = 0; i < MAX_STEPS && link_clients_send(clients, address, &message) != CW_OK; i++)
+		usleep(STEP_US);
+}
+
+/* Waits for the proxy's next message. */
+static Caraway__Message *next_message(link_clients_t *clients)
+{
+	Caraway__Message *message = NULL;
+	const char *address;
+
+	for (int i = 0; i < MAX_STEPS && !message; i++) {
+		message = link_clients_receive(clients, &address);
+		if (!message)
+			usleep(STEP_US);
+	}
+	ck_assert_ptr_nonnull(message);
+	return message;
+}
+
+/* Checks that the next message is a refusal with the reason. */
+static void check_refused(link_clients_t *clients, const char *reason)
+{
+	Caraway__Message *message = next_message(clients);
+
+	ck_assert_int_eq(message->body_case, CARAWAY__MESSAGE__BODY_CALL_REPLY);
+	ck_assert_int_eq(message->call_reply->outcome, CARAWAY__CALL_OUTCOME__OUTCOME_NOT_RUN);
+	ck_assert_str_eq(message->call_reply->reason, reason);
+	cw_message_free(message);
+}
+
+/* Checks what the next message says of a revocation. */
+static void check_never_started(link_clients_t *clients, bool never_started)
+{
+	Caraway__Message *message = next_message(clients);
+
+	ck_assert_int_eq(message->body_case, CARAWAY__MESSAGE__BODY_REVOKE_REPLY);
+	ck_assert_int_eq(message->revoke_reply->never_started, never_started);
+	cw_message_free(message);
+}
+
+/* How often a request id ran. */
+static int ran(const fixture_t *fixture, const char *id)
+{
+	g_autofree char *path = g_strdup_printf("/executions/%s", id);
+	answer_t got;
+
+	caller_call(fixture->target_port, "GET", path, "-", 1000, &got);
+	return atoi(got.body);
+}
+
+/* Requests come doubled, after their revocation, or for an earlier incarnation. */
+START_TEST(test_crossed_requests)
+{
+	link_context_t *context = link_context_new();
+	link_clients_t *clients = link_clients_new(context);
+	Caraway__Message *message;
+	fixture_t fixture;
+	char *address;
+
+	start(&fixture, "127.0.0.1:1");
+	address = g_strdup_printf("127.0.0.1:%d", fixture.call_port);
+	send_request(clients, address, 1, RECEIVER, "doubled");
+	send_request(clients, address, 1, RECEIVER, "doubled");
+	message = next_message(clients);
+	ck_assert_int_eq(message->call_reply->status, 200);
+	cw_message_free(message);
+	send_request(clients, address, 1, RECEIVER, "doubled");
+	send_revoke(clients, address, 1, RECEIVER);
+	check_never_started(clients, false);
+
+	send_revoke(clients, address, 2, RECEIVER);
+	check_never_started(clients, true);
+	send_request(clients, address, 2, RECEIVER, "revoked");
+	check_refused(clients, "revoked");
+
+	send_request(clients, address, 3, RECEIVER - 1, "predecessor");
+	check_refused(clients, "incarnation");
+	send_revoke(clients, address, 3, RECEIVER - 1);
+	check_never_started(clients, false);
+
+	usleep(SETTLE_US);
+	ck_assert_int_eq(ran(&fixture, "doubled"), 1);
+	ck_assert_int_eq(ran(&fixture, "revoked"), 0);
+	ck_assert_int_eq(ran(&fixture, "predecessor"), 0);
+	g_free(address);
+	stop(&fixture);
+	link_clients_free(clients);
+	link_context_free(context);
+}
+END_TEST
+
+/* Adds a test as a case of its own, so that CK_RUN_CASE can select it. */
+static void add(Suite *suite, const TTest *test)
+{
+	TCase *tcase = tcase_create(test->name);
+
+	tcase_set_timeout(tcase, TIMEOUT_S);
+	tcase_add_test(tcase, test);
+	suite_add_tcase(suite, tcase);
+}
+
+/* Runs the tests; the exit status is the number of failures, at most 1. */
+int main(void)
+{
+	Suite *suite = suite_create("peers");
+	SRunner *runner = srunner_create(suite);
+	int failed;
+
+	add(suite, test_crossed_answers);
+	add(suite, test_crossed_requests);
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed != 0;
+}
