--- a/libcaraway/catalog.c
+++ b/libcaraway/catalog.c
@@ -150,60 +150,75 @@
 	catalog_forget_groups(catalog);
 }
 
-/* Returns the least version of the live entries of a name; UINT64_MAX when there is none. */
-static uint64_t oldest_live(const cw_catalog_t *catalog, section_kind_t kind, const char *name)
+/* A layer that has an entry of the name at hand. */
+typedef struct {
+	size_t slot;
+	const entry_t *entry;
+} holder_t;
+
+/* Returns the layers that have an entry of a name. */
+static GArray *find_holders(const cw_catalog_t *catalog, section_kind_t kind, const char *name)
 {
-	uint64_t oldest = UINT64_MAX;
+	GArray *holders = g_array_new(FALSE, FALSE, sizeof(holder_t));
 
 	for (size_t i = 0; i < catalog->layers->len; i++) {
 		const layer_t *layer = catalog->layers->pdata[i];
-		const entry_t *entry = layer ? layer_entry(layer, kind, name) : NULL;
+		const holder_t holder = {.slot = i, .entry = layer ? layer_entry(layer, kind, name) : NULL};
 
-		if (entry && !section_is_removed(entry->section))
-			oldest = MIN(oldest, entry->version);
+		if (holder.entry)
+			g_array_append_val(holders, holder);
 	}
-	return oldest;
+	return holders;
 }
 
 /* Returns the newest version of a name under a selector that selects every VM; 0 when there is none. */
-static uint64_t newest_for_all(const cw_catalog_t *catalog, section_kind_t kind, const char *name)
+static uint64_t newest_for_all(const cw_catalog_t *catalog, const GArray *holders)
 {
 	uint64_t newest = 0;
 
-	for (size_t i = 0; i < catalog->layers->len; i++) {
-		const layer_t *layer = catalog->layers->pdata[i];
-		const entry_t *entry = layer ? layer_entry(layer, kind, name) : NULL;
+	for (guint i = 0; i < holders->len; i++) {
+		const holder_t *holder = &g_array_index(holders, holder_t, i);
+		const layer_t *layer = catalog->layers->pdata[holder->slot];
 
-		if (entry && selector_is_empty(layer->selector))
-			newest = MAX(newest, entry->version);
+		if (selector_is_empty(layer->selector))
+			newest = MAX(newest, holder->entry->version);
 	}
 	return newest;
 }
 
+/* Returns the least version of the live entries from a version on; UINT64_MAX when there is none. */
+static uint64_t oldest_live(const GArray *holders, uint64_t from)
+{
+	uint64_t oldest = UINT64_MAX;
+
+	for (guint i = 0; i < holders->len; i++) {
+		const entry_t *entry = g_array_index(holders, holder_t, i).entry;
+
+		if (entry->version >= from && !section_is_removed(entry->section))
+			oldest = MIN(oldest, entry->version);
+	}
+	return oldest;
+}
+
 /*
  * Drops the entries of a name that can show on no VM, whatever its labels:
  * those older than one that every VM has, and removals of nothing older.
  */
 static void prune_name(cw_catalog_t *catalog, section_kind_t kind, const char *name)
 {
-	uint64_t hidden_below = newest_for_all(catalog, kind, name);
-	uint64_t oldest;
+	GArray *holders = find_holders(catalog, kind, name);
+	uint64_t hidden_below = newest_for_all(catalog, holders);
+	uint64_t oldest = oldest_live(holders, hidden_below);
 
-	for (size_t i = 0; i < catalog->layers->len; i++) {
-		const layer_t *layer = catalog->layers->pdata[i];
-		const entry_t *entry = layer ? layer_entry(layer, kind, name) : NULL;
-
-		if (entry && entry->version < hidden_below)
-			drop_entry(catalog, i, kind, name);
-	}
-	oldest = oldest_live(catalog, kind, name);
-	for (size_t i = 0; i < catalog->layers->len; i++) {
-		const layer_t *layer = catalog->layers->pdata[i];
-		const entry_t *entry = layer ? layer_entry(layer, kind, name) : NULL;
+	for (guint i = 0; i < holders->len; i++) {
+		const holder_t *holder = &g_array_index(holders, holder_t, i);
+		uint64_t version = holder->entry->version;
 
-		if (entry && section_is_removed(entry->section) && entry->version < oldest)
-			drop_entry(catalog, i, kind, name);
+		if (version < hidden_below ||
+		    (section_is_removed(holder->entry->section) && version < oldest))
+			drop_entry(catalog, holder->slot, kind, name);
 	}
+	g_array_unref(holders);
 }
 
 /* Returns the slot of a content's layer, adding the layer when it is new. */
