Check VMs of one selection once per state of the plan

Change: the plan keeps one parsed selector per text, and the set of what selects VMs that were checked since it last changed; VMs that the same layers and the same accepted selectors select are checked once.

Ruled out: looking for a registered VM of the same selection, which costs a pass over all VMs for each check.

--- a/bench/bench_ledger.c
+++ b/bench/bench_ledger.c
@@ -347,6 +347,16 @@
 	print_us(fleet, "register again", start_us, ROUNDS);
 }
 
+/* Measures the registration of as many VMs again. */
+static void measure_new_vms(fleet_t *fleet)
+{
+	double start_us = cpu_us();
+
+	for (unsigned i = 0; i < fleet->vms; i++)
+		register_vm(fleet, fleet->vms + i);
+	print_us(fleet, "register new, a day ahead accepted", start_us, fleet->vms);
+}
+
 /* Measures the whole check, the configuration of one VM, and saving and loading. */
 static void measure_whole(fleet_t *fleet)
 {
@@ -394,6 +404,7 @@
 	accept_day(&fleet);
 	measure_life(&fleet, ahead);
 	measure_vms(&fleet, "label, a day ahead accepted", 2);
+	measure_new_vms(&fleet);
 	measure_whole(&fleet);
 	cw_ledger_free(fleet.ledger);
 }
--- a/libcaraway/catalog.h
+++ b/libcaraway/catalog.h
@@ -114,7 +114,6 @@
 
 GBytes *catalog_group_key(const cw_catalog_t *catalog, const Caraway__Vm *vm);
 GHashTable *catalog_groups(const cw_catalog_t *catalog);
-bool catalog_holds_group(const cw_catalog_t *catalog, const Caraway__Vm *vm);
 grouping_t *grouping_new(void);
 void grouping_release(grouping_t *grouping);
 void catalog_forget_groups(cw_catalog_t *catalog);
--- a/libcaraway/group.c
+++ b/libcaraway/group.c
@@ -59,16 +59,6 @@
 	return grouping->by_key;
 }
 
-/* Tells whether some VM has the configuration that a VM, known or not, would have. */
-bool catalog_holds_group(const cw_catalog_t *catalog, const Caraway__Vm *vm)
-{
-	GBytes *key = catalog_group_key(catalog, vm);
-	bool found = g_hash_table_contains(catalog_groups(catalog), key);
-
-	g_bytes_unref(key);
-	return found;
-}
-
 /* Returns groups that are to be made when wanted. */
 grouping_t *grouping_new(void)
 {
--- a/libcaraway/ledger.h
+++ b/libcaraway/ledger.h
@@ -4,18 +4,26 @@
 
 #include "catalog.h"
 
+/* A selector text of accepted changes. */
+typedef struct {
+	cw_selector_t *selector;
+	size_t count; /* changes that have it */
+} plan_selector_t;
+
 /* An accepted change that is not in force yet. */
 typedef struct {
 	const Caraway__Change *change;
-	cw_selector_t *selector;
+	const cw_selector_t *selector; /* of the plan */
 	int64_t at_ms; /* UTC, when it falls due: its due time, or its review when that came later */
 } plan_item_t;
 
 /* Accepted changes in the order in which they fall due, with the names they set and refer to. */
 typedef struct {
-	GPtrArray *items;     /* plan_item_t, by time then number */
-	GHashTable *definers; /* kind and name -> GPtrArray of plan_item_t that set or remove it */
-	GHashTable *users;    /* kind and name -> GPtrArray of plan_item_t that refer to it */
+	GPtrArray *items;      /* plan_item_t, by time then number */
+	GHashTable *selectors; /* text -> plan_selector_t */
+	GHashTable *checked;   /* GBytes set: what selects VMs that were checked since the plan changed */
+	GHashTable *definers;  /* kind and name -> GPtrArray of plan_item_t that set or remove it */
+	GHashTable *users;     /* kind and name -> GPtrArray of plan_item_t that refer to it */
 } plan_t;
 
 /* A change that finished long ago: its number, and what tells an equal booking and its state. */
--- a/libcaraway/plan.c
+++ b/libcaraway/plan.c
@@ -1,12 +1,24 @@
 /* The accepted changes in the order in which they fall due. */
 #include "ledger.h"
 
+/* Frees a selector of the plan. */
+static void selector_free(void *data)
+{
+	plan_selector_t *selector = data;
+
+	cw_selector_free(selector->selector);
+	g_free(selector);
+}
+
 /* Returns a new, empty plan. */
 plan_t *plan_new(void)
 {
 	plan_t *plan = g_new0(plan_t, 1);
 
-	plan->items = g_ptr_array_new();
+	plan->items = g_ptr_array_new_with_free_func(g_free);
+	plan->selectors = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, selector_free);
+	plan->checked =
+		g_hash_table_new_full(g_bytes_hash, g_bytes_equal, (GDestroyNotify)g_bytes_unref, NULL);
 	plan->definers =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, (GDestroyNotify)g_ptr_array_unref);
 	plan->users =
@@ -14,19 +26,12 @@
 	return plan;
 }
 
-/* Frees an item. */
-static void item_free(plan_item_t *item)
-{
-	cw_selector_free(item->selector);
-	g_free(item);
-}
-
 /* Frees a plan; the changes are the ledger's. */
 void plan_free(plan_t *plan)
 {
-	for (size_t i = 0; i < plan->items->len; i++)
-		item_free(plan->items->pdata[i]);
 	g_ptr_array_unref(plan->items);
+	g_hash_table_destroy(plan->selectors);
+	g_hash_table_destroy(plan->checked);
 	g_hash_table_destroy(plan->definers);
 	g_hash_table_destroy(plan->users);
 	g_free(plan);
@@ -116,6 +121,30 @@
 	return low;
 }
 
+/* Counts one more change of a selector text and returns the selector. */
+static const cw_selector_t *take_selector(plan_t *plan, const char *text)
+{
+	plan_selector_t *selector = g_hash_table_lookup(plan->selectors, text);
+
+	if (!selector) {
+		selector = g_new0(plan_selector_t, 1);
+		if (cw_selector_parse(text, &selector->selector))
+			g_error("a selector that was checked does not parse: %s", text);
+		g_hash_table_insert(plan->selectors, g_strdup(text), selector);
+	}
+	selector->count++;
+	return selector->selector;
+}
+
+/* Counts one change less of a selector text. */
+static void give_selector(plan_t *plan, const char *text)
+{
+	plan_selector_t *selector = g_hash_table_lookup(plan->selectors, text);
+
+	if (--selector->count == 0)
+		g_hash_table_remove(plan->selectors, text);
+}
+
 /* Adds a change, which must stay as it is until it is removed. */
 void plan_add(plan_t *plan, const Caraway__Change *change)
 {
@@ -123,10 +152,10 @@
 
 	item->change = change;
 	item->at_ms = change_at_ms(change);
-	if (cw_selector_parse(change->content->selector, &item->selector))
-		g_error("a selector that was checked does not parse: %s", change->content->selector);
+	item->selector = take_selector(plan, change->content->selector);
 	g_ptr_array_insert(plan->items, (gint)find_place(plan, item), item);
 	update_indexes(plan, item, index_add);
+	g_hash_table_remove_all(plan->checked);
 }
 
 /* Removes a change that was added. */
@@ -134,11 +163,11 @@
 {
 	const plan_item_t wanted = {.change = change, .at_ms = change_at_ms(change)};
 	size_t place = find_place(plan, &wanted);
-	plan_item_t *item = plan->items->pdata[place];
 
-	update_indexes(plan, item, index_remove);
+	update_indexes(plan, plan->items->pdata[place], index_remove);
 	g_ptr_array_remove_index(plan->items, place);
-	item_free(item);
+	give_selector(plan, change->content->selector);
+	g_hash_table_remove_all(plan->checked);
 }
 
 /* Returns the item that falls due first; NULL when there is none. */
--- a/libcaraway/plan_check.c
+++ b/libcaraway/plan_check.c
@@ -208,17 +208,12 @@
 	return check_plan(plan, catalog, change, false);
 }
 
-/*
- * Checks the configuration that a new or altered VM would have, now and after
- * each accepted change; CW_ERR_CHECK.
- */
-cw_status_t plan_check_vm(const plan_t *plan, const cw_catalog_t *catalog, const Caraway__Vm *vm)
+/* Checks a VM's configuration now and after each accepted change; CW_ERR_CHECK. */
+static cw_status_t simulate_vm(const plan_t *plan, const cw_catalog_t *catalog, const Caraway__Vm *vm)
 {
+	cw_status_t status = cw_catalog_check_vm(catalog, vm);
 	cw_catalog_t *copy;
-	cw_status_t status = CW_OK;
 
-	if (!catalog_holds_group(catalog, vm))
-		status = cw_catalog_check_vm(catalog, vm);
 	if (status)
 		return status;
 	copy = cw_catalog_copy(catalog);
@@ -234,3 +229,44 @@
 	cw_catalog_free(copy);
 	return status;
 }
+
+/* Returns what selects a VM: the layers of the catalog, then the selectors of the plan. */
+static GBytes *selection_key(const plan_t *plan, const cw_catalog_t *catalog, const Caraway__Vm *vm)
+{
+	GBytes *layers = catalog_group_key(catalog, vm);
+	gsize length;
+	const void *data = g_bytes_get_data(layers, &length);
+	GByteArray *key = g_byte_array_new();
+	GHashTableIter iter;
+	gpointer selector;
+
+	g_byte_array_append(key, data, (guint)length);
+	g_bytes_unref(layers);
+	g_hash_table_iter_init(&iter, plan->selectors);
+	while (g_hash_table_iter_next(&iter, NULL, &selector)) {
+		guint8 selects = cw_selector_match(((plan_selector_t *)selector)->selector, vm);
+
+		g_byte_array_append(key, &selects, 1);
+	}
+	return g_byte_array_free_to_bytes(key);
+}
+
+/*
+ * Checks the configuration that a new or altered VM would have, now and after
+ * each accepted change; CW_ERR_CHECK.  VMs that the same selectors select are
+ * checked once for as long as the plan stays as it is; every change that comes
+ * into force leaves the plan.
+ */
+cw_status_t plan_check_vm(const plan_t *plan, const cw_catalog_t *catalog, const Caraway__Vm *vm)
+{
+	GBytes *key = selection_key(plan, catalog, vm);
+	cw_status_t status = CW_OK;
+
+	if (!g_hash_table_contains(plan->checked, key))
+		status = simulate_vm(plan, catalog, vm);
+	if (status)
+		g_bytes_unref(key);
+	else
+		g_hash_table_add(plan->checked, key);
+	return status;
+}
