Keep groups of VMs when a selector comes or goes

Cause: a change with a new selector matched every VM with every selector three times, 45 ms at 8,700 VMs.

Change: groups are kept right for the VMs that the new or vanished selector selects; a copy of the catalog gets groups of its own only when it alters them.

--- a/libcaraway/catalog.c
+++ b/libcaraway/catalog.c
@@ -115,14 +115,13 @@
 {
 	layer_t *layer = layer_new(text, selector);
 
-	catalog_forget_groups(catalog);
-	for (*slot = 0; *slot < catalog->layers->len; (*slot)++) {
-		if (catalog->layers->pdata[*slot])
-			continue;
-		catalog->layers->pdata[*slot] = layer;
-		return layer;
-	}
-	g_ptr_array_add(catalog->layers, layer);
+	*slot = 0;
+	while (*slot < catalog->layers->len && catalog->layers->pdata[*slot])
+		(*slot)++;
+	if (*slot == catalog->layers->len)
+		g_ptr_array_add(catalog->layers, NULL);
+	catalog->layers->pdata[*slot] = layer;
+	catalog_regroup(catalog, (uint32_t)*slot, true);
 	return layer;
 }
 
@@ -145,9 +144,9 @@
 
 	if (!layer_remove(layer, kind, name))
 		return;
+	catalog_regroup(catalog, (uint32_t)slot, false);
 	catalog->layers->pdata[slot] = NULL;
 	layer_release(layer);
-	catalog_forget_groups(catalog);
 }
 
 /* A layer that has an entry of the name at hand. */
--- a/libcaraway/catalog.h
+++ b/libcaraway/catalog.h
@@ -116,7 +116,7 @@
 GHashTable *catalog_groups(const cw_catalog_t *catalog);
 grouping_t *grouping_new(void);
 void grouping_release(grouping_t *grouping);
-void catalog_forget_groups(cw_catalog_t *catalog);
+void catalog_regroup(cw_catalog_t *catalog, uint32_t slot, bool comes);
 void catalog_move_vm(cw_catalog_t *catalog, const Caraway__Vm *from, const Caraway__Vm *to);
 
 /* ---- check.c ---- */
--- a/libcaraway/group.c
+++ b/libcaraway/group.c
@@ -26,8 +26,14 @@
 	return g_bytes_new_take(g_array_free(slots, FALSE), length);
 }
 
-/* Counts a VM in the group of its key. */
-static void count_vm(GHashTable *groups, GBytes *key)
+/* Returns an empty table of groups. */
+static GHashTable *group_table_new(void)
+{
+	return g_hash_table_new_full(g_bytes_hash, g_bytes_equal, NULL, group_free);
+}
+
+/* Counts VMs in the group of their key. */
+static void count_vms(GHashTable *groups, GBytes *key, size_t count)
 {
 	group_t *group = g_hash_table_lookup(groups, key);
 
@@ -36,10 +42,10 @@
 		group->key = g_bytes_ref(key);
 		g_hash_table_insert(groups, group->key, group);
 	}
-	group->vm_count++;
+	group->vm_count += count;
 }
 
-/* Returns the groups, GBytes -> group_t, made on the first call after a layer came or went. */
+/* Returns the groups, GBytes -> group_t, made on the first call and kept right from then on. */
 GHashTable *catalog_groups(const cw_catalog_t *catalog)
 {
 	grouping_t *grouping = catalog->grouping;
@@ -48,12 +54,12 @@
 
 	if (grouping->by_key)
 		return grouping->by_key;
-	grouping->by_key = g_hash_table_new_full(g_bytes_hash, g_bytes_equal, NULL, group_free);
+	grouping->by_key = group_table_new();
 	g_hash_table_iter_init(&iter, catalog->vms->by_name);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		GBytes *key = catalog_group_key(catalog, ((vm_entry_t *)value)->vm);
 
-		count_vm(grouping->by_key, key);
+		count_vms(grouping->by_key, key, 1);
 		g_bytes_unref(key);
 	}
 	return grouping->by_key;
@@ -78,38 +84,96 @@
 	g_free(grouping);
 }
 
-/* Drops the groups, after a layer came or went. */
-void catalog_forget_groups(cw_catalog_t *catalog)
+/* Gives a catalog groups of its own that it may alter; returns whether they are made. */
+static bool own_groups(cw_catalog_t *catalog)
 {
-	grouping_release(catalog->grouping);
+	grouping_t *shared = catalog->grouping;
+	GHashTableIter iter;
+	gpointer value;
+
+	if (g_atomic_ref_count_compare(&shared->references, 1))
+		return shared->by_key != NULL;
 	catalog->grouping = grouping_new();
+	if (!shared->by_key) {
+		grouping_release(shared);
+		return false;
+	}
+	catalog->grouping->by_key = group_table_new();
+	g_hash_table_iter_init(&iter, shared->by_key);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const group_t *group = value;
+
+		count_vms(catalog->grouping->by_key, group->key, group->vm_count);
+	}
+	grouping_release(shared);
+	return true;
 }
 
-/* Takes a VM out of its group. */
-static void leave_group(const cw_catalog_t *catalog, GHashTable *groups, const Caraway__Vm *vm)
+/* Takes a VM out of the group of a key. */
+static void leave_group(GHashTable *groups, GBytes *key)
 {
-	GBytes *key = catalog_group_key(catalog, vm);
 	group_t *group = g_hash_table_lookup(groups, key);
 
 	if (--group->vm_count == 0)
 		g_hash_table_remove(groups, key);
-	g_bytes_unref(key);
 }
 
 /* Keeps the groups right when a VM comes (from is NULL) or its labels change. */
 void catalog_move_vm(cw_catalog_t *catalog, const Caraway__Vm *from, const Caraway__Vm *to)
 {
-	GHashTable *groups;
 	GBytes *key;
 
-	if (!g_atomic_ref_count_compare(&catalog->grouping->references, 1))
-		catalog_forget_groups(catalog);
-	groups = catalog->grouping->by_key;
-	if (!groups)
+	if (!own_groups(catalog))
 		return;
-	if (from)
-		leave_group(catalog, groups, from);
+	if (from) {
+		key = catalog_group_key(catalog, from);
+		leave_group(catalog->grouping->by_key, key);
+		g_bytes_unref(key);
+	}
 	key = catalog_group_key(catalog, to);
-	count_vm(groups, key);
+	count_vms(catalog->grouping->by_key, key, 1);
 	g_bytes_unref(key);
 }
+
+/* Returns a group's key without a slot. */
+static GBytes *key_without(GBytes *key, uint32_t slot)
+{
+	gsize length;
+	const uint32_t *slots = g_bytes_get_data(key, &length);
+	GArray *left = g_array_new(FALSE, FALSE, sizeof(uint32_t));
+
+	for (size_t i = 0; i < length / sizeof(*slots); i++)
+		if (slots[i] != slot)
+			g_array_append_val(left, slots[i]);
+	length = left->len * sizeof(uint32_t);
+	return g_bytes_new_take(g_array_free(left, FALSE), length);
+}
+
+/*
+ * Keeps the groups right for a layer that has just come, or is about to go:
+ * only the VMs that it selects change their group.
+ */
+void catalog_regroup(cw_catalog_t *catalog, uint32_t slot, bool comes)
+{
+	const layer_t *layer = catalog->layers->pdata[slot];
+	GHashTableIter iter;
+	gpointer value;
+
+	if (!own_groups(catalog))
+		return;
+	g_hash_table_iter_init(&iter, catalog->vms->by_name);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const Caraway__Vm *vm = ((vm_entry_t *)value)->vm;
+		GBytes *with;
+		GBytes *without;
+
+		if (!cw_selector_match(layer->selector, vm))
+			continue;
+		with = catalog_group_key(catalog, vm);
+		without = key_without(with, slot);
+		leave_group(catalog->grouping->by_key, comes ? without : with);
+		count_vms(catalog->grouping->by_key, comes ? with : without, 1);
+		g_bytes_unref(with);
+		g_bytes_unref(without);
+	}
+}
