--- a/libcaraway/raft.h
+++ b/libcaraway/raft.h
@@ -82,9 +82,10 @@
 	GHashTable *votes; /* "id.incarnation" of those who granted */
 
 	/* Leader only. */
-	GPtrArray *peers;     /* raft_peer_t * */
-	uint64_t first_index; /* of the entry that opened this term */
-	uint64_t round;	      /* newest begun */
+	GPtrArray *peers;	  /* raft_peer_t * */
+	uint64_t first_index;	  /* of the entry that opened this term */
+	uint64_t round;		  /* newest begun */
+	uint64_t announced_index; /* commit index that the newest round carries */
 	uint64_t confirmed_round;
 	int64_t confirmed_ms; /* when the newest confirmed round was begun, or the election won */
 	GArray *rounds;	      /* raft_round_t, not confirmed */
--- a/libcaraway/raft_membership.c
+++ b/libcaraway/raft_membership.c
@@ -89,27 +89,13 @@
 	return peer;
 }
 
-/* Removes the peers that have left the membership; learners stay. */
-static void remove_former_voters(cw_raft_t *raft)
-{
-	guint i = 0;
-
-	while (i < raft->peers->len) {
-		raft_peer_t *peer = g_ptr_array_index(raft->peers, i);
-
-		if (peer->voter && !raft_is_voter(raft, peer->replica))
-			g_ptr_array_remove_index(raft->peers, i);
-		else
-			i++;
-	}
-}
-
-/* Brings the leader's peers into line with the newest membership. */
+/* Brings the leader's peers into line with the newest membership; a former voter goes on as a learner. */
 static void update_peers(cw_raft_t *raft)
 {
 	const Caraway__Membership *membership = raft_membership(raft);
 
-	remove_former_voters(raft);
+	for (guint i = 0; i < raft->peers->len; i++)
+		((raft_peer_t *)g_ptr_array_index(raft->peers, i))->voter = false;
 	for (size_t i = 0; i < membership->n_voters; i++) {
 		raft_peer_t *peer;
 
--- a/libcaraway/raft_replication.c
+++ b/libcaraway/raft_replication.c
@@ -182,9 +182,11 @@
 	g_array_set_size(raft->reads, kept);
 }
 
-/* Returns whether a read waits for a round that has not begun. */
-static bool read_wants_round(const cw_raft_t *raft)
+/* Returns whether a read waits for a round that has not begun, or the peers for word of a commit. */
+static bool wants_round(const cw_raft_t *raft)
 {
+	if (raft->commit_index > raft->announced_index)
+		return true;
 	for (guint i = 0; i < raft->reads->len; i++)
 		if (g_array_index(raft->reads, raft_read_t, i).round > raft->round)
 			return true;
@@ -215,6 +217,7 @@
 
 	g_array_append_val(raft->rounds, round);
 	raft->heartbeat_deadline_ms = raft->now_ms + raft->options.heartbeat_ms;
+	raft->announced_index = raft->commit_index;
 	raft_drop_silent_learners(raft);
 	for (guint i = 0; i < raft->peers->len; i++)
 		raft_send_append(raft, g_ptr_array_index(raft->peers, i));
@@ -237,7 +240,7 @@
 	advance_commit(raft);
 	confirm_rounds(raft);
 	answer_reads(raft);
-	if (read_wants_round(raft) && raft->confirmed_round == raft->round)
+	if (wants_round(raft) && raft->confirmed_round == raft->round)
 		raft_begin_round(raft);
 	raft_readmit(raft);
 }
--- a/tests/unit/raft_world.h
+++ b/tests/unit/raft_world.h
@@ -53,10 +53,20 @@
 	uint64_t lost;	  /* proposals displaced by another entry */
 	uint64_t refused; /* proposals and reads */
 	uint64_t reads;
+	uint64_t disks_lost;
 	uint64_t snapshot_entries; /* between snapshots */
 	bool crash_in_step;	   /* the next replica that writes stops right after it */
 } world_t;
 
+/* raft_disk.c */
+uint64_t world_disk_last_index(const cw_raft_stored_t *disk);
+void world_disk_append(cw_raft_stored_t *disk, const GPtrArray *entries);
+void world_disk_snapshot(cw_raft_stored_t *disk, uint64_t index, uint64_t term,
+			 const Caraway__Membership *membership, GBytes *state, bool keep_later_entries);
+void world_disk_format(cw_raft_stored_t *disk, Caraway__Membership *membership);
+Caraway__Membership *world_membership(uint32_t count);
+
+/* raft_world.c */
 world_t *world_new(uint32_t count, uint64_t seed, naive_t naive);
 void world_free(world_t *world);
 void world_run(world_t *world, int64_t duration_ms);
