Answer queries of archived changes

Cause: the query for one change looked only at what is kept whole, and told an archived number as never booked.

Change: cw_ledger_copy_change() gives an archived change's number and state; the control's query uses it.

--- a/daemon/control_query.c
+++ b/daemon/control_query.c
@@ -27,15 +27,15 @@
 	return CW_OK;
 }
 
-/* Fills in one change with its content.  CW_ERR_NOT_FOUND when the number was never booked. */
+/* Fills in one change with its content, if that is kept.  CW_ERR_NOT_FOUND when the number was never booked. */
 static cw_status_t fill_change(const control_t *control, uint64_t number, Caraway__OperatorReply *reply)
 {
-	const Caraway__Change *change = cw_ledger_change(control->ledger, number);
+	Caraway__Change *change = cw_ledger_copy_change(control->ledger, number);
 
 	if (!change)
 		return cw_fail(CW_ERR_NOT_FOUND, "no change has number %" PRIu64, number);
 	reply->changes = g_new(Caraway__Change *, 1);
-	reply->changes[reply->n_changes++] = cw_message_copy(&change->base);
+	reply->changes[reply->n_changes++] = change;
 	return CW_OK;
 }
 
--- a/libcaraway/ledger.c
+++ b/libcaraway/ledger.c
@@ -56,12 +56,33 @@
 	return g_hash_table_lookup(ledger->changes, &number);
 }
 
-/* Returns a change by number, borrowed; NULL when there is none. */
+/* Returns a change by number, borrowed; NULL when there is none or it is archived. */
 const Caraway__Change *cw_ledger_change(const cw_ledger_t *ledger, uint64_t number)
 {
 	return ledger_find(ledger, number);
 }
 
+/*
+ * Returns a copy of a change by number, freed with cw_message_free(); of an
+ * archived one it has the number and the state.  NULL when there is none.
+ */
+Caraway__Change *cw_ledger_copy_change(const cw_ledger_t *ledger, uint64_t number)
+{
+	const Caraway__Change *found = ledger_find(ledger, number);
+	const archived_t *archived = found ? NULL : archive_find(ledger->archive, number);
+	Caraway__Change *change;
+
+	if (found)
+		return cw_message_copy(&found->base);
+	if (!archived)
+		return NULL;
+	change = malloc(sizeof(*change));
+	caraway__change__init(change);
+	change->number = number;
+	change->state = archive_state(archived);
+	return change;
+}
+
 /* Orders changes by number. */
 static gint compare_changes(gconstpointer a, gconstpointer b)
 {
@@ -71,7 +92,7 @@
 	return left->number < right->number ? -1 : left->number > right->number;
 }
 
-/* Returns every change, borrowed, ordered by number; the caller frees the array. */
+/* Returns every change that is not archived, borrowed, ordered by number; the caller frees the array. */
 GPtrArray *cw_ledger_changes(const cw_ledger_t *ledger)
 {
 	GPtrArray *changes = g_ptr_array_sized_new(g_hash_table_size(ledger->changes));
@@ -168,24 +189,6 @@
 	}
 }
 
-/* Returns a copy of a change, of an archived one its number and state; NULL when there is none. */
-static Caraway__Change *copy_change(const cw_ledger_t *ledger, uint64_t number)
-{
-	const Caraway__Change *found = ledger_find(ledger, number);
-	const archived_t *archived = found ? NULL : archive_find(ledger->archive, number);
-	Caraway__Change *change;
-
-	if (found)
-		return cw_message_copy(&found->base);
-	if (!archived)
-		return NULL;
-	change = malloc(sizeof(*change));
-	caraway__change__init(change);
-	change->number = number;
-	change->state = archive_state(archived);
-	return change;
-}
-
 /*
  * Applies a committed command.  Reads no clock but the command's time, so
  * that every replica comes to the same state and answer.  *change, when it is
@@ -200,6 +203,6 @@
 	cw_status_t status = apply_body(ledger, command, &number);
 
 	if (change)
-		*change = number ? copy_change(ledger, number) : NULL;
+		*change = number ? cw_ledger_copy_change(ledger, number) : NULL;
 	return status;
 }
--- a/libcaraway/libcaraway.h
+++ b/libcaraway/libcaraway.h
@@ -142,6 +142,7 @@
 cw_status_t cw_ledger_apply(cw_ledger_t *ledger, const Caraway__Command *command, Caraway__Change **change);
 cw_feed_t *cw_ledger_feed(cw_ledger_t *ledger);
 const Caraway__Change *cw_ledger_change(const cw_ledger_t *ledger, uint64_t number);
+Caraway__Change *cw_ledger_copy_change(const cw_ledger_t *ledger, uint64_t number);
 GPtrArray *cw_ledger_changes(const cw_ledger_t *ledger); /* borrowed Caraway__Change *, by number */
 /* The accepted change to activate next, by due time then number; 0 if none is due at utc_ms. */
 uint64_t cw_ledger_due(const cw_ledger_t *ledger, int64_t utc_ms);
