Prove the control state under failure on real processes

Cause: the control role was shown only by hand. Change: scripted runs of three replicas and several proxies as processes, driven through carawayctl and HTTP and judged by what these print and by the versions in the proxies' logs: the leader killed between acceptance and due time, a leader frozen past its lease and thawed, a lost disk readmitted and a second replica then lost with its disk, both followers frozen, every replica gone while a change falls due and a zone restarts.

--- /dev/null
+++ b/tests/unit/cluster.c
@@ -0,0 +1,405 @@
+/* Control replicas and proxies as real processes. */
+#include "cluster.h"
+
+#include <arpa/inet.h>
+#include <check.h>
+#include <fcntl.h>
+#include <glib/gstdio.h>
+#include <jansson.h>
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/prctl.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+enum { PATH_BYTES = 512, ANSWER_BYTES = 4096, PORTS_PER_PROXY = 4 };
+
+typedef struct {
+	char *name;
+	char *zone;
+	char *service;
+	int port; /* of the HTTP port; calls, feed and target follow */
+	int ports[PORTS_PER_PROXY];
+} proxy_t;
+
+struct cluster {
+	char *folder;
+	char *build; /* folder of the programs */
+	int replica_ports[CLUSTER_REPLICAS];
+	GPtrArray *proxies;    /* proxy_t * */
+	GHashTable *processes; /* name -> pid */
+};
+
+/* Returns a free port of the loopback address. */
+static int free_port(void)
+{
+	struct sockaddr_in address = {.sin_family = AF_INET, .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+	socklen_t length = sizeof(address);
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	ck_assert_int_ge(fd, 0);
+	ck_assert_int_eq(bind(fd, (struct sockaddr *)&address, sizeof(address)), 0);
+	ck_assert_int_eq(getsockname(fd, (struct sockaddr *)&address, &length), 0);
+	close(fd);
+	return ntohs(address.sin_port);
+}
+
+/* Returns the path of a file of the cluster. */
+static char *file_path(const cluster_t *cluster, const char *name, const char *ending)
+{
+	return g_strdup_printf("%s/%s%s", cluster->folder, name, ending);
+}
+
+cluster_t *cluster_new(void)
+{
+	cluster_t *cluster = g_new0(cluster_t, 1);
+	g_autofree char *self = g_file_read_link("/proc/self/exe", NULL);
+	g_autofree char *unit = g_path_get_dirname(self);
+
+	cluster->build = g_build_filename(unit, "..", "..", NULL);
+	cluster->folder = g_dir_make_tmp("caraway-XXXXXX", NULL);
+	ck_assert_ptr_nonnull(cluster->folder);
+	for (int i = 0; i < CLUSTER_REPLICAS; i++)
+		cluster->replica_ports[i] = free_port();
+	cluster->proxies = g_ptr_array_new();
+	cluster->processes = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	return cluster;
+}
+
+/* Removes a folder and what it holds. */
+static void remove_folder(const char *folder)
+{
+	GDir *dir = g_dir_open(folder, 0, NULL);
+	const char *name;
+
+	while (dir && (name = g_dir_read_name(dir))) {
+		g_autofree char *path = g_build_filename(folder, name, NULL);
+
+		if (g_file_test(path, G_FILE_TEST_IS_DIR))
+			remove_folder(path);
+		else
+			g_remove(path);
+	}
+	if (dir)
+		g_dir_close(dir);
+	g_rmdir(folder);
+}
+
+/* Frees a proxy's settings. */
+static void proxy_free(gpointer data, gpointer unused)
+{
+	proxy_t *proxy = data;
+
+	(void)unused;
+	g_free(proxy->name);
+	g_free(proxy->zone);
+	g_free(proxy->service);
+	g_free(proxy);
+}
+
+void cluster_free(cluster_t *cluster)
+{
+	GHashTableIter iter;
+	gpointer pid;
+
+	g_hash_table_iter_init(&iter, cluster->processes);
+	while (g_hash_table_iter_next(&iter, NULL, &pid)) {
+		kill(GPOINTER_TO_INT(pid), SIGKILL);
+		waitpid(GPOINTER_TO_INT(pid), NULL, 0);
+	}
+	g_hash_table_destroy(cluster->processes);
+	g_ptr_array_foreach(cluster->proxies, proxy_free, NULL);
+	g_ptr_array_free(cluster->proxies, TRUE);
+	remove_folder(cluster->folder);
+	g_free(cluster->folder);
+	g_free(cluster->build);
+	g_free(cluster);
+}
+
+/* Makes a started process end with this one. */
+static void end_with_parent(gpointer unused)
+{
+	(void)unused;
+	prctl(PR_SET_PDEATHSIG, SIGKILL);
+}
+
+/* Starts a program under a name, its output appended to a log of that name. */
+static void start(cluster_t *cluster, const char *name, const char *program, const char *const *arguments)
+{
+	g_autofree char *path = g_build_filename(cluster->build, program, NULL);
+	g_autofree char *log = file_path(cluster, name, ".log");
+	g_autofree const char **argv = g_new0(const char *, g_strv_length((char **)arguments) + 2);
+	int fd = open(log, O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
+	GPid pid = 0;
+
+	ck_assert_int_ge(fd, 0);
+	argv[0] = path;
+	for (size_t i = 0; arguments[i]; i++)
+		argv[i + 1] = arguments[i];
+	ck_assert(g_spawn_async_with_fds(NULL, (char **)argv, NULL, G_SPAWN_DO_NOT_REAP_CHILD,
+					 end_with_parent, NULL, &pid, -1, fd, fd, NULL));
+	close(fd);
+	g_hash_table_replace(cluster->processes, g_strdup(name), GINT_TO_POINTER(pid));
+}
+
+/* Appends the section that names the replicas. */
+static void append_replicas(const cluster_t *cluster, GString *text)
+{
+	g_string_append(text, "[control-replicas]\n");
+	for (int i = 0; i < CLUSTER_REPLICAS; i++)
+		g_string_append_printf(text, "%d=127.0.0.1:%d\n", i + 1, cluster->replica_ports[i]);
+}
+
+/* Writes the settings of a process and returns the name of their file. */
+static char *write_settings(const cluster_t *cluster, const char *name, const char *role, const char *own)
+{
+	g_autoptr(GString) text = g_string_new(NULL);
+	char *path = file_path(cluster, name, ".ini");
+
+	g_string_append_printf(text, "[process]\nrole=%s\n", role);
+	append_replicas(cluster, text);
+	g_string_append(text, own);
+	ck_assert(g_file_set_contents(path, text->str, -1, NULL));
+	return path;
+}
+
+/* Writes the settings of a replica. */
+static char *replica_settings(const cluster_t *cluster, int id, const char *name)
+{
+	g_autofree char *own =
+		g_strdup_printf("[control]\nid=%d\nlisten=127.0.0.1:%d\ndata-folder=%s/data%d\n"
+				"snapshot-entries=8\nendpoint-lease-ms=6000\n",
+				id, cluster->replica_ports[id - 1], cluster->folder, id);
+
+	return write_settings(cluster, name, "control", own);
+}
+
+void cluster_format_replica(cluster_t *cluster, int id)
+{
+	g_autofree char *name = g_strdup_printf("r%d", id);
+	g_autofree char *settings = replica_settings(cluster, id, name);
+	const char *arguments[] = {"--format", settings, NULL};
+
+	start(cluster, name, "carawayd", arguments);
+	ck_assert_int_eq(cluster_wait(cluster, name), 0);
+}
+
+void cluster_start_replica(cluster_t *cluster, int id)
+{
+	g_autofree char *name = g_strdup_printf("r%d", id);
+	g_autofree char *settings = replica_settings(cluster, id, name);
+	const char *arguments[] = {"--config", settings, NULL};
+
+	start(cluster, name, "carawayd", arguments);
+}
+
+void cluster_remove_data(cluster_t *cluster, int id)
+{
+	g_autofree char *folder = g_strdup_printf("%s/data%d", cluster->folder, id);
+
+	remove_folder(folder);
+}
+
+/* Returns the proxy of a name. */
+static proxy_t *find_proxy(const cluster_t *cluster, const char *name)
+{
+	for (guint i = 0; i < cluster->proxies->len; i++) {
+		proxy_t *proxy = g_ptr_array_index(cluster->proxies, i);
+
+		if (!strcmp(proxy->name, name))
+			return proxy;
+	}
+	ck_abort_msg("no proxy %s", name);
+	return NULL;
+}
+
+void cluster_add_proxy(cluster_t *cluster, const char *name, const char *zone, const char *service)
+{
+	proxy_t *proxy = g_new0(proxy_t, 1);
+	g_autofree char *target = g_strdup_printf("target-%s", name);
+	g_autofree char *port = NULL;
+	const char *arguments[] = {"--port", NULL, NULL};
+
+	proxy->name = g_strdup(name);
+	proxy->zone = g_strdup(zone);
+	proxy->service = g_strdup(service);
+	for (int i = 0; i < PORTS_PER_PROXY; i++)
+		proxy->ports[i] = free_port();
+	proxy->port = proxy->ports[0];
+	g_ptr_array_add(cluster->proxies, proxy);
+	arguments[1] = port = g_strdup_printf("%d", proxy->ports[3]);
+	start(cluster, target, "tests/tools/standin_target", arguments);
+}
+
+void cluster_start_proxy(cluster_t *cluster, const char *name)
+{
+	const proxy_t *proxy = find_proxy(cluster, name);
+	g_autofree char *own =
+		g_strdup_printf("[proxy]\nvm=%s\nzone=%s\nregion=eszak\nservice=%s\nlisten=127.0.0.1:%d\n"
+				"call-listen=127.0.0.1:%d\nfeed-listen=127.0.0.1:%d\ntarget=127.0.0.1:%d\n"
+				"report-ms=1000\n",
+				proxy->name, proxy->zone, proxy->service, proxy->ports[0], proxy->ports[1],
+				proxy->ports[2], proxy->ports[3]);
+	g_autofree char *settings = write_settings(cluster, name, "proxy", own);
+	const char *arguments[] = {"--config", settings, NULL};
+
+	start(cluster, name, "carawayd", arguments);
+}
+
+/* Returns the process id of a name that runs. */
+static GPid process_of(const cluster_t *cluster, const char *name)
+{
+	gpointer pid = g_hash_table_lookup(cluster->processes, name);
+
+	ck_assert_msg(pid != NULL, "%s does not run", name);
+	return GPOINTER_TO_INT(pid);
+}
+
+void cluster_signal(cluster_t *cluster, const char *process, int number)
+{
+	ck_assert_int_eq(kill(process_of(cluster, process), number), 0);
+}
+
+int cluster_wait(cluster_t *cluster, const char *process)
+{
+	int status = 0;
+
+	waitpid(process_of(cluster, process), &status, 0);
+	g_hash_table_remove(cluster->processes, process);
+	return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+}
+
+bool cluster_runs(const cluster_t *cluster, const char *process)
+{
+	return g_hash_table_contains(cluster->processes, process);
+}
+
+GPtrArray *cluster_proxies_in(const cluster_t *cluster, const char *zone)
+{
+	GPtrArray *names = g_ptr_array_new_with_free_func(g_free);
+
+	for (guint i = 0; i < cluster->proxies->len; i++) {
+		const proxy_t *proxy = g_ptr_array_index(cluster->proxies, i);
+
+		if (!strcmp(proxy->zone, zone) || !strcmp(zone, "*"))
+			g_ptr_array_add(names, g_strdup(proxy->name));
+	}
+	return names;
+}
+
+int cluster_ctl(cluster_t *cluster, const char *const *arguments, GString *out)
+{
+	g_autofree char *path = g_build_filename(cluster->build, "carawayctl", NULL);
+	g_autoptr(GString) text = g_string_new(NULL);
+	g_autofree char *settings = file_path(cluster, "ctl", ".ini");
+	g_autofree const char **argv = g_new0(const char *, g_strv_length((char **)arguments) + 4);
+	g_autofree char *printed = NULL;
+	g_autofree char *errors = NULL;
+	int status = 0;
+
+	append_replicas(cluster, text);
+	ck_assert(g_file_set_contents(settings, text->str, -1, NULL));
+	argv[0] = path;
+	argv[1] = "--config";
+	argv[2] = settings;
+	for (size_t i = 0; arguments[i]; i++)
+		argv[i + 3] = arguments[i];
+	ck_assert(g_spawn_sync(NULL, (char **)argv, NULL, 0, NULL, NULL, &printed, &errors, &status, NULL));
+	g_string_append(out, printed);
+	g_string_append(out, errors);
+	return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+}
+
+/* Returns the term of a replica when it says it leads, or 0. */
+static json_int_t leading_term(cluster_t *cluster, int id)
+{
+	g_autofree char *address = g_strdup_printf("127.0.0.1:%d", cluster->replica_ports[id - 1]);
+	const char *arguments[] = {"--timeout=1", "--json", "--at", address, "status", NULL};
+	g_autoptr(GString) out = g_string_new(NULL);
+	json_int_t term = 0;
+	json_t *report;
+	json_t *root;
+
+	if (cluster_ctl(cluster, arguments, out))
+		return 0;
+	root = json_loads(out->str, JSON_DISABLE_EOF_CHECK, NULL);
+	report = json_object_get(root, "report");
+	if (!g_strcmp0(json_string_value(json_object_get(report, "role")), "leader"))
+		term = json_integer_value(json_object_get(report, "term"));
+	json_decref(root);
+	return term;
+}
+
+int cluster_leader(cluster_t *cluster)
+{
+	json_int_t newest = 0;
+	int leader = 0;
+
+	for (int id = 1; id <= CLUSTER_REPLICAS; id++) {
+		json_int_t term = leading_term(cluster, id);
+
+		if (term <= newest)
+			continue;
+		newest = term;
+		leader = id;
+	}
+	return leader;
+}
+
+/* Copies the value of a header, or nothing when it is absent. */
+static void append_header(const char *answer, const char *name, GString *out)
+{
+	const char *header = strstr(answer, name);
+	const char *value = header ? header + strlen(name) : NULL;
+
+	if (value)
+		g_string_append_printf(out, " %.*s", (int)strcspn(value, "\r\n"), value);
+}
+
+char *cluster_get(cluster_t *cluster, const char *proxy, const char *path)
+{
+	struct sockaddr_in address = {.sin_family = AF_INET, .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+	g_autofree char *request =
+		g_strdup_printf("GET %s HTTP/1.1\r\nHost: mesh\r\nConnection: close\r\n\r\n", path);
+	char answer[ANSWER_BYTES] = "";
+	GString *out = g_string_new(NULL);
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+	size_t held = 0;
+	ssize_t got = 0;
+
+	address.sin_port = htons((uint16_t)find_proxy(cluster, proxy)->port);
+	if (connect(fd, (struct sockaddr *)&address, sizeof(address)) == 0 &&
+	    write(fd, request, strlen(request)) == (ssize_t)strlen(request))
+		while (held < sizeof(answer) - 1 &&
+		       (got = read(fd, answer + held, sizeof(answer) - 1 - held)) > 0)
+			held += (size_t)got;
+	close(fd);
+	g_string_append_printf(out, "%.3s", held > 12 ? answer + 9 : "no answer");
+	append_header(answer, "Caraway-Outcome: ", out);
+	append_header(answer, "Caraway-Reason: ", out);
+	return g_string_free(out, FALSE);
+}
+
+GArray *cluster_versions(const cluster_t *cluster, const char *proxy)
+{
+	GArray *versions = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	g_autofree char *path = file_path(cluster, proxy, ".log");
+	g_autofree char *text = NULL;
+	g_auto(GStrv) lines = NULL;
+
+	ck_assert(g_file_get_contents(path, &text, NULL, NULL));
+	lines = g_strsplit(text, "\n", -1);
+	for (size_t i = 0; lines[i]; i++) {
+		json_t *entry = json_loads(lines[i], 0, NULL);
+
+		if (!g_strcmp0(json_string_value(json_object_get(entry, "event")), "configuration")) {
+			uint64_t version = (uint64_t)json_integer_value(json_object_get(entry, "version"));
+
+			g_array_append_val(versions, version);
+		}
+		json_decref(entry);
+	}
+	return versions;
+}
--- a/tests/unit/script.c
+++ b/tests/unit/script.c
@@ -31,8 +31,9 @@
 	for (i = 0; want[i] && have[i] && !strcmp(want[i], have[i]); i++)
 		;
 	if (want[i] || have[i])
-		text = g_strdup_printf("%s:%zu: expected \"%s\", got \"%s\"", file, i + 1,
-				       want[i] ? want[i] : "end of file", have[i] ? have[i] : "end of file");
+		text = g_strdup_printf("%s:%zu: expected \"%s\", got \"%s\"; the whole run:\n%s", file, i + 1,
+				       want[i] ? want[i] : "end of file", have[i] ? have[i] : "end of file",
+				       actual);
 	g_strfreev(want);
 	g_strfreev(have);
 	return text;
