--- a/daemon/control_query.c
+++ b/daemon/control_query.c
@@ -22,7 +22,12 @@
 {
 	GPtrArray *changes = cw_ledger_changes(control->ledger);
 
-	reply->changes = copy_all(changes, &reply->n_changes);
+	reply->changes = g_new(Caraway__Change *, changes->len + 1);
+	for (guint i = 0; i < changes->len; i++) {
+		const Caraway__Change *change = g_ptr_array_index(changes, i);
+
+		reply->changes[reply->n_changes++] = cw_ledger_copy_change(control->ledger, change->number);
+	}
 	g_ptr_array_free(changes, TRUE);
 	return CW_OK;
 }
--- a/libcaraway/feed.c
+++ b/libcaraway/feed.c
@@ -52,6 +52,14 @@
 	return caraway__content__unpack(NULL, length, data);
 }
 
+/* Returns a copy of what is staged under a number, freed with cw_message_free(); NULL when nothing is. */
+Caraway__Content *cw_feed_content(const cw_feed_t *feed, uint64_t number)
+{
+	const feed_staged_t *staged = g_hash_table_lookup(feed->staged, &number);
+
+	return staged ? cw_feed_staged_content(staged) : NULL;
+}
+
 cw_status_t cw_feed_check_stage(const Caraway__StageRecord *record)
 {
 	if (!record->content)
--- a/libcaraway/ledger.c
+++ b/libcaraway/ledger.c
@@ -56,14 +56,17 @@
 	return g_hash_table_lookup(ledger->changes, &number);
 }
 
-/* Returns a change by number, borrowed; NULL when there is none or it is archived. */
+/*
+ * Returns a change by number, borrowed, an accepted one without its content;
+ * NULL when there is none or it is archived.
+ */
 const Caraway__Change *cw_ledger_change(const cw_ledger_t *ledger, uint64_t number)
 {
 	return ledger_find(ledger, number);
 }
 
 /*
- * Returns a copy of a change by number, freed with cw_message_free(); of an
+ * Returns a whole copy of a change by number, freed with cw_message_free(); of an
  * archived one it has the number and the state.  NULL when there is none.
  */
 Caraway__Change *cw_ledger_copy_change(const cw_ledger_t *ledger, uint64_t number)
@@ -72,8 +75,12 @@
 	const archived_t *archived = found ? NULL : archive_find(ledger->archive, number);
 	Caraway__Change *change;
 
-	if (found)
-		return cw_message_copy(&found->base);
+	if (found) {
+		change = cw_message_copy(&found->base);
+		if (found->state == CARAWAY__CHANGE_STATE__CHANGE_ACCEPTED)
+			change->content = cw_feed_content(ledger->feed, number);
+		return change;
+	}
 	if (!archived)
 		return NULL;
 	change = malloc(sizeof(*change));
@@ -92,7 +99,10 @@
 	return left->number < right->number ? -1 : left->number > right->number;
 }
 
-/* Returns every change that is not archived, borrowed, ordered by number; the caller frees the array. */
+/*
+ * Returns every change that is not archived, borrowed, accepted ones without
+ * their content, ordered by number; the caller frees the array.
+ */
 GPtrArray *cw_ledger_changes(const cw_ledger_t *ledger)
 {
 	GPtrArray *changes = g_ptr_array_sized_new(g_hash_table_size(ledger->changes));
--- a/libcaraway/ledger.h
+++ b/libcaraway/ledger.h
@@ -34,7 +34,7 @@
 
 struct cw_ledger {
 	cw_feed_t *feed;
-	GHashTable *changes; /* number -> Caraway__Change */
+	GHashTable *changes; /* number -> Caraway__Change; the content of an accepted one is the feed's */
 	plan_t *plan;
 	GQueue *kept;	   /* finished changes whose content is kept, oldest first */
 	GQueue *recent;	   /* finished changes that are not archived, oldest first */
@@ -47,17 +47,19 @@
 
 plan_t *plan_new(void);
 void plan_free(plan_t *plan);
-void plan_add(plan_t *plan, const Caraway__Change *change);
-void plan_remove(plan_t *plan, const Caraway__Change *change);
+void plan_add(plan_t *plan, const Caraway__Change *change, const Caraway__Content *content);
+void plan_remove(plan_t *plan, const Caraway__Change *change, const Caraway__Content *content);
 char *plan_key(section_kind_t kind, const char *name);
 int plan_compare(const plan_item_t *left, const plan_item_t *right);
 const plan_item_t *plan_first(const plan_t *plan);
 
 /* ---- plan_check.c ---- */
 
-cw_status_t plan_check_insert(const plan_t *plan, const cw_catalog_t *catalog, const Caraway__Change *change);
-cw_status_t plan_check_remove(const plan_t *plan, const cw_catalog_t *catalog, const Caraway__Change *change);
-cw_status_t plan_check_vm(const plan_t *plan, const cw_catalog_t *catalog, const Caraway__Vm *vm);
+cw_status_t plan_check_insert(const plan_t *plan, const cw_feed_t *feed, const Caraway__Change *change,
+			      const Caraway__Content *content);
+cw_status_t plan_check_remove(const plan_t *plan, const cw_feed_t *feed, const Caraway__Change *change,
+			      const Caraway__Content *content);
+cw_status_t plan_check_vm(const plan_t *plan, const cw_feed_t *feed, const Caraway__Vm *vm);
 
 /* ---- ledger.c ---- */
 
--- a/libcaraway/ledger_change.c
+++ b/libcaraway/ledger_change.c
@@ -158,6 +158,17 @@
 	return CW_ERR_CHECK;
 }
 
+/* Accepts a change; from now on the feed keeps its content. */
+static void accept(cw_ledger_t *ledger, Caraway__Change *change)
+{
+	change->accepted = true;
+	change->state = CARAWAY__CHANGE_STATE__CHANGE_ACCEPTED;
+	plan_add(ledger->plan, change, change->content);
+	cw_feed_stage(ledger->feed, change->number, change->content);
+	cw_message_free(change->content);
+	change->content = NULL;
+}
+
 /* Accepts a booked change when every selected proxy's configuration holds from its due time on. */
 cw_status_t ledger_review(cw_ledger_t *ledger, const Caraway__Review *review, int64_t at_ms)
 {
@@ -176,24 +187,25 @@
 			       change->number, change->booked_by);
 	set_text(&change->reviewed_by, review->operator_name);
 	change->reviewed_ms = at_ms;
-	if (plan_check_insert(ledger->plan, cw_feed_catalog(ledger->feed), change))
+	if (plan_check_insert(ledger->plan, ledger->feed, change, change->content))
 		return refuse(ledger, change);
-	change->accepted = true;
-	change->state = CARAWAY__CHANGE_STATE__CHANGE_ACCEPTED;
-	plan_add(ledger->plan, change);
-	cw_feed_stage(ledger->feed, change->number, change->content);
+	accept(ledger, change);
 	return CW_OK;
 }
 
 /* Takes an accepted change out of the plan when the accepted ones after it hold without it. */
-static cw_status_t withdraw_accepted(cw_ledger_t *ledger, const Caraway__Change *change)
+static cw_status_t withdraw_accepted(cw_ledger_t *ledger, Caraway__Change *change)
 {
-	cw_status_t status = plan_check_remove(ledger->plan, cw_feed_catalog(ledger->feed), change);
+	Caraway__Content *content = cw_feed_content(ledger->feed, change->number);
+	cw_status_t status = plan_check_remove(ledger->plan, ledger->feed, change, content);
 
-	if (status)
+	if (status) {
+		cw_message_free(content);
 		return status;
-	plan_remove(ledger->plan, change);
+	}
+	plan_remove(ledger->plan, change, content);
 	cw_feed_drop(ledger->feed, change->number);
+	change->content = content;
 	return CW_OK;
 }
 
@@ -236,9 +248,11 @@
 /* Puts the change that is next in the plan in force, or refuses it when it no longer checks. */
 static cw_status_t activate_first(cw_ledger_t *ledger, Caraway__Change *change, int64_t at_ms)
 {
-	cw_status_t status = check_in_force(cw_feed_catalog(ledger->feed), change);
+	cw_status_t status;
 
-	plan_remove(ledger->plan, change);
+	change->content = cw_feed_content(ledger->feed, change->number);
+	status = check_in_force(cw_feed_catalog(ledger->feed), change);
+	plan_remove(ledger->plan, change, change->content);
 	if (status) {
 		cw_feed_drop(ledger->feed, change->number);
 		return refuse(ledger, change);
--- a/libcaraway/ledger_save.c
+++ b/libcaraway/ledger_save.c
@@ -56,7 +56,7 @@
 	case CARAWAY__CHANGE_STATE__CHANGE_BOOKED:
 		return change->content && !change->finished && !change->accepted;
 	case CARAWAY__CHANGE_STATE__CHANGE_ACCEPTED:
-		return change->content && !change->finished && change->accepted && reviewed;
+		return !change->content && !change->finished && change->accepted && reviewed;
 	case CARAWAY__CHANGE_STATE__CHANGE_IN_FORCE:
 		return change->finished && change->accepted && reviewed && change->version;
 	case CARAWAY__CHANGE_STATE__CHANGE_REFUSED:
@@ -120,7 +120,8 @@
 			continue;
 		accepted++;
 		stage = g_hash_table_lookup(staged, &change->number);
-		equal = stage && stage->digest == cw_content_digest(change->content);
+		equal = stage && stage->content &&
+			change->digest == change_digest(stage->content, change->due_ms);
 	}
 	equal = equal && accepted == snapshot->feed->n_staged;
 	g_hash_table_destroy(staged);
@@ -153,6 +154,15 @@
 	return status;
 }
 
+/* Adds an accepted change to the plan. */
+static void take_accepted(cw_ledger_t *ledger, const Caraway__Change *change)
+{
+	Caraway__Content *content = cw_feed_content(ledger->feed, change->number);
+
+	plan_add(ledger->plan, change, content);
+	cw_message_free(content);
+}
+
 /* Takes the changes out of a checked snapshot. */
 static void take_changes(cw_ledger_t *ledger, Caraway__LedgerSnapshot *snapshot)
 {
@@ -168,7 +178,7 @@
 		if (change->finished && change->content)
 			g_queue_push_tail(ledger->kept, change);
 		if (change->state == CARAWAY__CHANGE_STATE__CHANGE_ACCEPTED)
-			plan_add(ledger->plan, change);
+			take_accepted(ledger, change);
 	}
 	g_queue_sort(ledger->kept, compare_finished, NULL);
 	g_queue_sort(ledger->recent, compare_finished, NULL);
--- a/libcaraway/ledger_vm.c
+++ b/libcaraway/ledger_vm.c
@@ -12,7 +12,7 @@
 
 	if (status || (held && vm_is_equal(held, vm)))
 		return status;
-	status = plan_check_vm(ledger->plan, cw_feed_catalog(ledger->feed), vm);
+	status = plan_check_vm(ledger->plan, ledger->feed, vm);
 	if (!status)
 		cw_feed_set_vm(ledger->feed, vm);
 	return status;
--- a/libcaraway/libcaraway.h
+++ b/libcaraway/libcaraway.h
@@ -120,6 +120,8 @@
 cw_status_t cw_feed_activate(cw_feed_t *feed, uint64_t number, int64_t due_ms, int64_t at_ms);
 void cw_feed_drop(cw_feed_t *feed, uint64_t number);
 void cw_feed_set_vm(cw_feed_t *feed, const Caraway__Vm *vm);
+/* Returns a copy of what is staged under a number, freed with cw_message_free(); NULL when nothing is. */
+Caraway__Content *cw_feed_content(const cw_feed_t *feed, uint64_t number);
 /* Parent side: fills records or snapshot of news for a child that holds index and chain. */
 cw_status_t cw_feed_read(const cw_feed_t *feed, uint64_t index, uint64_t chain, size_t max_bytes,
 			 Caraway__News *news);
--- a/libcaraway/plan.c
+++ b/libcaraway/plan.c
@@ -76,10 +76,9 @@
 typedef void (*index_update_t)(GHashTable *index, section_kind_t kind, const char *name, plan_item_t *item);
 
 /* Adds or removes an item under every name that its change sets or refers to. */
-static void update_indexes(plan_t *plan, plan_item_t *item, index_update_t update)
+static void update_indexes(plan_t *plan, plan_item_t *item, const Caraway__Content *content,
+			   index_update_t update)
 {
-	const Caraway__Content *content = item->change->content;
-
 	for (int kind = 0; kind < SECTION_KINDS; kind++)
 		for (size_t i = 0; i < content_count(content, kind); i++) {
 			section_t section = content_section(content, kind, i);
@@ -145,28 +144,28 @@
 		g_hash_table_remove(plan->selectors, text);
 }
 
-/* Adds a change, which must stay as it is until it is removed. */
-void plan_add(plan_t *plan, const Caraway__Change *change)
+/* Adds a change, which must stay where it is until it is removed. */
+void plan_add(plan_t *plan, const Caraway__Change *change, const Caraway__Content *content)
 {
 	plan_item_t *item = g_new0(plan_item_t, 1);
 
 	item->change = change;
 	item->at_ms = change_at_ms(change);
-	item->selector = take_selector(plan, change->content->selector);
+	item->selector = take_selector(plan, content->selector);
 	g_ptr_array_insert(plan->items, (gint)find_place(plan, item), item);
-	update_indexes(plan, item, index_add);
+	update_indexes(plan, item, content, index_add);
 	g_hash_table_remove_all(plan->checked);
 }
 
-/* Removes a change that was added. */
-void plan_remove(plan_t *plan, const Caraway__Change *change)
+/* Removes a change that was added with the content given. */
+void plan_remove(plan_t *plan, const Caraway__Change *change, const Caraway__Content *content)
 {
 	const plan_item_t wanted = {.change = change, .at_ms = change_at_ms(change)};
 	size_t place = find_place(plan, &wanted);
 
-	update_indexes(plan, plan->items->pdata[place], index_remove);
+	update_indexes(plan, plan->items->pdata[place], content, index_remove);
 	g_ptr_array_remove_index(plan->items, place);
-	give_selector(plan, change->content->selector);
+	give_selector(plan, content->selector);
 	g_hash_table_remove_all(plan->checked);
 }
 
--- a/libcaraway/plan_check.c
+++ b/libcaraway/plan_check.c
@@ -10,11 +10,25 @@
 /* What a change is checked against. */
 typedef struct {
 	const plan_t *plan;
+	const cw_feed_t *feed;
 	const cw_catalog_t *catalog;
 	const Caraway__Content *content;
-	GHashTable *related; /* key set: names that the change sets and names tied to them */
+	GHashTable *related;  /* key set: names that the change sets and names tied to them */
+	GHashTable *contents; /* plan_item_t -> Caraway__Content, of the items looked at so far */
 } scope_t;
 
+/* Returns the content of an accepted change, borrowed. */
+static const Caraway__Content *item_content(const scope_t *scope, const plan_item_t *item)
+{
+	Caraway__Content *content = g_hash_table_lookup(scope->contents, item);
+
+	if (!content) {
+		content = cw_feed_content(scope->feed, item->change->number);
+		g_hash_table_insert(scope->contents, (gpointer)item, content);
+	}
+	return content;
+}
+
 /* Adds a name to those related. */
 static void relate(scope_t *scope, section_kind_t kind, const char *name)
 {
@@ -83,7 +97,7 @@
 	for (size_t i = 0; items && i < items->len; i++) {
 		const plan_item_t *item = items->pdata[i];
 
-		relate_content(scope, item->change->content, kind, name);
+		relate_content(scope, item_content(scope, item), kind, name);
 	}
 }
 
@@ -142,9 +156,15 @@
 }
 
 /* Applies a content to a catalog under the next version. */
-static void apply_next(cw_catalog_t *catalog, const Caraway__Change *change)
+static void apply_next(cw_catalog_t *catalog, const Caraway__Change *change, const Caraway__Content *content)
+{
+	cw_catalog_apply(catalog, content, change->number, cw_catalog_version(catalog) + 1);
+}
+
+/* Applies an accepted change to a catalog under the next version. */
+static void apply_item(const scope_t *scope, cw_catalog_t *catalog, const plan_item_t *item)
 {
-	cw_catalog_apply(catalog, change->content, change->number, cw_catalog_version(catalog) + 1);
+	apply_next(catalog, item->change, item_content(scope, item));
 }
 
 /*
@@ -160,19 +180,19 @@
 	size_t i = 0;
 
 	for (; i < items->len && plan_compare(items->pdata[i], &own) < 0; i++)
-		apply_next(catalog, ((const plan_item_t *)items->pdata[i])->change);
+		apply_item(scope, catalog, items->pdata[i]);
 	if (with_change) {
-		apply_next(catalog, change);
-		status = cw_catalog_check_content(catalog, change->content);
+		apply_next(catalog, change, scope->content);
+		status = cw_catalog_check_content(catalog, scope->content);
 	}
 	for (; i < items->len && !status; i++) {
-		const Caraway__Change *later = ((const plan_item_t *)items->pdata[i])->change;
+		const plan_item_t *later = items->pdata[i];
 
-		if (later == change)
+		if (later->change == change)
 			continue;
-		apply_next(catalog, later);
-		if (cw_catalog_check_content(catalog, change->content))
-			status = fail_later(later);
+		apply_item(scope, catalog, later);
+		if (cw_catalog_check_content(catalog, scope->content))
+			status = fail_later(later->change);
 	}
 	g_ptr_array_unref(items);
 	cw_catalog_free(catalog);
@@ -180,16 +200,18 @@
 }
 
 /* Checks the plan with a change, or without it. */
-static cw_status_t check_plan(const plan_t *plan, const cw_catalog_t *catalog, const Caraway__Change *change,
-			      bool with_change)
+static cw_status_t check_plan(const plan_t *plan, const cw_feed_t *feed, const Caraway__Change *change,
+			      const Caraway__Content *content, bool with_change)
 {
-	scope_t scope = {.plan = plan, .catalog = catalog, .content = change->content};
+	scope_t scope = {.plan = plan, .feed = feed, .catalog = cw_feed_catalog(feed), .content = content};
 	cw_status_t status;
 
 	scope.related = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	scope.contents = g_hash_table_new_full(NULL, NULL, NULL, cw_message_free);
 	relate_all(&scope);
 	status = simulate(&scope, change, with_change);
 	g_hash_table_destroy(scope.related);
+	g_hash_table_destroy(scope.contents);
 	return status;
 }
 
@@ -197,20 +219,36 @@
  * Checks a change that the plan does not hold as of its due time, and every
  * accepted change that falls due after it; CW_ERR_CHECK.
  */
-cw_status_t plan_check_insert(const plan_t *plan, const cw_catalog_t *catalog, const Caraway__Change *change)
+cw_status_t plan_check_insert(const plan_t *plan, const cw_feed_t *feed, const Caraway__Change *change,
+			      const Caraway__Content *content)
 {
-	return check_plan(plan, catalog, change, true);
+	return check_plan(plan, feed, change, content, true);
 }
 
 /* Checks that the accepted changes after one of the plan hold without it; CW_ERR_CHECK. */
-cw_status_t plan_check_remove(const plan_t *plan, const cw_catalog_t *catalog, const Caraway__Change *change)
+cw_status_t plan_check_remove(const plan_t *plan, const cw_feed_t *feed, const Caraway__Change *change,
+			      const Caraway__Content *content)
 {
-	return check_plan(plan, catalog, change, false);
+	return check_plan(plan, feed, change, content, false);
+}
+
+/* Carries an accepted change out on a catalog and checks its names on a VM; CW_ERR_CHECK. */
+static cw_status_t step_vm(cw_catalog_t *catalog, const cw_feed_t *feed, const Caraway__Change *change,
+			   const Caraway__Vm *vm)
+{
+	Caraway__Content *content = cw_feed_content(feed, change->number);
+	cw_status_t status;
+
+	apply_next(catalog, change, content);
+	status = catalog_check_content_vm(catalog, content, vm);
+	cw_message_free(content);
+	return status ? fail_later(change) : CW_OK;
 }
 
 /* Checks a VM's configuration now and after each accepted change; CW_ERR_CHECK. */
-static cw_status_t simulate_vm(const plan_t *plan, const cw_catalog_t *catalog, const Caraway__Vm *vm)
+static cw_status_t simulate_vm(const plan_t *plan, const cw_feed_t *feed, const Caraway__Vm *vm)
 {
+	const cw_catalog_t *catalog = cw_feed_catalog(feed);
 	cw_status_t status = cw_catalog_check_vm(catalog, vm);
 	cw_catalog_t *copy;
 
@@ -220,11 +258,8 @@
 	for (size_t i = 0; i < plan->items->len && !status; i++) {
 		const plan_item_t *item = plan->items->pdata[i];
 
-		if (!cw_selector_match(item->selector, vm))
-			continue;
-		apply_next(copy, item->change);
-		if (catalog_check_content_vm(copy, item->change->content, vm))
-			status = fail_later(item->change);
+		if (cw_selector_match(item->selector, vm))
+			status = step_vm(copy, feed, item->change, vm);
 	}
 	cw_catalog_free(copy);
 	return status;
@@ -257,13 +292,13 @@
  * checked once for as long as the plan stays as it is; every change that comes
  * into force leaves the plan.
  */
-cw_status_t plan_check_vm(const plan_t *plan, const cw_catalog_t *catalog, const Caraway__Vm *vm)
+cw_status_t plan_check_vm(const plan_t *plan, const cw_feed_t *feed, const Caraway__Vm *vm)
 {
-	GBytes *key = selection_key(plan, catalog, vm);
+	GBytes *key = selection_key(plan, cw_feed_catalog(feed), vm);
 	cw_status_t status = CW_OK;
 
 	if (!g_hash_table_contains(plan->checked, key))
-		status = simulate_vm(plan, catalog, vm);
+		status = simulate_vm(plan, feed, vm);
 	if (status)
 		g_bytes_unref(key);
 	else
