--- a/tests/unit/test_ledger.c
+++ b/tests/unit/test_ledger.c
@@ -215,6 +215,17 @@
 	g_string_append(out, "unknown command\n");
 }
 
+/* Carries out the text of one command. */
+static void run_text(run_t *run, const char *text, GString *out)
+{
+	int argc;
+	char **argv;
+
+	ck_assert(g_shell_parse_argv(text, &argc, &argv, NULL));
+	run_command(run, argc, argv, out);
+	g_strfreev(argv);
+}
+
 /* Runs every script on a ledger of its own. */
 START_TEST(test_script)
 {
@@ -232,6 +243,72 @@
 }
 END_TEST
 
+/* Replaces the ledger by one in which nothing is in force any more; as if the check had a fault. */
+static void lose_layers(run_t *run)
+{
+	enum { HASH_BYTES = 8 };
+	GBytes *saved = cw_ledger_save(run->ledger);
+	gsize length;
+	const guint8 *data = g_bytes_get_data(saved, &length);
+	Caraway__LedgerSnapshot *snapshot =
+		caraway__ledger_snapshot__unpack(NULL, length - HASH_BYTES, data + HASH_BYTES);
+	Caraway__Catalog *catalog = snapshot->feed->catalog;
+	guint8 *altered;
+	uint64_t hash;
+
+	while (catalog->n_layers)
+		cw_message_free(catalog->layers[--catalog->n_layers]);
+	length = HASH_BYTES + caraway__ledger_snapshot__get_packed_size(snapshot);
+	altered = g_malloc(length);
+	caraway__ledger_snapshot__pack(snapshot, altered + HASH_BYTES);
+	hash = GUINT64_TO_LE(cw_hash(altered + HASH_BYTES, length - HASH_BYTES, 0));
+	memcpy(altered, &hash, HASH_BYTES);
+	ck_assert_int_eq(cw_ledger_load(run->ledger, altered, length), CW_OK);
+	g_free(altered);
+	cw_message_free(snapshot);
+	g_bytes_unref(saved);
+}
+
+/* A change that does not check at its due time is refused and leaves the feed, whatever its review said. */
+START_TEST(test_due_check)
+{
+	static const char *const lines[] = {
+		"vm v1",
+		"book 1 anna 0 '' service=a",
+		"review 1 bela",
+		"activate 1",
+		"book 2 anna 5 '' route=r:/:a",
+		"review 2 bela",
+		"at 5",
+		"due",
+	};
+	static const char *const after[] = {"activate 2",      "due",	"holds v1", "review 2 bela",
+					    "withdraw 2 anna", "reload"};
+	run_t run = {.ledger = cw_ledger_new(10)};
+	GString *out = g_string_new(NULL);
+	Caraway__FeedSnapshot *feed;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(lines); i++)
+		run_text(&run, lines[i], out);
+	g_string_set_size(out, 0);
+	lose_layers(&run);
+	for (size_t i = 0; i < G_N_ELEMENTS(after); i++)
+		run_text(&run, after[i], out);
+	ck_assert_str_eq(out->str,
+			 "check [refused] proxy v1: route r would lack service a\n"
+			 "due 0\n"
+			 "version 2, index 5:\n"
+			 "ok [refused]\n"
+			 "state [refused] change 2 is refused: proxy v1: route r would lack service a\n"
+			 "ok equal\n");
+	feed = cw_feed_save(cw_ledger_feed(run.ledger));
+	ck_assert_uint_eq(feed->n_staged, 0);
+	cw_message_free(feed);
+	g_string_free(out, TRUE);
+	cw_ledger_free(run.ledger);
+}
+END_TEST
+
 /* Numbers of changes that finished long ago are answered as at first, also after a snapshot. */
 START_TEST(test_archive)
 {
@@ -278,6 +355,7 @@
 	int failed;
 
 	tcase_add_test(tcase, test_script);
+	tcase_add_test(tcase, test_due_check);
 	tcase_add_test(tcase, test_archive);
 	suite_add_tcase(suite, tcase);
 	srunner_run_all(runner, CK_NORMAL);
