--- a/Makefile
+++ b/Makefile
@@ -51,10 +51,10 @@
 	$(CC) $(LDFLAGS) -o $@ $^ $(DAEMON_LIBS)
 
 $(TOOLS): $(BUILD)/%: $(BUILD)/%.o $(DAEMON_LIBRARY) $(LIBRARY)
-	$(CC) $(LDFLAGS) -o $@ $^ $(DAEMON_LIBS)
+	$(CC) $(LDFLAGS) -o $@ $(filter %.o,$^) $(filter %.a,$^) $(DAEMON_LIBS)
 
 $(UNITS): $(BUILD)/%: $(BUILD)/%.o $(call object,$(UNIT_HELPERS)) $(CLI_LIBRARY) $(DAEMON_LIBRARY) $(LIBRARY)
-	$(CC) $(LDFLAGS) -o $@ $^ $(DAEMON_LIBS) $(shell pkg-config --libs check)
+	$(CC) $(LDFLAGS) -o $@ $(filter %.o,$^) $(filter %.a,$^) $(DAEMON_LIBS) $(shell pkg-config --libs check)
 
 $(BUILD)/%.o: %.c
 	@mkdir -p $(@D)
--- a/libcaraway/relay.c
+++ b/libcaraway/relay.c
@@ -16,6 +16,9 @@
  */
 #include "relay_internal.h"
 
+/* A confirmation without an answer after this many intervals of stamps is begun anew. */
+enum { CONFIRM_LOST_STAMPS = 3 };
+
 void cw_relay_count(cw_relay_actions_t *actions, cw_relay_count_t count)
 {
 	cw_relay_add(actions, CW_RELAY_AC_COUNT)->count = count;
@@ -158,15 +161,22 @@
 	relay->confirm_open = true;
 	relay->confirm_covers = relay->floor_arrivals;
 	relay->confirm_by_ms = now_ms + relay->options.stamp_ms;
+	relay->confirm_lost_ms = now_ms + (int64_t)CONFIRM_LOST_STAMPS * relay->options.stamp_ms;
 	cw_relay_add(actions, CW_RELAY_AC_CONFIRM)->cookie = ++relay->confirm_cookie;
 }
 
+/* Returns when the next confirmation begins: one that is out is given more time than the next would have. */
+static int64_t next_confirmation_ms(const cw_relay_t *relay)
+{
+	return relay->confirm_open ? relay->confirm_lost_ms : relay->confirm_by_ms;
+}
+
 /* Begins a confirmation when a stamp is due or a question waits. */
 static void lead_tick(cw_relay_t *relay, int64_t now_ms, cw_relay_actions_t *actions)
 {
 	bool asked = !relay->confirm_open && relay->floor_arrivals > relay->floor_satisfied;
 
-	if (asked || now_ms >= relay->confirm_by_ms)
+	if (asked || now_ms >= next_confirmation_ms(relay))
 		begin_confirmation(relay, now_ms, actions);
 	if (cw_members_expire(relay->members, now_ms))
 		cw_relay_add(actions, CW_RELAY_AC_ENDPOINTS);
@@ -284,7 +294,7 @@
 	int64_t deadline_ms = MIN(cw_relay_serve_deadline_ms(relay), cw_members_deadline_ms(relay->members));
 
 	if (relay->leading)
-		return MIN(deadline_ms, relay->confirm_by_ms);
+		return MIN(deadline_ms, next_confirmation_ms(relay));
 	return MIN(deadline_ms, cw_relay_child_deadline_ms(relay));
 }
 
--- a/libcaraway/relay_choose.c
+++ b/libcaraway/relay_choose.c
@@ -54,10 +54,20 @@
 	return left && now_ms < left->avoid_until_ms;
 }
 
+/* Returns true for a parent left so long ago that it no longer matters. */
+static gboolean is_forgotten(gpointer address, gpointer data, gpointer now_ms)
+{
+	const relay_left_t *left = data;
+
+	(void)address;
+	return *(const int64_t *)now_ms >= MAX(left->avoid_until_ms, left->left_ms + FAILURE_MEMORY_MS);
+}
+
 void cw_relay_avoid(cw_relay_t *relay, const char *address, int64_t now_ms, int64_t duration_ms)
 {
 	relay_left_t *left = g_new(relay_left_t, 1);
 
+	g_hash_table_foreach_remove(relay->avoid, is_forgotten, &now_ms);
 	left->left_ms = now_ms;
 	left->avoid_until_ms = now_ms + duration_ms;
 	g_hash_table_replace(relay->avoid, g_strdup(address), left);
--- a/tests/unit/relay_net.c
+++ b/tests/unit/relay_net.c
@@ -172,6 +172,8 @@
 	event.message = cw_message_pack(&message->base);
 	from->sent_messages++;
 	from->sent_bytes += g_bytes_get_size(event.message);
+	if (event.down)
+		from->sent_down_bytes += g_bytes_get_size(event.message);
 	if (net->watch.message)
 		net->watch.message(net->watch.data, from, to, message, delivered, net->now_us);
 	if (delivered)
--- a/tests/unit/relay_net.h
+++ b/tests/unit/relay_net.h
@@ -52,6 +52,7 @@
 	uint64_t used_version; /* configuration in use; 0: none */
 	uint64_t sequence;     /* of its endpoint */
 	uint64_t sent_bytes;
+	uint64_t sent_down_bytes; /* of those, in answers to children */
 	uint64_t sent_messages;
 	uint64_t received_bytes;
 	uint64_t counts[CW_RELAY_COUNT_COUNT];
