--- a/libcaraway/catalog.h
+++ b/libcaraway/catalog.h
@@ -94,6 +94,7 @@
 entry_t *entry_new(section_t section, uint64_t version, uint64_t number);
 entry_t *entry_reference(entry_t *entry);
 void entry_release(void *data);
+void entries_sort(GPtrArray *entries);
 layer_t *layer_new(const char *text, cw_selector_t *selector);
 layer_t *layer_copy(const layer_t *layer);
 layer_t *layer_reference(layer_t *layer);
--- a/libcaraway/catalog_save.c
+++ b/libcaraway/catalog_save.c
@@ -1,15 +1,6 @@
 /* The catalog as a message, and back with every field checked. */
 #include "catalog.h"
 
-/* Orders entries by name. */
-static gint compare_entries(gconstpointer a, gconstpointer b)
-{
-	const entry_t *left = *(entry_t *const *)a;
-	const entry_t *right = *(entry_t *const *)b;
-
-	return g_strcmp0(section_name(left->section), section_name(right->section));
-}
-
 /* Returns a layer's entries of a kind, borrowed, ordered by name. */
 static GPtrArray *sorted_entries(const layer_t *layer, section_kind_t kind)
 {
@@ -20,7 +11,7 @@
 	g_hash_table_iter_init(&iter, layer->entries[kind]);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
 		g_ptr_array_add(entries, value);
-	g_ptr_array_sort(entries, compare_entries);
+	entries_sort(entries);
 	return entries;
 }
 
--- a/libcaraway/resolve.c
+++ b/libcaraway/resolve.c
@@ -17,15 +17,6 @@
 	}
 }
 
-/* Orders entries by name. */
-static gint compare_entries(gconstpointer a, gconstpointer b)
-{
-	const entry_t *left = *(entry_t *const *)a;
-	const entry_t *right = *(entry_t *const *)b;
-
-	return g_strcmp0(section_name(left->section), section_name(right->section));
-}
-
 /* Returns the entries of a kind that a VM holds, borrowed, ordered by name. */
 static GPtrArray *resolve_kind(const cw_catalog_t *catalog, const Caraway__Vm *vm, section_kind_t kind)
 {
@@ -44,7 +35,7 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value))
 		if (!section_is_removed(((entry_t *)value)->section))
 			g_ptr_array_add(entries, value);
-	g_ptr_array_sort(entries, compare_entries);
+	entries_sort(entries);
 	g_hash_table_destroy(found);
 	return entries;
 }
--- a/libcaraway/section.c
+++ b/libcaraway/section.c
@@ -166,3 +166,18 @@
 		layer_index_users(layer);
 	return g_hash_table_lookup(layer->users[kind], name);
 }
+
+/* Orders entries by name. */
+static gint compare_entries(gconstpointer a, gconstpointer b)
+{
+	const entry_t *left = *(entry_t *const *)a;
+	const entry_t *right = *(entry_t *const *)b;
+
+	return g_strcmp0(section_name(left->section), section_name(right->section));
+}
+
+/* Orders an array of entries by name. */
+void entries_sort(GPtrArray *entries)
+{
+	g_ptr_array_sort(entries, compare_entries);
+}
--- a/tests/unit/test_ledger.c
+++ b/tests/unit/test_ledger.c
@@ -107,7 +107,7 @@
 	Caraway__SetLabels body = CARAWAY__SET_LABELS__INIT;
 	Caraway__Vm *vm = words_vm(argv[1], 0, NULL);
 
-	vm->labels = cw_message_array(argc);
+	vm->labels = realloc(vm->labels, (size_t)argc * sizeof(Caraway__Label *));
 	for (int i = 2; i < argc; i++) {
 		char **pair = g_strsplit(argv[i], "=", 2);
 
@@ -317,6 +317,7 @@
 	char *book[] = {"book", NULL, "anna", "5", "", "service=a"};
 	char *other[] = {"book", "1", "anna", "6", "", "service=a"};
 	char *withdraw[] = {"withdraw", NULL, "bela"};
+	GPtrArray *changes;
 
 	for (int i = 1; i <= 41000; i++) {
 		book[1] = withdraw[1] = g_strdup_printf("%d", i);
@@ -340,7 +341,9 @@
 				   "ok [withdrawn]\n"
 				   "conflict [withdrawn] change 1 stands with another content, due time or "
 				   "booker, withdrawn and archived; book under another number\n");
-	ck_assert_uint_eq(cw_ledger_changes(run.ledger)->len, 40000);
+	changes = cw_ledger_changes(run.ledger);
+	ck_assert_uint_eq(changes->len, 40000);
+	g_ptr_array_unref(changes);
 	g_string_free(out, TRUE);
 	cw_ledger_free(run.ledger);
 }
