--- a/tests/unit/test_control.c
+++ b/tests/unit/test_control.c
@@ -214,6 +214,21 @@
 		g_string_append_printf(out, "exit %d\n", status);
 }
 
+/*
+ * Runs "refused OPERATOR WORD..." and prints whether the command was refused or
+ * left open, which of the two depends on the replica that the tool asks first.
+ */
+static void run_refused(run_t *run, int argc, char **argv, GString *out)
+{
+	g_autoptr(GString) text = g_string_new(NULL);
+	bool refused;
+
+	run_ctl(run, argc, argv, text);
+	refused = g_str_has_prefix(text->str, "carawayctl: no-quorum: ") ||
+		  g_str_has_prefix(text->str, "carawayctl: unknown-outcome: ");
+	g_string_append(out, refused ? "yes\n" : text->str);
+}
+
 /* Carries out one command of a script. */
 static void command(void *data, int argc, char **argv, GString *out)
 {
@@ -221,6 +236,8 @@
 
 	if (!strcmp(argv[0], "ctl")) {
 		run_ctl(run, argc, argv, out);
+	} else if (!strcmp(argv[0], "refused")) {
+		run_refused(run, argc, argv, out);
 	} else if (!strcmp(argv[0], "await")) {
 		run_await(run, argc, argv, out);
 	} else if (!strcmp(argv[0], "proxy")) {
