Mutate settings and messages, and run every test under sanitizers

Change: test_message_fuzz mutates settings files, frames on a socket, the messages of the feed to a proxy's relay and those of the replicated log, by their bytes and by their fields, seeded. Each frame is heard or counted; the relay's version, a replica's term and its commit index never fall. Ruled out: fields altered without going over the wire again; the decoder never gives a union a kind without its message. News with any request number; the relay drops them all as crossed, and a missing stamp was not found that way.

--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -47,6 +47,13 @@
 	name=$(basename "$source" .c)
 	step "unit/$name" "build/tests/unit/$name"
 done
+# The same tests again under the address and undefined-behaviour sanitizers.
+sanitize=(SANITIZE=address,undefined BUILD=build-sanitize)
+step sanitize/build make -s -j"$(nproc)" "${sanitize[@]}" units
+for source in tests/unit/test_*.c; do
+	name=$(basename "$source" .c)
+	step "sanitize/$name" "build-sanitize/tests/unit/$name"
+done
 for settings in examples/*.ini; do
 	[ -e "$settings" ] || continue
 	step "settings/$(basename "$settings" .ini)" build/carawayd --check-config "$settings"
--- /dev/null
+++ b/tests/unit/test_message_fuzz.c
@@ -0,0 +1,463 @@
+/*
+ * Seeded mutations of settings files and of the messages between processes.
+ * Nothing may crash; what is refused is counted or typed and changes nothing.
+ */
+#include <check.h>
+#include <glib/gstdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <zmq.h>
+
+#include "clock.h"
+#include "counters.h"
+#include "guard.h"
+#include "link.h"
+#include "mutate.h"
+#include "settings.h"
+
+enum {
+	SETTINGS_ROUNDS = 5000,
+	LINK_ROUNDS = 3000,
+	STEP_ROUNDS = 20000,
+	AWAIT_MS = 5000,
+	LEASE_MS = 1000,
+	STEP_MS = 30,
+	MAX_ALTERED = 3
+};
+
+static const char settings_seed[] =
+	"[process]\nrole = proxy\nlog-level = info\n[control-replicas]\n1 = 10.0.0.1:7101\n2 = 10.0.0.2:7101\n"
+	"[keys]\ninsecure = yes\n"
+	"[proxy]\nvm = tabla-1\nzone = eger\nregion = eszak\nservice = tabla\nlisten = 10.0.1.1:8080\n"
+	"call-listen = 10.0.1.1:0\nfeed-listen = 10.0.1.1:0\ntarget = 127.0.0.1:9000\nslots = 12\n";
+
+/* Returns a generator for one test; FUZZ_SEED in the environment gives other runs than the one of CI. */
+static GRand *make_random(guint32 test)
+{
+	const char *seed = g_getenv("FUZZ_SEED");
+
+	return g_rand_new_with_seed(test + 10 * (guint32)(seed ? atoi(seed) : 0));
+}
+
+/* Settings: a file is read or refused with its name. */
+START_TEST(test_settings)
+{
+	GRand *random = make_random(1);
+	char *folder = g_dir_make_tmp("caraway-fuzz-XXXXXX", NULL);
+	char *path = g_build_filename(folder, "settings.ini", NULL);
+	int read = 0;
+
+	for (int i = 0; i < SETTINGS_ROUNDS; i++) {
+		GByteArray *bytes = mutate_bytes(random, settings_seed, strlen(settings_seed));
+		settings_t *settings = NULL;
+		cw_status_t status;
+
+		g_file_set_contents(path, (char *)bytes->data, bytes->len, NULL);
+		status = settings_load(path, &settings);
+		ck_assert(status == CW_OK || status == CW_ERR_SETTINGS);
+		ck_assert((status == CW_OK) == (settings != NULL));
+		ck_assert(status == CW_OK || strstr(cw_last_message(), "settings.ini"));
+		read += status == CW_OK;
+		settings_free(settings);
+		g_byte_array_unref(bytes);
+	}
+	ck_assert_int_gt(read, 0);
+	ck_assert_int_lt(read, SETTINGS_ROUNDS);
+	g_remove(path);
+	g_rmdir(folder);
+	g_free(path);
+	g_free(folder);
+	g_rand_free(random);
+}
+END_TEST
+
+/* Returns the records and snapshot of a feed with a change in it. */
+static Caraway__News *make_news(bool snapshot)
+{
+	static const char file[] = "[change]\ntitle = t\nselector = zone=eger\n[service a]\n"
+				   "[route r]\npath = /r\nservice = a\n";
+	cw_feed_t *feed = cw_feed_new(snapshot ? 1 : 100);
+	Caraway__Vm vm = CARAWAY__VM__INIT;
+	Caraway__News *news = g_new(Caraway__News, 1);
+	Caraway__Content *content;
+
+	caraway__news__init(news);
+	vm.name = "v1";
+	vm.zone = "eger";
+	ck_assert_int_eq(cw_change_parse(file, strlen(file), "f.ini", &content), CW_OK);
+	cw_feed_set_vm(feed, &vm);
+	cw_feed_stage(feed, 1, content);
+	ck_assert_int_eq(cw_feed_activate(feed, 1, 5, 6), CW_OK);
+	ck_assert_int_eq(cw_feed_read(feed, 0, 0, 1 << 20, news), CW_OK);
+	cw_message_free(content);
+	cw_feed_free(feed);
+	return news;
+}
+
+/* Returns a message of each kind that goes between processes; owned by the caller. */
+static GPtrArray *make_messages(void)
+{
+	GPtrArray *messages = g_ptr_array_new_with_free_func(cw_message_free);
+	Caraway__Message message = CARAWAY__MESSAGE__INIT;
+	Caraway__Endpoint endpoint = CARAWAY__ENDPOINT__INIT;
+	Caraway__Endpoint *endpoints[] = {&endpoint};
+	Caraway__Report report = CARAWAY__REPORT__INIT;
+	Caraway__Report *reports[] = {&report};
+	Caraway__Stamp stamp = CARAWAY__STAMP__INIT;
+	Caraway__Pull pull = CARAWAY__PULL__INIT;
+	Caraway__PullRefused refused = CARAWAY__PULL_REFUSED__INIT;
+
+	endpoint.vm = report.vm = pull.vm = "v2";
+	endpoint.zone = pull.zone = "eger";
+	endpoint.incarnation = report.incarnation = pull.incarnation = 9;
+	endpoint.feed_address = "10.0.0.9:7202";
+	stamp.term = 2;
+	stamp.sequence = 3;
+	pull.stamp = &stamp;
+	pull.n_endpoints = refused.n_parents = pull.n_reports = 1;
+	pull.endpoints = refused.parents = endpoints;
+	pull.reports = reports;
+	message.body_case = CARAWAY__MESSAGE__BODY_PULL;
+	message.pull = &pull;
+	g_ptr_array_add(messages, cw_message_copy(&message.base));
+	message.body_case = CARAWAY__MESSAGE__BODY_PULL_REFUSED;
+	message.pull_refused = &refused;
+	g_ptr_array_add(messages, cw_message_copy(&message.base));
+	for (int snapshot = 0; snapshot <= 1; snapshot++) {
+		Caraway__News *news = make_news(snapshot);
+
+		news->stamp = cw_message_copy(&stamp.base);
+		message.body_case = CARAWAY__MESSAGE__BODY_NEWS;
+		message.news = news;
+		g_ptr_array_add(messages, cw_message_copy(&message.base));
+		cw_message_free(news);
+	}
+	return messages;
+}
+
+/* Returns messages of the replicated log; owned by the caller. */
+static GPtrArray *make_raft_messages(void)
+{
+	GPtrArray *messages = g_ptr_array_new_with_free_func(cw_message_free);
+	Caraway__Message message = CARAWAY__MESSAGE__INIT;
+	Caraway__RaftMessage raft = CARAWAY__RAFT_MESSAGE__INIT;
+	Caraway__Replica from = CARAWAY__REPLICA__INIT;
+	Caraway__Entry entry = CARAWAY__ENTRY__INIT;
+	Caraway__Entry *entries[] = {&entry};
+	Caraway__AppendRequest append = CARAWAY__APPEND_REQUEST__INIT;
+	Caraway__VoteRequest vote = CARAWAY__VOTE_REQUEST__INIT;
+	Caraway__SnapshotRequest snapshot = CARAWAY__SNAPSHOT_REQUEST__INIT;
+	Caraway__Membership membership = CARAWAY__MEMBERSHIP__INIT;
+
+	from.id = 2;
+	from.incarnation = 12;
+	from.address = "2";
+	raft.from = &from;
+	raft.to_id = 1;
+	raft.to_incarnation = 11;
+	raft.term = 3;
+	message.body_case = CARAWAY__MESSAGE__BODY_RAFT;
+	message.raft = &raft;
+	entry.index = 1;
+	entry.term = 3;
+	append.n_entries = 1;
+	append.entries = entries;
+	append.commit_index = 1;
+	raft.body_case = CARAWAY__RAFT_MESSAGE__BODY_APPEND_REQUEST;
+	raft.append_request = &append;
+	g_ptr_array_add(messages, cw_message_copy(&message.base));
+	raft.body_case = CARAWAY__RAFT_MESSAGE__BODY_VOTE_REQUEST;
+	raft.vote_request = &vote;
+	g_ptr_array_add(messages, cw_message_copy(&message.base));
+	snapshot.membership = &membership;
+	snapshot.last_index = 4;
+	snapshot.last_term = 3;
+	snapshot.total = snapshot.data.len = 3;
+	snapshot.data.data = (uint8_t *)"abc";
+	snapshot.digest = cw_hash("abc", 3, 0);
+	raft.body_case = CARAWAY__RAFT_MESSAGE__BODY_SNAPSHOT_REQUEST;
+	raft.snapshot_request = &snapshot;
+	g_ptr_array_add(messages, cw_message_copy(&message.base));
+	return messages;
+}
+
+/* Returns one of the messages, mutated by its fields or by its bytes; NULL when the bytes do not decode. */
+static Caraway__Message *pick_mutated(GRand *random, const GPtrArray *messages)
+{
+	const Caraway__Message *seed =
+		g_ptr_array_index(messages, g_rand_int_range(random, 0, (gint32)messages->len));
+	Caraway__Message *message = cw_message_copy(&seed->base);
+	GByteArray *bytes = g_byte_array_new();
+	bool by_fields = g_rand_boolean(random);
+	GBytes *packed;
+
+	/* The body is a message whichever it is. */
+	for (int i = by_fields ? g_rand_int_range(random, 1, MAX_ALTERED + 1) : 0; i > 0; i--)
+		mutate_message(random, &message->raft->base);
+	packed = cw_message_pack(&message->base);
+	cw_message_free(message);
+	if (by_fields) {
+		g_byte_array_append(bytes, g_bytes_get_data(packed, NULL), (guint)g_bytes_get_size(packed));
+	} else {
+		g_byte_array_unref(bytes);
+		bytes = mutate_bytes(random, g_bytes_get_data(packed, NULL), g_bytes_get_size(packed));
+	}
+	message = caraway__message__unpack(NULL, bytes->len, bytes->data);
+	g_byte_array_unref(bytes);
+	g_bytes_unref(packed);
+	return message;
+}
+
+/* Waits until a server has heard one message or counted one that does not decode; true when heard. */
+static bool await_one(link_server_t *server, uint64_t undecodable)
+{
+	int64_t deadline_ms = clock_now_ms() + AWAIT_MS;
+
+	while (clock_now_ms() < deadline_ms) {
+		GBytes *peer;
+		Caraway__Message *message = link_server_receive(server, &peer);
+
+		if (message) {
+			/* Every kind of sender is tried; none may crash the check. */
+			guard_check("operator3olga", message);
+			guard_check("proxy", message);
+			guard_check(NULL, message);
+			cw_message_free(message);
+			g_bytes_unref(peer);
+			return true;
+		}
+		if (counter_value(COUNTER_MESSAGE_UNDECODABLE) > undecodable)
+			return false;
+	}
+	ck_abort_msg("a message was neither heard nor counted");
+	return false;
+}
+
+/* Sends mutated frames, some in several parts; each is either heard or counted. */
+START_TEST(test_link)
+{
+	GRand *random = make_random(2);
+	GPtrArray *messages = make_messages();
+	link_context_t *context = link_context_new();
+	void *zmq = zmq_ctx_new();
+	void *socket = zmq_socket(zmq, ZMQ_DEALER);
+	link_server_t *server;
+	char *endpoint;
+	int heard = 0;
+
+	ck_assert_int_eq(link_server_open(context, "127.0.0.1:0", &server), CW_OK);
+	endpoint = g_strdup_printf("tcp://%s", link_server_address(server));
+	ck_assert_int_eq(zmq_connect(socket, endpoint), 0);
+	for (int i = 0; i < LINK_ROUNDS; i++) {
+		const Caraway__Message *seed = g_ptr_array_index(messages, (guint)i % messages->len);
+		GBytes *packed = cw_message_pack(&seed->base);
+		GByteArray *bytes =
+			mutate_bytes(random, g_bytes_get_data(packed, NULL), g_bytes_get_size(packed));
+		uint64_t undecodable = counter_value(COUNTER_MESSAGE_UNDECODABLE);
+
+		for (int parts = g_rand_int_range(random, 0, 10) ? 0 : 2; parts > 0; parts--)
+			zmq_send(socket, bytes->data, bytes->len / 2, ZMQ_SNDMORE);
+		zmq_send(socket, bytes->data, bytes->len, 0);
+		heard += await_one(server, undecodable);
+		g_byte_array_unref(bytes);
+		g_bytes_unref(packed);
+	}
+	ck_assert_int_gt(heard, LINK_ROUNDS / 100);
+	ck_assert_int_lt(heard, LINK_ROUNDS);
+	zmq_close(socket);
+	zmq_ctx_term(zmq);
+	link_server_close(server);
+	link_context_free(context);
+	g_ptr_array_unref(messages);
+	g_free(endpoint);
+	g_rand_free(random);
+}
+END_TEST
+
+/* The last pull that a relay sent. */
+typedef struct {
+	char *address;
+	uint64_t request;
+} last_pull_t;
+
+/* Notes the pull among the actions of a step. */
+static void note_pull(last_pull_t *last, const cw_relay_actions_t *actions)
+{
+	for (guint i = 0; i < actions->items->len; i++) {
+		const cw_relay_action_t *action = &g_array_index(actions->items, cw_relay_action_t, i);
+
+		if (action->type != CW_RELAY_AC_SEND ||
+		    action->message->body_case != CARAWAY__MESSAGE__BODY_PULL)
+			continue;
+		g_free(last->address);
+		last->address = g_strdup(action->address);
+		last->request = action->message->pull->request;
+	}
+}
+
+/* Carries out one step of a relay. */
+static void step_relay(cw_relay_t *relay, const cw_relay_event_t *event, int64_t now_ms, last_pull_t *last)
+{
+	cw_relay_actions_t actions;
+
+	cw_relay_actions_init(&actions);
+	cw_relay_step(relay, event, now_ms, &actions);
+	note_pull(last, &actions);
+	cw_relay_actions_clear(&actions);
+}
+
+/* Gives one message to a proxy's relay as if a child, or the parent that it asked last, had sent it. */
+static void give_relay(cw_relay_t *relay, const Caraway__Message *message, int64_t now_ms, last_pull_t *last)
+{
+	cw_relay_event_t event = {.type = CW_RELAY_EV_TICK};
+	char *address;
+
+	step_relay(relay, &event, now_ms, last);
+	address = g_strdup(last->address);
+	event.address = address;
+	if (message->body_case == CARAWAY__MESSAGE__BODY_PULL) {
+		event.type = CW_RELAY_EV_PULL;
+		event.pull = message->pull;
+		event.peer = g_bytes_new("peer", 4);
+	} else if (message->body_case == CARAWAY__MESSAGE__BODY_NEWS) {
+		event.type = CW_RELAY_EV_NEWS;
+		event.news = message->news;
+		message->news->request = last->request;
+	} else if (message->body_case == CARAWAY__MESSAGE__BODY_PULL_REFUSED) {
+		event.type = CW_RELAY_EV_REFUSED;
+		event.refused = message->pull_refused;
+		message->pull_refused->request = last->request;
+	}
+	if (address)
+		step_relay(relay, &event, now_ms, last);
+	if (event.peer)
+		g_bytes_unref(event.peer);
+	g_free(address);
+}
+
+/* The relay of a proxy: its version never falls, and what it holds passes the check. */
+START_TEST(test_relay)
+{
+	GRand *random = make_random(3);
+	GPtrArray *messages = make_messages();
+	const char *controls[] = {"10.0.0.1:7101", "10.0.0.2:7101"};
+	cw_feed_t *feed = cw_feed_new(100);
+	cw_members_t *members = cw_members_new(0, LEASE_MS);
+	cw_relay_options_t options = {.kind = CW_RELAY_PROXY,
+				      .vm = "v1",
+				      .zone = "eger",
+				      .incarnation = 5,
+				      .controls = controls,
+				      .control_count = G_N_ELEMENTS(controls),
+				      .freshness_ms = 5 * LEASE_MS,
+				      .hold_ms = LEASE_MS,
+				      .batch_ms = 10,
+				      .stamp_ms = LEASE_MS,
+				      .report_ms = LEASE_MS,
+				      .children = 4,
+				      .heads = 1,
+				      .max_news_bytes = 1 << 16,
+				      .seed = 7};
+	cw_relay_t *relay = cw_relay_new(&options, feed, members, 0);
+	last_pull_t last = {0};
+	uint64_t version = 0;
+
+	for (int i = 0; i < STEP_ROUNDS; i++) {
+		Caraway__Message *message = pick_mutated(random, messages);
+
+		if (!message)
+			continue;
+		give_relay(relay, message, (int64_t)i * STEP_MS, &last);
+		ck_assert_uint_ge(cw_feed_version(feed), version);
+		version = cw_feed_version(feed);
+		cw_message_free(message);
+	}
+	ck_assert_uint_gt(version, 0);
+	ck_assert_int_eq(cw_catalog_check(cw_feed_catalog(feed)), CW_OK);
+	g_free(last.address);
+	cw_relay_free(relay);
+	cw_members_free(members);
+	cw_feed_free(feed);
+	g_ptr_array_unref(messages);
+	g_rand_free(random);
+}
+END_TEST
+
+/* A replica of the log: neither its term nor its commit index ever falls. */
+START_TEST(test_raft)
+{
+	GRand *random = make_random(4);
+	GPtrArray *messages = make_raft_messages();
+	Caraway__Replica replicas[3];
+	Caraway__Replica *voters[3];
+	Caraway__Membership membership = CARAWAY__MEMBERSHIP__INIT;
+	char *const addresses[] = {"1", "2", "3"};
+	cw_raft_stored_t stored = {.entries = g_ptr_array_new()};
+	cw_raft_options_t options = {.id = 1,
+				     .incarnation = 11,
+				     .address = "1",
+				     .heartbeat_ms = 100,
+				     .election_ms = LEASE_MS,
+				     .lease_ms = LEASE_MS / 2,
+				     .seed = 1,
+				     .max_append_bytes = 1 << 16,
+				     .peers = (const Caraway__Replica *const *)voters,
+				     .peer_count = G_N_ELEMENTS(voters)};
+	cw_raft_actions_t actions;
+	uint64_t commit = 0;
+	uint64_t term = 0;
+	cw_raft_t *raft;
+
+	for (uint32_t i = 0; i < G_N_ELEMENTS(replicas); i++) {
+		caraway__replica__init(&replicas[i]);
+		replicas[i].id = i + 1;
+		replicas[i].incarnation = 11 + i;
+		replicas[i].address = addresses[i];
+		voters[i] = &replicas[i];
+	}
+	membership.n_voters = G_N_ELEMENTS(voters);
+	membership.voters = voters;
+	stored.membership = &membership;
+	raft = cw_raft_new(&options, &stored, 0);
+	for (int i = 0; i < STEP_ROUNDS; i++) {
+		Caraway__Message *message = pick_mutated(random, messages);
+		cw_raft_event_t event = {.type = CW_RAFT_EV_MESSAGE};
+
+		if (message && message->body_case == CARAWAY__MESSAGE__BODY_RAFT) {
+			event.message = message->raft;
+			cw_raft_actions_init(&actions);
+			cw_raft_step(raft, &event, (int64_t)i * STEP_MS, &actions);
+			cw_raft_actions_clear(&actions);
+			ck_assert_uint_ge(cw_raft_term(raft), term);
+			ck_assert_uint_ge(cw_raft_commit_index(raft), commit);
+			term = cw_raft_term(raft);
+			commit = cw_raft_commit_index(raft);
+		}
+		cw_message_free(message);
+	}
+	cw_raft_free(raft);
+	g_ptr_array_unref(stored.entries);
+	g_ptr_array_unref(messages);
+	g_rand_free(random);
+}
+END_TEST
+
+/* Runs every fuzz test. */
+int main(void)
+{
+	Suite *suite = suite_create("message_fuzz");
+	TCase *tcase = tcase_create("fuzz");
+	SRunner *runner = srunner_create(suite);
+	int failed;
+
+	tcase_set_timeout(tcase, 120);
+	tcase_add_test(tcase, test_settings);
+	tcase_add_test(tcase, test_link);
+	tcase_add_test(tcase, test_relay);
+	tcase_add_test(tcase, test_raft);
+	suite_add_tcase(suite, tcase);
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
