Build the tools for the sanitized tests too

Cause: tests that start stand-ins and proxies look for them beside themselves; test_drain, test_failures and test_peers failed for want of them.

--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -49,7 +49,7 @@
 done
 # The same tests again under the address and undefined-behaviour sanitizers.
 sanitize=(SANITIZE=address,undefined BUILD=build-sanitize)
-step sanitize/build make -s -j"$(nproc)" "${sanitize[@]}" units
+step sanitize/build make -s -j"$(nproc)" "${sanitize[@]}" all units
 for source in tests/unit/test_*.c; do
 	name=$(basename "$source" .c)
 	step "sanitize/$name" "build-sanitize/tests/unit/$name"
