--- a/Makefile
+++ b/Makefile
@@ -63,6 +63,8 @@
 # Relays on a network of virtual time serve a test and a bench.
 $(BUILD)/tests/unit/test_relay: $(BUILD)/tests/unit/relay_net.o $(BUILD)/tests/unit/relay_observer.o
 $(BUILD)/bench/bench_feed: $(BUILD)/tests/unit/relay_net.o
+# So do replicas of the log.
+$(BUILD)/bench/bench_raft: $(call object,$(wildcard tests/unit/raft_*.c))
 
 units: $(UNITS)
 
--- a/tests/unit/raft_world.c
+++ b/tests/unit/raft_world.c
@@ -73,6 +73,8 @@
 	uint32_t to = (uint32_t)atoi(action->address);
 	GBytes *packed;
 
+	world->messages_sent++;
+	world->bytes_sent += protobuf_c_message_get_packed_size(&action->message->base);
 	if (world->cut[from][to] || chance(world, world->network.drop_percent))
 		return;
 	packed = cw_message_pack(&action->message->base);
@@ -278,10 +280,20 @@
 }
 
 world_t *world_new(uint32_t count, uint64_t seed, naive_t naive)
+{
+	world_timing_t timing = {WORLD_HEARTBEAT_MS, WORLD_ELECTION_MS, WORLD_LEASE_MS};
+
+	if (naive == NAIVE_LONG_LEASE)
+		timing.lease_ms = 3 * WORLD_ELECTION_MS;
+	return world_new_timed(count, seed, naive, timing);
+}
+
+world_t *world_new_timed(uint32_t count, uint64_t seed, naive_t naive, world_timing_t timing)
 {
 	world_t *world = g_new0(world_t, 1);
 
 	world->naive = naive;
+	world->timing = timing;
 	world->now_ms = START_MS;
 	world->count = count;
 	world->messages = g_sequence_new(message_free);
@@ -335,9 +347,9 @@
 		peers[i].address = addresses[i];
 		list[i] = &peers[i];
 	}
-	options.heartbeat_ms = WORLD_HEARTBEAT_MS;
-	options.election_ms = WORLD_ELECTION_MS;
-	options.lease_ms = world->naive == NAIVE_LONG_LEASE ? 3 * WORLD_ELECTION_MS : WORLD_LEASE_MS;
+	options.heartbeat_ms = world->timing.heartbeat_ms;
+	options.election_ms = world->timing.election_ms;
+	options.lease_ms = world->timing.lease_ms;
 	options.seed = g_rand_int(world->random);
 	options.max_append_bytes = APPEND_BYTES;
 	options.peers = list;
--- a/tests/unit/raft_world.h
+++ b/tests/unit/raft_world.h
@@ -7,6 +7,12 @@
 
 enum { WORLD_MAX = 8, WORLD_HEARTBEAT_MS = 50, WORLD_ELECTION_MS = 200, WORLD_LEASE_MS = 150 };
 
+typedef struct {
+	uint32_t heartbeat_ms;
+	uint32_t election_ms;
+	uint32_t lease_ms;
+} world_timing_t;
+
 /* Ways to get it wrong, each of which the observer must notice. */
 typedef enum {
 	NAIVE_NONE,
@@ -39,6 +45,7 @@
 
 typedef struct {
 	naive_t naive;
+	world_timing_t timing;
 	int64_t now_ms;
 	uint32_t count;
 	world_replica_t replicas[WORLD_MAX + 1]; /* by id */
@@ -54,6 +61,8 @@
 	uint64_t refused; /* proposals and reads */
 	uint64_t reads;
 	uint64_t disks_lost;
+	uint64_t messages_sent;
+	uint64_t bytes_sent;
 	uint64_t snapshot_entries; /* between snapshots */
 	bool crash_in_step;	   /* the next replica that writes stops right after it */
 } world_t;
@@ -68,6 +77,7 @@
 
 /* raft_world.c */
 world_t *world_new(uint32_t count, uint64_t seed, naive_t naive);
+world_t *world_new_timed(uint32_t count, uint64_t seed, naive_t naive, world_timing_t timing);
 void world_free(world_t *world);
 void world_run(world_t *world, int64_t duration_ms);
 void world_crash(world_t *world, uint32_t id);
