Let a folder formatted anew give up its identity once it hears of a history

Cause: the identity of a formatted folder is the same each time, so an operator who formats a folder on the VM that replaces a lost one would bring back a replica that votes with what it has forgotten. Change: a formatted replica that has never had a term takes part only in the first election of all, which needs the word of every voter that there has been none before. On any other message with a term it takes a new incarnation (CW_RAFT_AC_RENEW, synced by store_save_incarnation()) and joins as a learner. So the first start of a mesh needs all its control replicas. Ruled out: failing with a message, which leaves the repair to the operator; formatting one VM only and admitting the others, since a second format would then start another history.

--- a/daemon/control_replica.c
+++ b/daemon/control_replica.c
@@ -177,6 +177,9 @@
 	case CW_RAFT_AC_SAVE_TERM:
 		return store_save_term(control->store, action->term, action->voted_id,
 				       action->voted_incarnation);
+	case CW_RAFT_AC_RENEW:
+		log_warning("identity-renewed", LOG_UINT("incarnation", action->incarnation), LOG_END);
+		return store_save_incarnation(control->store, action->incarnation);
 	case CW_RAFT_AC_APPEND:
 		return store_append(control->store, action->entries);
 	case CW_RAFT_AC_INSTALL:
--- a/daemon/store.c
+++ b/daemon/store.c
@@ -356,6 +356,19 @@
 	return note(store, put_record(store, TERM_FILE, &record, sizeof(record)));
 }
 
+cw_status_t store_save_incarnation(store_t *store, uint64_t incarnation)
+{
+	identity_t record = {incarnation};
+	cw_status_t status = usable(store);
+
+	if (status != CW_OK)
+		return status;
+	status = put_record(store, IDENTITY_FILE, &record, sizeof(record));
+	if (status == CW_OK)
+		store->incarnation = incarnation;
+	return note(store, status);
+}
+
 cw_status_t store_append(store_t *store, const GPtrArray *entries)
 {
 	cw_status_t status = usable(store);
--- a/daemon/store.h
+++ b/daemon/store.h
@@ -23,6 +23,8 @@
 uint64_t store_incarnation(const store_t *store);
 /* First state of a cluster: incarnation and membership into an empty folder; CW_ERR_STATE when it holds state. */
 cw_status_t store_format(const char *folder, uint64_t incarnation, const Caraway__Membership *membership);
+/* Makes a new incarnation of the folder durable. */
+cw_status_t store_save_incarnation(store_t *store, uint64_t incarnation);
 /* Makes a term and vote durable. */
 cw_status_t store_save_term(store_t *store, uint64_t term, uint32_t voted_id, uint64_t voted_incarnation);
 /* Cuts the log from entries[0]->index on, appends and syncs. Caraway__Entry * items. */
--- a/libcaraway/libcaraway.h
+++ b/libcaraway/libcaraway.h
@@ -216,6 +216,7 @@
 
 typedef enum {
 	CW_RAFT_AC_SAVE_TERM, /* make term and vote durable before going on */
+	CW_RAFT_AC_RENEW,     /* make the new incarnation of the data folder durable */
 	CW_RAFT_AC_APPEND,    /* cut the log from entries[0].index on, append, make durable */
 	CW_RAFT_AC_INSTALL,   /* replace state and log by the snapshot, make durable */
 	CW_RAFT_AC_SEND,
@@ -233,6 +234,7 @@
 	uint64_t term;
 	uint32_t voted_id;
 	uint64_t voted_incarnation;
+	uint64_t incarnation; /* RENEW */
 	cw_status_t status;
 	GPtrArray *entries;		 /* APPEND: Caraway__Entry * */
 	Caraway__Entry *entry;		 /* APPLY */
--- a/libcaraway/raft.c
+++ b/libcaraway/raft.c
@@ -153,6 +153,7 @@
 	raft->now_ms = now_ms;
 	raft->heard_ms = now_ms;
 	raft->join_deadline_ms = now_ms;
+	raft->unproven = !stored->term && !raft_last_index(raft);
 	raft->role = raft_is_voter(raft, raft->self) ? CW_RAFT_FOLLOWER : CW_RAFT_LEARNER;
 	raft_reset_election(raft);
 	return raft;
@@ -208,6 +209,21 @@
 	return !message->to_incarnation && message->body_case == CARAWAY__RAFT_MESSAGE__BODY_JOIN_REQUEST;
 }
 
+/* Returns whether a message belongs to the first election of all, or asks to be let in. */
+static bool is_without_history(const Caraway__RaftMessage *message)
+{
+	switch (message->body_case) {
+	case CARAWAY__RAFT_MESSAGE__BODY_VOTE_REQUEST:
+		return message->term <= 1 && !message->vote_request->last_index;
+	case CARAWAY__RAFT_MESSAGE__BODY_VOTE_REPLY:
+		return message->term == 0 || (message->term == 1 && message->vote_reply->granted);
+	case CARAWAY__RAFT_MESSAGE__BODY_JOIN_REQUEST:
+		return true;
+	default:
+		return false;
+	}
+}
+
 /* Takes over a higher term from a message that proves it to be in use. */
 static void observe_term(cw_raft_t *raft, const Caraway__RaftMessage *message)
 {
@@ -239,6 +255,10 @@
 {
 	if (!is_for_self(raft, message))
 		return;
+	if (raft->unproven && raft->role != CW_RAFT_LEARNER && !is_without_history(message)) {
+		raft_renew(raft);
+		return;
+	}
 	observe_term(raft, message);
 	switch (message->body_case) {
 	case CARAWAY__RAFT_MESSAGE__BODY_VOTE_REQUEST:
--- a/libcaraway/raft.h
+++ b/libcaraway/raft.h
@@ -78,6 +78,7 @@
 	int64_t election_deadline_ms; /* of followers and candidates */
 	int64_t join_deadline_ms;     /* of learners */
 	int64_t heartbeat_deadline_ms;
+	bool unproven;	   /* formatted, and not yet seen to be there at the first election */
 	bool handover;	   /* the present election was asked for by the former leader */
 	GHashTable *votes; /* "id.incarnation" of those who granted */
 
@@ -156,6 +157,7 @@
 void raft_send_joins(cw_raft_t *raft);
 void raft_on_join_request(cw_raft_t *raft, const Caraway__RaftMessage *message);
 void raft_readmit(cw_raft_t *raft);
+void raft_renew(cw_raft_t *raft);
 void raft_change_membership(cw_raft_t *raft, uint64_t cookie, uint32_t id, bool add);
 
 #endif
--- a/libcaraway/raft_election.c
+++ b/libcaraway/raft_election.c
@@ -14,6 +14,7 @@
 {
 	cw_raft_action_t *action = raft_act(raft, CW_RAFT_AC_SAVE_TERM);
 
+	raft->unproven = false;
 	action->term = raft->term;
 	action->voted_id = raft->voted_id;
 	action->voted_incarnation = raft->voted_incarnation;
@@ -100,16 +101,17 @@
 	raft_begin_round(raft);
 }
 
-/* Counts a granted vote; returns whether a quorum has granted. */
+/* Counts a granted vote; returns whether a quorum has granted, or everybody where that is asked for. */
 static bool count_vote(cw_raft_t *raft, const Caraway__Replica *from)
 {
+	size_t wanted = raft->unproven ? raft_membership(raft)->n_voters : raft_quorum(raft);
 	char *key;
 
 	if (!raft_is_voter(raft, from))
 		return false;
 	key = g_strdup_printf("%u.%" G_GUINT64_FORMAT, from->id, from->incarnation);
 	g_hash_table_add(raft->votes, key);
-	return g_hash_table_size(raft->votes) >= raft_quorum(raft);
+	return g_hash_table_size(raft->votes) >= wanted;
 }
 
 /* Asks the voters for their votes in the next term. */
@@ -129,7 +131,10 @@
 		request_votes(raft, false);
 }
 
-/* Asks the voters whether they would vote, without a new term. */
+/*
+ * Asks the voters whether they would vote, without a new term.  The very first
+ * election needs the word of everybody that there has been none before.
+ */
 void raft_start_pre_vote(cw_raft_t *raft)
 {
 	raft->handover = false;
--- a/libcaraway/raft_membership.c
+++ b/libcaraway/raft_membership.c
@@ -183,6 +183,24 @@
 	raft_send_append(raft, peer);
 }
 
+/*
+ * Gives up the identity of a formatted folder when the others have a history:
+ * the folder may stand in for one that was lost, and must not vote with what
+ * it does not know.  It goes on as a learner with a new incarnation.
+ */
+void raft_renew(cw_raft_t *raft)
+{
+	uint64_t high = g_rand_int(raft->random);
+	uint64_t incarnation = high << 32 | g_rand_int(raft->random);
+
+	raft->unproven = false;
+	raft->options.incarnation = incarnation;
+	raft->self->incarnation = incarnation;
+	raft_act(raft, CW_RAFT_AC_RENEW)->incarnation = incarnation;
+	raft_set_role(raft, CW_RAFT_LEARNER, 0);
+	raft->join_deadline_ms = raft->now_ms;
+}
+
 /* Returns a copy of a list of replicas without one id, and with one replica added unless NULL. */
 static Caraway__Replica **edit_list(Caraway__Replica **list, size_t *length, uint32_t without,
 				    const Caraway__Replica *with)
--- a/tests/unit/raft_faults.c
+++ b/tests/unit/raft_faults.c
@@ -32,9 +32,10 @@
 		return false;
 	membership = cw_raft_membership(world->replicas[leader].raft);
 	for (size_t i = 0; i < membership->n_voters; i++) {
-		uint32_t voter = membership->voters[i]->id;
+		const world_replica_t *voter = &world->replicas[membership->voters[i]->id];
 
-		if (voter != id && world->replicas[voter].incarnation == membership->voters[i]->incarnation)
+		if (voter->id != id && voter->disk.term &&
+		    voter->incarnation == membership->voters[i]->incarnation)
 			intact++;
 	}
 	return intact > membership->n_voters / 2;
--- a/tests/unit/raft_world.c
+++ b/tests/unit/raft_world.c
@@ -208,6 +208,9 @@
 	case CW_RAFT_AC_ROLE:
 		observe_role(world, replica);
 		break;
+	case CW_RAFT_AC_RENEW:
+		replica->incarnation = action->incarnation;
+		break;
 	case CW_RAFT_AC_SAVE_TERM:
 		save_term(world, replica, action);
 		break;
@@ -223,8 +226,8 @@
 /* Returns whether an action writes to the disk. */
 static bool writes(const cw_raft_action_t *action)
 {
-	return action->type == CW_RAFT_AC_SAVE_TERM || action->type == CW_RAFT_AC_APPEND ||
-	       action->type == CW_RAFT_AC_INSTALL;
+	return action->type == CW_RAFT_AC_SAVE_TERM || action->type == CW_RAFT_AC_RENEW ||
+	       action->type == CW_RAFT_AC_APPEND || action->type == CW_RAFT_AC_INSTALL;
 }
 
 /* Carries out actions in order, until a write fails or the process is killed after one. */
@@ -379,13 +382,17 @@
 void world_lose_disk(world_t *world, uint32_t id)
 {
 	world_replica_t *replica = &world->replicas[id];
+	bool format = world->naive == FORMAT_AGAIN;
 	bool keep = world->naive == NAIVE_KEEP_IDENTITY;
 
 	world->disks_lost++;
 	if (!keep)
 		raft_observer_disk_lost(world->observer, id, world_disk_last_index(&replica->disk));
-	world_disk_format(&replica->disk, keep ? world_membership(world->count) : NULL);
-	if (!keep)
+	world_disk_format(&replica->disk, keep || format ? world_membership(world->count) : NULL);
+	replica->disk.term = keep ? 1 : 0;
+	if (format)
+		replica->incarnation = id;
+	else if (!keep)
 		replica->incarnation = ++world->next_incarnation;
 }
 
--- a/tests/unit/raft_world.h
+++ b/tests/unit/raft_world.h
@@ -17,6 +17,7 @@
 typedef enum {
 	NAIVE_NONE,
 	NAIVE_KEEP_IDENTITY, /* a lost disk is replaced by an empty one with the old identity */
+	FORMAT_AGAIN,	     /* a lost disk is replaced by one that is formatted anew: this must do */
 	NAIVE_FORGET_VOTE,   /* term and vote are not synced */
 	NAIVE_NO_SYNC,	     /* the last entries are lost in a crash */
 	NAIVE_LONG_LEASE,    /* the lease outlasts the election time */
--- a/tests/unit/test_raft.c
+++ b/tests/unit/test_raft.c
@@ -14,11 +14,9 @@
 	const char *word;
 	naive_t naive;
 } naives[] = {
-	{"keep-identity", NAIVE_KEEP_IDENTITY},
-	{"forget-vote", NAIVE_FORGET_VOTE},
-	{"no-sync", NAIVE_NO_SYNC},
-	{"long-lease", NAIVE_LONG_LEASE},
-	{"local-read", NAIVE_LOCAL_READ},
+	{"keep-identity", NAIVE_KEEP_IDENTITY}, {"format-again", FORMAT_AGAIN},
+	{"forget-vote", NAIVE_FORGET_VOTE},	{"no-sync", NAIVE_NO_SYNC},
+	{"long-lease", NAIVE_LONG_LEASE},	{"local-read", NAIVE_LOCAL_READ},
 };
 
 /* Returns the naive variant that a word names. */
@@ -43,22 +41,23 @@
 	uint32_t seeds = number(argc, argv, 3);
 	faults_count_t count = {0};
 	uint32_t violations = 0;
+	bool must_fail = naive && naive != FORMAT_AGAIN;
 
-	for (uint32_t i = 0; i < seeds && !(naive && violations); i++) {
+	for (uint32_t i = 0; i < seeds && !(must_fail && violations); i++) {
 		char *found = faults_run(number(argc, argv, 1), number(argc, argv, 2) + i, naive, &count);
 
 		if (!found)
 			continue;
 		violations++;
-		if (naive)
+		if (must_fail)
 			g_string_append_printf(out, "%.*s\n", (int)strcspn(found, ":"), found);
 		else
 			g_string_append_printf(out, "seed %u: %s\n", number(argc, argv, 2) + i, found);
 		g_free(found);
 	}
-	if (naive && !violations)
+	if (must_fail && !violations)
 		g_string_append(out, "not noticed\n");
-	else if (!naive)
+	else if (!must_fail)
 		g_string_append_printf(
 			out, "%u runs, %u violations%s\n", seeds, violations,
 			count.acknowledged && count.reads && count.disks_lost ? "" : ", but nothing done");
@@ -128,6 +127,13 @@
 	world_event(world, id, &given);
 }
 
+/* Replaces a disk by an empty one, or by one that is formatted as for the first start. */
+static void lose_disk(world_t *world, uint32_t id, bool format)
+{
+	world->naive = format ? FORMAT_AGAIN : NAIVE_NONE;
+	world_lose_disk(world, id);
+}
+
 /* Carries out a command on the present world. */
 static void world_command(world_t *world, int argc, char **argv, GString *out)
 {
@@ -141,7 +147,7 @@
 	else if (!strcmp(word, "start"))
 		world_start(world, id);
 	else if (!strcmp(word, "lose-disk"))
-		world_lose_disk(world, id);
+		lose_disk(world, id, argc > 2);
 	else if (!strcmp(word, "freeze"))
 		world_freeze(world, id, number(argc, argv, 2));
 	else if (!strcmp(word, "isolate"))
--- a/tests/unit/test_store.c
+++ b/tests/unit/test_store.c
@@ -249,6 +249,8 @@
 		print_status(append(fixture, first, second, third), out);
 	else if (!strcmp(argv[0], "term"))
 		print_status(store_save_term(fixture->store, first, (uint32_t)second, 1), out);
+	else if (!strcmp(argv[0], "renew"))
+		print_status(store_save_incarnation(fixture->store, first), out);
 	else if (!strcmp(argv[0], "snapshot"))
 		print_status(store_snapshot(fixture->store, first, second, membership, "state", 5, true),
 			     out);
