--- a/daemon/control.h
+++ b/daemon/control.h
@@ -51,6 +51,7 @@
 	GHashTable *pending_by_index; /* log index -> borrowed pending_t */
 	GHashTable *registering;      /* VM -> the same, while a registration is pending */
 	GArray *confirmed;	      /* relay cookies to hand on */
+	GArray *unconfirmed;	      /* those of confirmations that were refused */
 	uint64_t applied_index;
 	uint64_t snapshot_index;
 	uint64_t last_cookie;
--- a/daemon/control_pending.c
+++ b/daemon/control_pending.c
@@ -73,13 +73,15 @@
 		    LOG_STR("status", cw_status_word(status)), LOG_STR("message", message), LOG_END);
 }
 
-/* Notes a confirmation for the relay, which is told after the log's actions are carried out. */
+/* Notes how a confirmation ended for the relay, which is told after the log's actions are carried out. */
 static void finish_confirmation(control_t *control, const pending_t *pending, cw_status_t status)
 {
-	if (status == CW_OK)
+	if (status == CW_OK) {
 		g_array_append_val(control->confirmed, pending->relay_cookie);
-	else
-		counter_add(COUNTER_STAMP_REFUSED, 1);
+		return;
+	}
+	counter_add(COUNTER_STAMP_REFUSED, 1);
+	g_array_append_val(control->unconfirmed, pending->relay_cookie);
 }
 
 /* Ends a pending entry and frees it. */
--- a/daemon/control_source.c
+++ b/daemon/control_source.c
@@ -122,6 +122,7 @@
 	control->io.data = control;
 	control->registering = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	control->confirmed = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	control->unconfirmed = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 	g_free(name);
 }
 
@@ -134,6 +135,7 @@
 	cw_members_free(control->members);
 	g_hash_table_destroy(control->registering);
 	g_array_free(control->confirmed, TRUE);
+	g_array_free(control->unconfirmed, TRUE);
 }
 
 /* Tells the relay whether this replica leads, or whom it follows, when that has changed. */
@@ -154,16 +156,16 @@
 	relay_io_step(&control->io, &event);
 }
 
-/* Tells the relay of the confirmations that have come. */
-static void tell_confirmed(control_t *control)
+/* Tells the relay how confirmations have ended, and forgets them. */
+static void tell_confirmations(control_t *control, GArray *cookies, cw_relay_event_type_t type)
 {
-	for (guint i = 0; i < control->confirmed->len; i++) {
-		cw_relay_event_t event = {.type = CW_RELAY_EV_CONFIRMED};
+	for (guint i = 0; i < cookies->len; i++) {
+		cw_relay_event_t event = {.type = type};
 
-		event.cookie = g_array_index(control->confirmed, uint64_t, i);
+		event.cookie = g_array_index(cookies, uint64_t, i);
 		relay_io_step(&control->io, &event);
 	}
-	g_array_set_size(control->confirmed, 0);
+	g_array_set_size(cookies, 0);
 }
 
 /* Tells the relay when the feed has grown. */
@@ -203,7 +205,8 @@
 {
 	tell_role(control);
 	tell_feed(control);
-	tell_confirmed(control);
+	tell_confirmations(control, control->confirmed, CW_RELAY_EV_CONFIRMED);
+	tell_confirmations(control, control->unconfirmed, CW_RELAY_EV_UNCONFIRMED);
 	register_missing(control);
 	activate_due(control);
 	relay_io_tick(&control->io);
--- a/libcaraway/libcaraway.h
+++ b/libcaraway/libcaraway.h
@@ -316,7 +316,8 @@
  * leader and FOLLOW on losing that or learning of another leader; step PULL
  * for each pull received; step FEED after applying entries that may have grown
  * the feed; answer CW_RELAY_AC_CONFIRM by a confirmed read of the replicated
- * log and step CONFIRMED once the entries up to the read are applied.
+ * log and step CONFIRMED once the entries up to the read are applied, or
+ * UNCONFIRMED when the read is refused.
  */
 typedef enum { CW_RELAY_PROXY, CW_RELAY_REPLICA } cw_relay_kind_t;
 
@@ -351,7 +352,8 @@
 	CW_RELAY_EV_FEED,	 /* replica: the feed may have grown */
 	CW_RELAY_EV_LEAD,	 /* replica: leads in term */
 	CW_RELAY_EV_FOLLOW,	 /* replica: address of the leader, or NULL */
-	CW_RELAY_EV_CONFIRMED /* replica: cookie of the CONFIRM; the feed holds what was committed before it */
+	CW_RELAY_EV_CONFIRMED, /* replica: cookie of the CONFIRM; the feed holds what was committed before it */
+	CW_RELAY_EV_UNCONFIRMED /* replica: cookie of the CONFIRM, which was refused */
 } cw_relay_event_type_t;
 
 typedef struct {
--- a/libcaraway/relay.c
+++ b/libcaraway/relay.c
@@ -19,6 +19,9 @@
 /* A confirmation without an answer after this many intervals of stamps is begun anew. */
 enum { CONFIRM_LOST_STAMPS = 3 };
 
+/* A refused one is begun anew after this time. */
+enum { CONFIRM_RETRY_MS = 50 };
+
 void cw_relay_count(cw_relay_actions_t *actions, cw_relay_count_t count)
 {
 	cw_relay_add(actions, CW_RELAY_AC_COUNT)->count = count;
@@ -174,7 +177,8 @@
 /* Begins a confirmation when a stamp is due or a question waits. */
 static void lead_tick(cw_relay_t *relay, int64_t now_ms, cw_relay_actions_t *actions)
 {
-	bool asked = !relay->confirm_open && relay->floor_arrivals > relay->floor_satisfied;
+	bool asked = !relay->confirm_open && relay->floor_arrivals > relay->floor_satisfied &&
+		     now_ms >= relay->confirm_after_ms;
 
 	if (asked || now_ms >= next_confirmation_ms(relay))
 		begin_confirmation(relay, now_ms, actions);
@@ -197,6 +201,16 @@
 	cw_relay_floor_answered(relay, relay->confirm_covers, stamp.feed_index);
 }
 
+/* Begins a refused confirmation anew before long: a new leader is refused until it has committed an entry. */
+static void unconfirmed(cw_relay_t *relay, const cw_relay_event_t *event, int64_t now_ms)
+{
+	if (!relay->leading || event->cookie != relay->confirm_cookie || !relay->confirm_open)
+		return;
+	relay->confirm_open = false;
+	relay->confirm_by_ms = now_ms + CONFIRM_RETRY_MS;
+	relay->confirm_after_ms = relay->confirm_by_ms;
+}
+
 /* Becomes the source of stamps and of the members' numbering. */
 static void lead(cw_relay_t *relay, uint64_t term, int64_t now_ms, cw_relay_actions_t *actions)
 {
@@ -270,6 +284,9 @@
 	case CW_RELAY_EV_CONFIRMED:
 		confirmed(relay, event, now_ms);
 		break;
+	case CW_RELAY_EV_UNCONFIRMED:
+		unconfirmed(relay, event, now_ms);
+		break;
 	}
 }
 
--- a/libcaraway/relay_internal.h
+++ b/libcaraway/relay_internal.h
@@ -82,8 +82,9 @@
 	uint64_t lead_sequence; /* of the newest stamp issued */
 	uint64_t confirm_cookie;
 	uint64_t confirm_covers;
-	int64_t confirm_by_ms;	 /* when the next confirmation begins */
-	int64_t confirm_lost_ms; /* when the one that is out is given up */
+	int64_t confirm_by_ms;	  /* when the next confirmation begins */
+	int64_t confirm_after_ms; /* no question begins one before */
+	int64_t confirm_lost_ms;  /* when the one that is out is given up */
 	/* as a child */
 	relay_parent_t parent;
 	uint64_t request;
--- a/tests/unit/relay_net.c
+++ b/tests/unit/relay_net.c
@@ -351,8 +351,11 @@
 {
 	cw_relay_event_t confirmed = {.type = CW_RELAY_EV_CONFIRMED, .cookie = event->token};
 
-	if (!has_quorum(net, node))
+	if (!has_quorum(net, node)) {
+		confirmed.type = CW_RELAY_EV_UNCONFIRMED;
+		step(net, node, &confirmed);
 		return;
+	}
 	apply_log(net, node, event->read_index);
 	step(net, node, &confirmed);
 }
