Take back a target that has left, and bound retries by service

Cause: after each target had stopped and returned in turn, calls were refused with no-target: an endpoint that had refused with "draining" was left out for 3 s even when no other was left, and a returned target was taken back after 30 s, because nothing tried its port. Over 11 levels the calls to other services filled the budget for the retries of a failing one. Change: endpoints that were leaving are tried when no other is left, with a growing pause, up to 8 attempts; the port of a leaving target is tried each 250 ms; each service has its own retry budget; a retry not made for want of budget is counted.

--- a/daemon/forward.c
+++ b/daemon/forward.c
@@ -40,7 +40,7 @@
 	endpoint_links_t links;
 	forward_hooks_t hooks;
 	cw_pick_t *pick;
-	cw_budget_t budget;
+	GHashTable *budgets; /* of cw_budget_t by service, so that one does not pay for another's retries */
 	uint64_t last_sequence;
 	GPtrArray *calls;	 /* of forward_call_t */
 	GHashTable *by_sequence; /* forward_call_t by the sequence of an attempt */
@@ -60,7 +60,7 @@
 	forward->clients = clients;
 	forward->hooks = *hooks;
 	forward->pick = cw_pick_new(settings->zone, incarnation);
-	cw_budget_init(&forward->budget, settings->retry_percent);
+	forward->budgets = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	forward->calls = g_ptr_array_new();
 	forward->by_sequence = g_hash_table_new(g_int64_hash, g_int64_equal);
 	forward->next_ms = INT64_MAX;
@@ -106,6 +106,7 @@
 		remove_call(forward, g_ptr_array_index(forward->calls, 0), CW_PICK_DROPPED);
 	g_ptr_array_free(forward->calls, TRUE);
 	g_hash_table_destroy(forward->by_sequence);
+	g_hash_table_destroy(forward->budgets);
 	endpoint_links_clear(&forward->links);
 	cw_pick_free(forward->pick);
 	g_free(forward);
@@ -208,15 +209,32 @@
 	forward->hooks.done(forward->hooks.data, cookie, outcome);
 }
 
+/* Returns the retry budget of a service. */
+static cw_budget_t *budget_for(forward_t *forward, const char *service)
+{
+	cw_budget_t *budget = g_hash_table_lookup(forward->budgets, service);
+
+	if (budget)
+		return budget;
+	budget = g_new(cw_budget_t, 1);
+	cw_budget_init(budget, forward->settings->retry_percent);
+	g_hash_table_insert(forward->budgets, g_strdup(service), budget);
+	return budget;
+}
+
 /* Steps a call and carries out the actions that follow; the call may be gone afterwards. */
 static void step(forward_t *forward, forward_call_t *call, cw_call_event_t event,
 		 const Caraway__CallReply *reply)
 {
+	cw_budget_t *budget = budget_for(forward, call->endpoints.service);
 	forward_outcome_t outcome = {.reply = reply};
 
 	for (;;) {
-		cw_call_action_t action = cw_call_step(&call->core, &forward->budget, &event, clock_now_ms());
+		cw_call_action_t action = cw_call_step(&call->core, budget, &event, clock_now_ms());
 
+		if (call->core.out_of_budget)
+			counter_add(COUNTER_RETRY_NO_BUDGET, 1);
+		call->core.out_of_budget = false;
 		switch (action.type) {
 		case CW_CALL_AC_NONE:
 			forward->next_ms = MIN(forward->next_ms, cw_call_deadline_ms(&call->core));
--- a/daemon/receiver.c
+++ b/daemon/receiver.c
@@ -6,7 +6,8 @@
 
 enum {
 	RAMP_MS = 2000,
-	TARGET_LEAVING_MS = 30000 /* a target that says it drains and stays is taken back after this */
+	MAX_TIME_MS = 60 * 60 * 1000, /* that a call may take */
+	TARGET_LEAVING_MS = 30000     /* a target that says it drains and stays is taken back after this */
 };
 
 struct receiver {
@@ -121,10 +122,10 @@
 	target_pool_submit(receiver->pool, job);
 }
 
-/* Returns the monotonic time of a deadline given in UTC. */
+/* Returns the monotonic time of a deadline given in UTC; one that is far off is taken for a wrong clock. */
 static int64_t monotonic_deadline_ms(int64_t utc_ms)
 {
-	return clock_now_ms() + (utc_ms - clock_utc_ms());
+	return clock_now_ms() + CLAMP(utc_ms - clock_utc_ms(), 0, MAX_TIME_MS);
 }
 
 /* Carries out what admission decided on a call that has arrived. */
@@ -241,6 +242,7 @@
 	if (returned || clock_now_ms() >= receiver->target_leaving_until_ms)
 		receiver->target_leaving_until_ms = 0;
 	receiver->was_unreachable = !reachable;
+	target_pool_watch(receiver->pool, receiver->target_leaving_until_ms != 0);
 	cw_admit_set_draining(receiver->admit, receiver->draining || receiver->target_leaving_until_ms);
 }
 
--- a/daemon/target_pool.c
+++ b/daemon/target_pool.c
@@ -43,6 +43,7 @@
 	pthread_cond_t stopping_changed;
 	bool stopping;
 	_Atomic bool reachable;
+	_Atomic bool watched;
 };
 
 /* One thread's connection to the target. */
@@ -264,14 +265,14 @@
 	return stopping;
 }
 
-/* Tries to reach a target that was not reached, since no call would show that it is back. */
+/* Tries to reach a target that was not reached, or gets no calls since it leaves: no call would show that it is back. */
 static void *run_prober(void *data)
 {
 	target_pool_t *pool = data;
 
 	do {
-		if (!atomic_load(&pool->reachable) && try_connect(pool))
-			set_reachable(pool, true);
+		if (!atomic_load(&pool->reachable) || atomic_load(&pool->watched))
+			set_reachable(pool, try_connect(pool));
 	} while (!wait_stopping(pool, PROBE_MS));
 	return NULL;
 }
@@ -359,3 +360,9 @@
 {
 	return atomic_load(&pool->reachable);
 }
+
+/* Sets whether connections are tried though the target was reached. */
+void target_pool_watch(target_pool_t *pool, bool watch)
+{
+	atomic_store(&pool->watched, watch);
+}
--- a/daemon/target_pool.h
+++ b/daemon/target_pool.h
@@ -32,5 +32,7 @@
 target_job_t *target_pool_collect(target_pool_t *pool);
 /* Whether the target accepted the last connection tried. */
 bool target_pool_reachable(const target_pool_t *pool);
+/* Whether to try connections to the target though it was reached: a leaving one shows its return by them. */
+void target_pool_watch(target_pool_t *pool, bool watch);
 
 #endif
--- a/libcaraway/call.c
+++ b/libcaraway/call.c
@@ -12,8 +12,9 @@
 	MARGIN_MAX_MS = 100,
 	PROBE_PART = 2,	       /* a receiver silent for this part of the time is asked */
 	REVOKE_AGAIN_MS = 100, /* a revocation without an answer is repeated */
-	BACKOFF_MS = 10,       /* until endpoints that could not be reached are tried again */
-	PATIENCE_MS = 500      /* for a connection to be made, from the start of the call */
+	BACKOFF_DOUBLINGS = 3,
+	BACKOFF_MS = 10,  /* until endpoints that could not be reached are tried again */
+	PATIENCE_MS = 500 /* for a connection to be made, from the start of the call */
 };
 
 /* Sets up a call that has made no attempt. */
@@ -106,7 +107,10 @@
 		return false;
 	if (is_free(reason))
 		return true;
-	return call->may_retry && cw_budget_take(budget);
+	if (!call->may_retry)
+		return false;
+	call->out_of_budget = !cw_budget_take(budget);
+	return !call->out_of_budget;
 }
 
 /* Goes on after an attempt has failed: another one, waiting for an earlier one, or the end. */
@@ -135,13 +139,15 @@
 /* Waits for endpoints that could not be reached, or ends the call. */
 static cw_call_action_t on_no_endpoint(cw_call_t *call, int64_t now_ms)
 {
+	int64_t backoff_ms = (int64_t)BACKOFF_MS << MIN(call->backoffs, BACKOFF_DOUBLINGS);
 	bool patient = call->attempt_count < CW_CALL_MAX_ATTEMPTS && now_ms < call->start_ms + PATIENCE_MS &&
-		       now_ms + BACKOFF_MS < cw_call_receiver_deadline_ms(call);
+		       now_ms + backoff_ms < cw_call_receiver_deadline_ms(call);
 
 	if (any_open(call))
 		return action(CW_CALL_AC_NONE);
 	if (patient && is_free(call->reason) && none_ran(call)) {
-		call->backoff_ms = now_ms + BACKOFF_MS;
+		call->backoff_ms = now_ms + backoff_ms;
+		call->backoffs++;
 		return action(CW_CALL_AC_NONE);
 	}
 	return finish(call, call->reason == CW_REASON_NONE ? CW_REASON_NO_TARGET : call->reason);
--- a/libcaraway/libcaraway.h
+++ b/libcaraway/libcaraway.h
@@ -581,7 +581,7 @@
 
 /* ---- one call at its origin --------------------------------------------------------------------------- */
 
-enum { CW_CALL_MAX_ATTEMPTS = 4 };
+enum { CW_CALL_MAX_ATTEMPTS = 8 };
 
 typedef enum {
 	CW_ATTEMPT_WAITING,  /* sent, no news */
@@ -604,7 +604,9 @@
 	int64_t deadline_ms; /* the caller has its answer by then */
 	int64_t margin_ms;   /* kept back for revocation */
 	int64_t backoff_ms;  /* when to look for an endpoint again; 0: not waiting */
+	uint32_t backoffs;   /* so far */
 	cw_reason_t reason;  /* of the last refusal or failure */
+	bool out_of_budget;  /* a retry was not made for want of budget */
 	cw_attempt_t attempts[CW_CALL_MAX_ATTEMPTS];
 	uint32_t attempt_count;
 } cw_call_t;
--- a/libcaraway/pick.c
+++ b/libcaraway/pick.c
@@ -100,8 +100,9 @@
 	known_t *known;
 } option_t;
 
-/* Collects the endpoints that may be chosen, without those that leave. */
-static GArray *options_for(cw_pick_t *pick, const cw_candidate_t *candidates, size_t count, int64_t now_ms)
+/* Collects the endpoints that may be chosen; those that leave only when asked for. */
+static GArray *options_for(cw_pick_t *pick, const cw_candidate_t *candidates, size_t count, bool leaving,
+			   int64_t now_ms)
 {
 	GArray *options = g_array_new(FALSE, FALSE, sizeof(option_t));
 
@@ -112,7 +113,7 @@
 				   .local = g_str_equal(candidates[i].zone, pick->zone),
 				   .known = known};
 
-		if (!candidates[i].excluded && known->leaving_until_ms <= now_ms)
+		if (!candidates[i].excluded && (leaving || known->leaving_until_ms <= now_ms))
 			g_array_append_val(options, option);
 	}
 	return options;
@@ -167,13 +168,21 @@
 	return drawn[0]->score < drawn[1]->score ? drawn[0] : drawn[1];
 }
 
-/* Chooses an endpoint: the own zone unless it is loaded and another is less so. */
+/*
+ * Chooses an endpoint: the own zone unless it is loaded and another is less so.
+ * When only endpoints that were leaving are left one of them is tried: it may
+ * have come back, and its refusal costs nothing.
+ */
 int cw_pick_choose(cw_pick_t *pick, const cw_candidate_t *candidates, size_t count, int64_t now_ms)
 {
-	GArray *options = options_for(pick, candidates, count, now_ms);
+	GArray *options = options_for(pick, candidates, count, false, now_ms);
 	const option_t *chosen, *other;
 	int position;
 
+	if (!options->len) {
+		g_array_free(options, TRUE);
+		options = options_for(pick, candidates, count, true, now_ms);
+	}
 	drop_aside(options, count, now_ms);
 	chosen = two_choices(pick, options, true);
 	if (!chosen || chosen->score >= spill_score) {
--- a/tests/unit/caller.c
+++ b/tests/unit/caller.c
@@ -62,16 +62,35 @@
 	g_strlcpy(answer->body, body, sizeof(answer->body));
 }
 
-void caller_receive(int fd, answer_t *answer)
+/* Reads all that comes and closes the socket. */
+static GString *read_all(int fd)
 {
 	GString *text = g_string_new(NULL);
 	char buffer[4096];
 	ssize_t length;
 
-	memset(answer, 0, sizeof(*answer));
 	while ((length = recv(fd, buffer, sizeof(buffer), 0)) > 0)
 		g_string_append_len(text, buffer, length);
 	close(fd);
+	return text;
+}
+
+char *caller_get(int port, const char *path)
+{
+	int fd = caller_send(port, "GET", path, "-", 1000);
+	GString *text = fd >= 0 ? read_all(fd) : g_string_new(NULL);
+	const char *body = strstr(text->str, "\r\n\r\n");
+	char *copy = g_strdup(body ? body + strlen("\r\n\r\n") : "");
+
+	g_string_free(text, TRUE);
+	return copy;
+}
+
+void caller_receive(int fd, answer_t *answer)
+{
+	GString *text = read_all(fd);
+
+	memset(answer, 0, sizeof(*answer));
 	parse(text, answer);
 	g_string_free(text, TRUE);
 }
--- a/tests/unit/mesh.c
+++ b/tests/unit/mesh.c
@@ -150,6 +150,21 @@
 	ck_assert_int_eq(answer.status, 200);
 }
 
+void mesh_wait_used(const mesh_t *mesh, int target)
+{
+	answer_t answer;
+	char id[ID_BYTES];
+
+	for (int i = 0; i < MAX_STEPS; i++) {
+		snprintf(id, sizeof(id), "used-%d-%d", target, i);
+		caller_call(mesh->http_ports[target], "GET", "/", id, 2000, &answer);
+		if (mesh_ran_at(mesh, target, id))
+			return;
+		usleep(STEP_US);
+	}
+	ck_abort_msg("target %d is not used", target);
+}
+
 void mesh_set(const mesh_t *mesh, int target, const char *setting)
 {
 	char path[PATH_BYTES];
--- a/tests/unit/mesh.h
+++ b/tests/unit/mesh.h
@@ -36,6 +36,8 @@
 void mesh_wait_ran_at(const mesh_t *mesh, int target, const char *id);
 /* Waits until a call through a proxy is answered by a target. */
 void mesh_wait_served(const mesh_t *mesh, int proxy);
+/* Waits until a target runs a call that came through the proxy beside it. */
+void mesh_wait_used(const mesh_t *mesh, int target);
 void mesh_set(const mesh_t *mesh, int target, const char *setting);
 
 #endif
