--- a/Makefile
+++ b/Makefile
@@ -51,7 +51,7 @@
 	$(CC) $(LDFLAGS) -o $@ $^ $(DAEMON_LIBS)
 
 $(TOOLS): $(BUILD)/%: $(BUILD)/%.o $(DAEMON_LIBRARY) $(LIBRARY)
-	$(CC) $(LDFLAGS) -o $@ $(filter %.o,$^) $(filter %.a,$^) $(DAEMON_LIBS)
+	$(CC) $(LDFLAGS) -o $@ $(filter %.o,$^) $(filter %.a,$^) $(DAEMON_LIBS) $(shell pkg-config --libs gsl)
 
 $(UNITS): $(BUILD)/%: $(BUILD)/%.o $(call object,$(UNIT_HELPERS)) $(CLI_LIBRARY) $(DAEMON_LIBRARY) $(LIBRARY)
 	$(CC) $(LDFLAGS) -o $@ $(filter %.o,$^) $(filter %.a,$^) $(DAEMON_LIBS) $(shell pkg-config --libs check)
