Send a large table of members compressed

Cause: each proxy that starts is sent the whole table, 857 KB at 8,700 members; a returning zone pays that for every proxy. Change: more than 32 endpoints go as one compressed field with a checksum; a table that does not hold is refused whole, counted, and the parent is left.

Ruled out: a frame without its checksum; the first run of compressed.script showed that a flipped bit was taken.

--- a/bench/bench_feed.c
+++ b/bench/bench_feed.c
@@ -482,16 +482,21 @@
 		g_autofree char *vm = g_strdup_printf("zone-%u-vm-%u", i % AIMED_ZONES, i);
 		g_autofree char *zone = g_strdup_printf("zone-%u", i % AIMED_ZONES);
 		g_autofree char *service = g_strdup_printf("service-%u", i % 1700);
+		uint32_t host = (uint32_t)cw_hash(&i, sizeof(i), 0);
+		g_autofree char *call_address =
+			g_strdup_printf("10.%u.%u.%u:7201", host & 255, host >> 8 & 255, host >> 16 & 255);
+		g_autofree char *feed_address =
+			g_strdup_printf("10.%u.%u.%u:7202", host & 255, host >> 8 & 255, host >> 16 & 255);
 		Caraway__Endpoint endpoint = CARAWAY__ENDPOINT__INIT;
 
 		endpoint.vm = vm;
 		endpoint.zone = zone;
 		endpoint.region = "region-1";
 		endpoint.service = service;
-		endpoint.incarnation = 1700000000000000 + i;
+		endpoint.incarnation = 1700000000000000 + host;
 		endpoint.sequence = 1;
-		endpoint.call_address = "192.0.2.100:7201";
-		endpoint.feed_address = "192.0.2.100:7202";
+		endpoint.call_address = call_address;
+		endpoint.feed_address = feed_address;
 		endpoint.slots = 12;
 		cw_members_announce(members, &endpoint, 0);
 	}
@@ -501,9 +506,7 @@
 	       "\"announce_us\":%.2f}\n",
 	       AIMED_FLEET, memory, caraway__news__get_packed_size(&whole),
 	       (double)(clock() - begin) / CLOCKS_PER_SEC * 1e6 / AIMED_FLEET);
-	for (size_t i = 0; i < whole.n_endpoints; i++)
-		cw_message_free(whole.endpoints[i]);
-	g_free(whole.endpoints);
+	g_free(whole.endpoints_packed.data);
 	cw_members_free(members);
 }
 
--- a/libcaraway/feed_read.c
+++ b/libcaraway/feed_read.c
@@ -2,9 +2,6 @@
 #include "feed_internal.h"
 
 #include <string.h>
-#include <zstd.h>
-
-enum { SNAPSHOT_LEVEL = 3, SNAPSHOT_MAX_BYTES = 256 << 20 };
 
 /* Orders staged content by number. */
 static gint compare_staged(gconstpointer a, gconstpointer b)
@@ -104,25 +101,14 @@
 {
 	feed_cache_t *cache = feed->cache;
 	Caraway__FeedSnapshot *saved;
-	GBytes *packed;
-	gsize length;
-	const void *data;
-	size_t bound;
-	void *compressed;
 
 	if (cache->bytes && cache->index == feed->index)
 		return cache->bytes;
 	saved = cw_feed_save(feed);
-	packed = cw_message_pack(&saved->base);
-	cw_message_free(saved);
-	data = g_bytes_get_data(packed, &length);
-	bound = ZSTD_compressBound(length);
-	compressed = g_malloc(bound);
-	length = ZSTD_compress(compressed, bound, data, length, SNAPSHOT_LEVEL);
-	g_bytes_unref(packed);
 	cw_feed_drop_cache(feed);
-	cache->bytes = g_bytes_new_take(g_realloc(compressed, length), length);
+	cache->bytes = cw_message_compress(&saved->base);
 	cache->index = feed->index;
+	cw_message_free(saved);
 	return cache->bytes;
 }
 
@@ -203,30 +189,14 @@
 	return CW_OK;
 }
 
-/* Decompresses and unpacks the snapshot of a news; NULL, with the message set, when it does not hold. */
+/* Unpacks the snapshot of a news; NULL, with the message set, when it does not hold. */
 static Caraway__FeedSnapshot *unpack_snapshot(const Caraway__News *news)
 {
-	const ProtobufCBinaryData *bytes = &news->snapshot;
-	Caraway__FeedSnapshot *saved = NULL;
-	unsigned long long size;
-	uint8_t *data;
-
-	if (cw_hash(bytes->data, bytes->len, 0) != news->snapshot_digest) {
+	if (cw_hash(news->snapshot.data, news->snapshot.len, 0) != news->snapshot_digest) {
 		cw_fail(CW_ERR_DAMAGED, "snapshot differs from its digest");
 		return NULL;
 	}
-	size = ZSTD_getFrameContentSize(bytes->data, bytes->len);
-	if (size > SNAPSHOT_MAX_BYTES) {
-		cw_fail(CW_ERR_DAMAGED, "snapshot is not a zstd frame of a size allowed");
-		return NULL;
-	}
-	data = g_malloc(size ? size : 1);
-	if (ZSTD_decompress(data, size, bytes->data, bytes->len) == size)
-		saved = caraway__feed_snapshot__unpack(NULL, size, data);
-	if (!saved)
-		cw_fail(CW_ERR_DAMAGED, "snapshot cannot be unpacked");
-	g_free(data);
-	return saved;
+	return cw_message_decompress(&caraway__feed_snapshot__descriptor, &news->snapshot);
 }
 
 cw_status_t cw_feed_accept_snapshot(cw_feed_t *feed, const Caraway__News *news)
--- a/libcaraway/gen/caraway.pb-c.c
+++ b/libcaraway/gen/caraway.pb-c.c
@@ -6224,7 +6224,7 @@
   (ProtobufCMessageInit) caraway__pull__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor caraway__news__field_descriptors[13] =
+static const ProtobufCFieldDescriptor caraway__news__field_descriptors[14] =
 {
   {
     "request",
@@ -6382,6 +6382,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "endpoints_packed",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Caraway__News, endpoints_packed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned caraway__news__field_indices_by_name[] = {
   9,   /* field[9] = depth */
@@ -6390,6 +6402,7 @@
   5,   /* field[5] = endpoint_epoch */
   6,   /* field[6] = endpoint_sequence */
   8,   /* field[8] = endpoints */
+  13,   /* field[13] = endpoints_packed */
   7,   /* field[7] = endpoints_whole */
   10,   /* field[10] = floor */
   2,   /* field[2] = records */
@@ -6401,7 +6414,7 @@
 static const ProtobufCIntRange caraway__news__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 13 }
+  { 0, 14 }
 };
 const ProtobufCMessageDescriptor caraway__news__descriptor =
 {
@@ -6411,7 +6424,7 @@
   "Caraway__News",
   "caraway",
   sizeof(Caraway__News),
-  13,
+  14,
   caraway__news__field_descriptors,
   caraway__news__field_indices_by_name,
   1,  caraway__news__number_ranges,
--- a/libcaraway/gen/caraway.pb-c.h
+++ b/libcaraway/gen/caraway.pb-c.h
@@ -931,10 +931,14 @@
    */
   uint64_t endpoint_base_epoch;
   uint64_t endpoint_base_sequence;
+  /*
+   * in place of endpoints: zstd of a packed News that holds only them
+   */
+  ProtobufCBinaryData endpoints_packed;
 };
 #define CARAWAY__NEWS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&caraway__news__descriptor) \
-    , 0, NULL, 0,NULL, {0,NULL}, 0, 0, 0, 0, 0,NULL, 0, 0, 0, 0 }
+    , 0, NULL, 0,NULL, {0,NULL}, 0, 0, 0, 0, 0,NULL, 0, 0, 0, 0, {0,NULL} }
 
 
 struct  Caraway__PullRefused
--- a/libcaraway/members_read.c
+++ b/libcaraway/members_read.c
@@ -3,6 +3,9 @@
 
 #include <string.h>
 
+/* A table of more endpoints than this is sent compressed. */
+enum { PLAIN_ENDPOINTS = 32 };
+
 /* Fills in the endpoints changed after a table sequence, in order of change. */
 static void read_after(const cw_members_t *members, uint64_t sequence, Caraway__News *news)
 {
@@ -20,6 +23,27 @@
 		news->endpoints[i] = cw_message_copy(&((const member_t *)link->data)->endpoint->base);
 }
 
+/* Replaces many endpoints of a news by their compressed form. */
+static void compress_endpoints(Caraway__News *news)
+{
+	Caraway__News only = CARAWAY__NEWS__INIT;
+	GBytes *bytes;
+	gsize length;
+
+	if (news->n_endpoints <= PLAIN_ENDPOINTS)
+		return;
+	only.n_endpoints = news->n_endpoints;
+	only.endpoints = news->endpoints;
+	bytes = cw_message_compress(&only.base);
+	for (size_t i = 0; i < news->n_endpoints; i++)
+		cw_message_free(news->endpoints[i]);
+	g_free(news->endpoints);
+	news->n_endpoints = 0;
+	news->endpoints = NULL;
+	news->endpoints_packed.data = g_bytes_unref_to_data(bytes, &length);
+	news->endpoints_packed.len = length;
+}
+
 /* Returns true when a child at a position of the epoch before this one lacks only what came since. */
 static bool continues(const cw_members_t *members, uint64_t epoch, uint64_t sequence)
 {
@@ -43,6 +67,7 @@
 					sequence < members->oldest_sequence;
 	}
 	read_after(members, news->endpoints_whole ? 0 : sequence, news);
+	compress_endpoints(news);
 }
 
 /* Keeps an endpoint that the source no longer names until the lease given runs out. */
@@ -84,12 +109,8 @@
 	       news->endpoint_base_sequence == members->sequence;
 }
 
-/*
- * Takes endpoints from a parent, all or none.  CW_ERR_STALE when the epoch or
- * the sequence is older than what is held; CW_ERR_POSITION when the changes do
- * not follow what is held; CW_ERR_DAMAGED when an endpoint names no VM.
- */
-cw_status_t cw_members_accept(cw_members_t *members, const Caraway__News *news, int64_t now_ms)
+/* Takes endpoints that are not compressed. */
+static cw_status_t accept_plain(cw_members_t *members, const Caraway__News *news, int64_t now_ms)
 {
 	if (news->endpoint_epoch < members->epoch ||
 	    (news->endpoint_epoch == members->epoch && news->endpoint_sequence < members->sequence))
@@ -115,6 +136,29 @@
 	return CW_OK;
 }
 
+/*
+ * Takes endpoints from a parent, all or none.  CW_ERR_STALE when the epoch or
+ * the sequence is older than what is held; CW_ERR_POSITION when the changes do
+ * not follow what is held; CW_ERR_DAMAGED when an endpoint names no VM.
+ */
+cw_status_t cw_members_accept(cw_members_t *members, const Caraway__News *news, int64_t now_ms)
+{
+	Caraway__News plain = *news;
+	Caraway__News *only;
+	cw_status_t status;
+
+	if (!news->endpoints_packed.len)
+		return accept_plain(members, news, now_ms);
+	only = cw_message_decompress(&caraway__news__descriptor, &news->endpoints_packed);
+	if (!only)
+		return CW_ERR_DAMAGED;
+	plain.n_endpoints = only->n_endpoints;
+	plain.endpoints = only->endpoints;
+	status = accept_plain(members, &plain, now_ms);
+	cw_message_free(only);
+	return status;
+}
+
 /* Returns the endpoint of a VM in whatever state, or NULL. */
 const Caraway__Endpoint *cw_members_endpoint(const cw_members_t *members, const char *vm)
 {
--- a/libcaraway/relay_child.c
+++ b/libcaraway/relay_child.c
@@ -153,15 +153,22 @@
 	}
 }
 
-/* Takes the endpoints of a news. */
-static void take_endpoints(cw_relay_t *relay, const Caraway__News *news, int64_t now_ms,
+/* Takes the endpoints of a news; false when the parent sent what cannot be accepted. */
+static bool take_endpoints(cw_relay_t *relay, const Caraway__News *news, int64_t now_ms,
 			   cw_relay_actions_t *actions)
 {
+	cw_status_t status;
+
 	if (!news->endpoint_epoch)
-		return;
-	if (cw_members_accept(relay->members, news, now_ms) == CW_OK &&
-	    (news->n_endpoints || news->endpoints_whole))
+		return true;
+	status = cw_members_accept(relay->members, news, now_ms);
+	if (status == CW_ERR_DAMAGED) {
+		cw_relay_count(actions, CW_RELAY_NEWS_REFUSED_DAMAGED);
+		return false;
+	}
+	if (status == CW_OK && (news->n_endpoints || news->endpoints_packed.len || news->endpoints_whole))
 		cw_relay_add(actions, CW_RELAY_AC_ENDPOINTS);
+	return true;
 }
 
 /* Takes stamp and floor of a news, by which the feed has advanced or not. */
@@ -209,12 +216,11 @@
 		cw_relay_count(actions, CW_RELAY_NEWS_CROSSED);
 		return;
 	}
-	if (!take_feed(relay, news, actions)) {
+	if (!take_feed(relay, news, actions) || !take_endpoints(relay, news, now_ms, actions)) {
 		leave(relay, CW_RELAY_PARENT_LEFT_NEWS, now_ms, actions);
 		return;
 	}
 	cw_relay_up_acknowledge(relay, news->request);
-	take_endpoints(relay, news, now_ms, actions);
 	take_stamp(relay, news, cw_feed_index(relay->feed) != index, now_ms, actions);
 	cw_relay_check_ready(relay, actions);
 	/* A later pull that is still out is answered by itself. */
--- a/tests/unit/test_members.c
+++ b/tests/unit/test_members.c
@@ -39,6 +39,19 @@
 	put_status(out, cw_members_announce(table(run, argv[1]), &endpoint, run->now_ms));
 }
 
+/* many TABLE COUNT: as many VMs announce themselves */
+static void run_many(const run_t *run, char **argv)
+{
+	for (int i = 0; i < atoi(argv[2]); i++) {
+		g_autofree char *vm = g_strdup_printf("ozd-%02d", i);
+		Caraway__Endpoint endpoint = CARAWAY__ENDPOINT__INIT;
+
+		endpoint.vm = vm;
+		endpoint.incarnation = endpoint.sequence = 1;
+		cw_members_announce(table(run, argv[1]), &endpoint, run->now_ms);
+	}
+}
+
 /* report TABLE VM INCARNATION SEQUENCE VERSION */
 static void run_report(const run_t *run, char **argv, GString *out)
 {
@@ -51,7 +64,7 @@
 	put_status(out, cw_members_report(table(run, argv[1]), &report, run->now_ms, run->now_ms));
 }
 
-/* pull CHILD PARENT [EPOCH SEQUENCE]: the position given stands for an answer that comes late */
+/* pull CHILD PARENT [EPOCH SEQUENCE [damaged]]: the position given stands for an answer that comes late */
 static void run_pull(const run_t *run, int argc, char **argv, GString *out)
 {
 	cw_members_t *child = table(run, argv[1]);
@@ -61,8 +74,13 @@
 
 	caraway__news__init(news);
 	cw_members_read(table(run, argv[2]), epoch, sequence, news);
-	g_string_append_printf(out, "%zu endpoints%s: ", news->n_endpoints,
-			       news->endpoints_whole ? " (whole table)" : "");
+	if (argc > 5)
+		news->endpoints_packed.data[news->endpoints_packed.len / 2] ^= 1;
+	if (news->endpoints_packed.len)
+		g_string_append(out, "compressed");
+	else
+		g_string_append_printf(out, "%zu endpoints", news->n_endpoints);
+	g_string_append(out, news->endpoints_whole ? " (whole table): " : ": ");
 	put_status(out, cw_members_accept(child, news, run->now_ms));
 	cw_message_free(news);
 }
@@ -101,6 +119,8 @@
 		run->now_ms = atoll(argv[1]);
 	else if (!strcmp(argv[0], "announce"))
 		run_announce(run, argv, out);
+	else if (!strcmp(argv[0], "many"))
+		run_many(run, argv);
 	else if (!strcmp(argv[0], "report"))
 		run_report(run, argv, out);
 	else if (!strcmp(argv[0], "expire"))
