--- a/bench/load.c
+++ b/bench/load.c
@@ -361,8 +361,7 @@
 	const char *id;
 	json_t *count;
 
-	json_object_foreach(executions, id, count)
-	{
+	json_object_foreach (executions, id, count) {
 		int before = GPOINTER_TO_INT(g_hash_table_lookup(ran, id));
 
 		g_hash_table_insert(ran, g_strdup(id),
--- a/daemon/control_pending.c
+++ b/daemon/control_pending.c
@@ -44,6 +44,12 @@
 			       status, message, change);
 }
 
+/* Returns how long after its due time a change was activated; one due at once was due when it was accepted. */
+static int64_t lateness_ms(const Caraway__Change *change)
+{
+	return change->in_force_ms - MAX(change->due_ms, change->reviewed_ms);
+}
+
 /* Records how an activation ended; a refusal is shown by the change itself. */
 static void finish_activation(control_t *control, cw_status_t status, const char *message,
 			      const Caraway__Change *change)
@@ -55,10 +61,10 @@
 		return;
 	}
 	counter_add(COUNTER_ACTIVATED, 1);
-	if (change->in_force_ms > change->due_ms + MAX_PUNCTUAL_MS)
+	if (lateness_ms(change) > MAX_PUNCTUAL_MS)
 		counter_add(COUNTER_ACTIVATED_LATE, 1);
 	log_info("activated", LOG_UINT("number", change->number), LOG_UINT("version", change->version),
-		 LOG_INT("late_ms", change->in_force_ms - change->due_ms), LOG_END);
+		 LOG_INT("late_ms", lateness_ms(change)), LOG_END);
 }
 
 /* Records how a registration ended; a refused one is tried again when the VM announces itself anew. */
