--- /dev/null
+++ b/tests/unit/test_endpoints.c
@@ -0,0 +1,99 @@
+/* What a call copies out of the published view: one version from beginning to end. */
+#include <check.h>
+#include <urcu/urcu-memb.h>
+
+#include "endpoints.h"
+
+/* Returns a view of a version with one route to a service that has one endpoint. */
+static view_t *new_view(uint64_t version, const char *service, const char *address)
+{
+	view_t *view = g_new0(view_t, 1);
+
+	view->version = version;
+	view->endpoint_count = 1;
+	view->endpoints = g_new0(view_endpoint_t, 1);
+	view->endpoints[0] = (view_endpoint_t){.vm = g_strdup("vm"),
+					       .zone = g_strdup("zone"),
+					       .service = g_strdup(service),
+					       .call_address = g_strdup(address),
+					       .incarnation = version,
+					       .slots = 12};
+	view->route_count = 1;
+	view->routes = g_new0(view_route_t, 1);
+	view->routes[0] = (view_route_t){.name = g_strdup("route"),
+					 .path = g_strdup("/x"),
+					 .service = g_strdup(service),
+					 .timeout_ms = (uint32_t)version,
+					 .endpoints = g_new0(uint32_t, 1),
+					 .endpoint_count = 1};
+	return view;
+}
+
+/* A view published during a call changes nothing for that call; the next call sees all of it. */
+START_TEST(test_one_version)
+{
+	view_slot_t *slot = view_slot_new();
+	cw_pick_t *pick = cw_pick_new("zone", 1);
+	endpoints_t before, after;
+	const endpoint_t *chosen;
+
+	urcu_memb_register_thread();
+	view_slot_publish(slot, new_view(1, "old", "127.0.0.1:1"));
+	endpoints_read(&before, slot, "/x/y?q=1");
+	view_slot_publish(slot, new_view(2, "new", "127.0.0.1:2"));
+	endpoints_read(&after, slot, "/x/y?q=1");
+	chosen = endpoints_choose(&before, pick, 0);
+	ck_assert_uint_eq(before.version, 1);
+	ck_assert_uint_eq(before.timeout_ms, 1);
+	ck_assert_str_eq(before.service, "old");
+	ck_assert_str_eq(chosen->address, "127.0.0.1:1");
+	ck_assert_ptr_null(endpoints_choose(&before, pick, 0));
+	endpoints_forget_tried(&before);
+	chosen = endpoints_choose(&before, pick, 0);
+	ck_assert_uint_eq(chosen->incarnation, 1);
+	ck_assert_uint_eq(after.version, 2);
+	ck_assert_str_eq(after.service, "new");
+	ck_assert_str_eq(after.endpoints[0].address, "127.0.0.1:2");
+	endpoints_clear(&before);
+	endpoints_clear(&after);
+	view_slot_free(slot);
+	cw_pick_free(pick);
+	urcu_memb_unregister_thread();
+}
+END_TEST
+
+/* Before the first configuration, and for a path without a route, a call is refused with the reason. */
+START_TEST(test_no_route)
+{
+	view_slot_t *slot = view_slot_new();
+	endpoints_t endpoints;
+
+	urcu_memb_register_thread();
+	endpoints_read(&endpoints, slot, "/x");
+	ck_assert_int_eq(endpoints.refusal, CW_REASON_NO_CONFIG);
+	endpoints_clear(&endpoints);
+	view_slot_publish(slot, new_view(1, "s", "127.0.0.1:1"));
+	endpoints_read(&endpoints, slot, "/xy");
+	ck_assert_int_eq(endpoints.refusal, CW_REASON_NO_ROUTE);
+	endpoints_clear(&endpoints);
+	view_slot_free(slot);
+	urcu_memb_unregister_thread();
+}
+END_TEST
+
+/* Runs the tests; the exit status is the number of failures, at most 1. */
+int main(void)
+{
+	Suite *suite = suite_create("endpoints");
+	TCase *tcase = tcase_create("endpoints");
+	SRunner *runner = srunner_create(suite);
+	int failed;
+
+	tcase_add_test(tcase, test_one_version);
+	tcase_add_test(tcase, test_no_route);
+	suite_add_tcase(suite, tcase);
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed != 0;
+}
