List changes without the sections of their content

Cause: "carawayctl changes" fetched every kept change with all of its sections, up to 1,000 whole contents, to print title and selector. Change: the listing carries title and selector; "show" carries the rest.

--- a/daemon/control_query.c
+++ b/daemon/control_query.c
@@ -17,7 +17,26 @@
 	return copies;
 }
 
-/* Fills in all changes, in the order of their numbers. */
+/* Returns a copy of a change with the title and selector of its content only, as a listing needs. */
+static Caraway__Change *copy_outline(const control_t *control, uint64_t number)
+{
+	Caraway__Change *change = cw_ledger_copy_change(control->ledger, number);
+	Caraway__Content outline = CARAWAY__CONTENT__INIT;
+	Caraway__Content *content = change->content;
+	Caraway__Change *copy;
+
+	if (!content)
+		return change;
+	outline.title = content->title;
+	outline.selector = content->selector;
+	change->content = &outline;
+	copy = cw_message_copy(&change->base);
+	change->content = content;
+	cw_message_free(change);
+	return copy;
+}
+
+/* Fills in an outline of all changes, in the order of their numbers. */
 static cw_status_t fill_changes(const control_t *control, Caraway__OperatorReply *reply)
 {
 	GPtrArray *changes = cw_ledger_changes(control->ledger);
@@ -26,7 +45,7 @@
 	for (guint i = 0; i < changes->len; i++) {
 		const Caraway__Change *change = g_ptr_array_index(changes, i);
 
-		reply->changes[reply->n_changes++] = cw_ledger_copy_change(control->ledger, change->number);
+		reply->changes[reply->n_changes++] = copy_outline(control, change->number);
 	}
 	g_ptr_array_free(changes, TRUE);
 	return CW_OK;
