Let the hand-over leave before the sockets close

Cause: a leader that stops as planned closed its sockets, which do not linger, as soon as it had stepped down, so the message that starts the next election could be dropped and the others waited for their timeout. Change: the loop runs 100 ms more before the sockets close.

--- a/daemon/control.c
+++ b/daemon/control.c
@@ -9,7 +9,8 @@
 enum {
 	MAX_WAIT_MS = 50,
 	MAX_MESSAGES_PER_ROUND = 1000,
-	HAND_OVER_MS = 1000 /* longest wait for another replica to take the lead on a planned stop */
+	HAND_OVER_MS = 1000, /* longest wait for another replica to take the lead on a planned stop */
+	FLUSH_MS = 100	     /* for the last messages to leave before the sockets close */
 };
 
 /* Gives a message of another replica to the log. */
@@ -106,6 +107,8 @@
 	control_step(control, &event);
 	while (cw_raft_role(control->raft) == CW_RAFT_LEADER && clock_now_ms() < deadline_ms)
 		run_round(control);
+	for (deadline_ms = clock_now_ms() + FLUSH_MS; clock_now_ms() < deadline_ms;)
+		run_round(control);
 }
 
 /* Opens the connections to the other replicas ahead of the first message. */
