--- a/daemon/proxy.c
+++ b/daemon/proxy.c
@@ -13,6 +13,7 @@
 	VIEW_WAIT_MS = 50,	/* a change of endpoints waits for others before a view is built */
 	SPREAD_MS = 2000,	/* longest wait for the news that this proxy drains */
 	SPREAD_MARGIN_MS = 500, /* after the news has come back to this proxy */
+	TARGET_MS = 1000,	/* between announcements of what the target takes */
 	LEAVE_MS = 200,		/* for the last announcement */
 	NEWS_BYTES = 65536,
 	CARRY_MS = 30000 /* an endpoint that a new source does not name is kept this long */
@@ -189,6 +190,7 @@
 		 LOG_STR("feed", link_server_address(proxy->server)),
 		 LOG_UINT("incarnation", proxy->incarnation), LOG_END);
 	announce(proxy, CARAWAY__ENDPOINT_STATE__ENDPOINT_UP);
+	proxy->target_ready = true;
 	return CW_OK;
 }
 
@@ -229,6 +231,20 @@
 	       shown->state == CARAWAY__ENDPOINT_STATE__ENDPOINT_DRAINING;
 }
 
+/* Announces whether the target beside this proxy takes work, when that has changed; no more often than it is told. */
+static void follow_target(proxy_t *proxy)
+{
+	bool ready = traffic_target_ready(proxy->traffic);
+
+	if (ready == proxy->target_ready || clock_now_ms() < proxy->target_ms)
+		return;
+	proxy->target_ready = ready;
+	proxy->target_ms = clock_now_ms() + TARGET_MS;
+	log_info("target", LOG_STR("state", ready ? "takes work" : "takes no work"), LOG_END);
+	announce(proxy,
+		 ready ? CARAWAY__ENDPOINT_STATE__ENDPOINT_UP : CARAWAY__ENDPOINT_STATE__ENDPOINT_DRAINING);
+}
+
 /* Leaves as planned: refuses new work, lets the news spread and the calls end, up to a deadline. */
 static void drain(proxy_t *proxy)
 {
@@ -263,8 +279,10 @@
 	init(&proxy, settings);
 	status = open_all(&proxy);
 	if (status == CW_OK) {
-		while (!*stop)
+		while (!*stop) {
 			turn(&proxy);
+			follow_target(&proxy);
+		}
 		drain(&proxy);
 	}
 	release(&proxy);
--- a/daemon/proxy_internal.h
+++ b/daemon/proxy_internal.h
@@ -21,6 +21,8 @@
 	int64_t view_by_ms; /* when a view is to be published; INT64_MAX: nothing has changed */
 	uint64_t version;   /* published; 0: none */
 	uint64_t sequence;  /* of the endpoint announced */
+	bool target_ready;  /* as announced */
+	int64_t target_ms;  /* when the target is looked at again */
 } proxy_t;
 
 /* Answers an operator's query on the feed port. */
