--- a/bench/calls.sh
+++ b/bench/calls.sh
@@ -3,7 +3,7 @@
 # with one target of four slow, failing (its health endpoint says all is well)
 # or shedding.  Prints JSON lines, then the ratios.
 #
-#   bench/calls.sh [latency|goodput]     build with make first
+#   bench/calls.sh [latency|goodput|cpu]     build with make first
 set -eu
 cd "$(dirname "$0")/.."
 
@@ -108,6 +108,42 @@
 	done
 }
 
+# ticks_of PID: hundredths of a second of processor time that a process has used.
+ticks_of() {
+	awk '{ print $14 + $15 }' "/proc/$1/stat"
+}
+
+# Processor time of a call at the proxy that takes it from the caller and at the one beside the target.
+measure_cpu() {
+	local rate before after near far seconds=5
+	start_target 1 --service-ms=1
+	sleep 0.5
+	start_proxy near "$(cat "$work/target.1")" 11
+	near=${pids##* }
+	start_proxy far 1 12
+	far=${pids##* }
+	sleep 0.5
+	begin_view
+	add_endpoint near 11
+	mv "$work/view.new" "$work/view.ini"
+	sleep 0.5
+	for rate in 0 100 200 400 800; do
+		before="$(ticks_of "$near") $(ticks_of "$far")"
+		if [ $rate = 0 ]; then
+			sleep $seconds
+		else
+			"$LOAD" --ports "$(port_of http "$work/proxy.far")" --method GET --rate $rate --seconds $seconds \
+				--warm-seconds 0.1 --seed 1 --name cpu --witness "$(cat "$work/target.1")" >/dev/null
+		fi
+		after="$(ticks_of "$near") $(ticks_of "$far")"
+		echo "$before $after" | awk -v r=$rate -v s=$seconds '{
+			line = "{\"bench\": \"calls\", \"rate\": %d, \"what\": \"processor, %s\", \"percent\": %.2f}\n"
+			printf line, r, "beside the target", ($3 - $1) / s
+			printf line, r, "beside the caller", ($4 - $2) / s }'
+	done
+	stop_all
+}
+
 # options_of SCENARIO: of the first target.
 options_of() {
 	case "$1" in
@@ -171,6 +207,7 @@
 case "${1:-all}" in
 latency) measure_latency ;;
 goodput) measure_goodput ;;
+cpu) measure_cpu ;;
 *) measure_latency && measure_goodput ;;
 esac
 echo "# load average after: $(cut -d' ' -f1-3 /proc/loadavg)"
