Run scripted tests by one main

Cause: six unit tests had written out the same loop over scripts and the same main. Change: script_main() and script_check() in the runner of scripts; a folder without scripts fails, as before.

--- a/tests/unit/script.c
+++ b/tests/unit/script.c
@@ -1,6 +1,7 @@
 /* Scripted runs with expected output. */
 #include "script.h"
 
+#include <stdlib.h>
 #include <string.h>
 
 /* Runs one command line and appends its text and output to the transcript. */
@@ -86,3 +87,41 @@
 	g_ptr_array_sort(names, compare_names);
 	return names;
 }
+
+void script_check(const char *folder, int place, script_command_t command, void *data)
+{
+	GPtrArray *names = script_list(folder);
+	char *difference;
+
+	ck_assert_int_lt(place, (int)names->len);
+	difference = script_run(g_ptr_array_index(names, place), command, data);
+	g_ptr_array_unref(names);
+	ck_assert_msg(!difference, "%s", difference);
+}
+
+int script_run_suite(Suite *suite)
+{
+	SRunner *runner = srunner_create(suite);
+	int failed;
+
+	srunner_run_all(runner, CK_ENV);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
+
+int script_main(const char *folder, const TTest *test, double timeout_s)
+{
+	GPtrArray *names = script_list(folder);
+	Suite *suite = suite_create(folder);
+	TCase *tcase = tcase_create("scripts");
+	int count = (int)names->len;
+
+	g_ptr_array_unref(names);
+	if (!count)
+		return EXIT_FAILURE;
+	tcase_set_timeout(tcase, timeout_s);
+	tcase_add_loop_test(tcase, test, 0, count);
+	suite_add_tcase(suite, tcase);
+	return script_run_suite(suite);
+}
