Connect ahead to few endpoints, spread by hash, and drop those that are gone

Change: no connection is made ahead once 64 are open; which ones goes by a hash that differs from proxy to proxy; on a new view every connection to an address that no route leads to and no call uses is closed. Ruled out: heartbeats less often, which would tell of a dead peer later.

--- a/daemon/endpoints.c
+++ b/daemon/endpoints.c
@@ -5,7 +5,7 @@
 #include <urcu/urcu-memb.h>
 
 enum {
-	MAX_AHEAD = 1024 /* connections made before a call needs them */
+	MAX_AHEAD = 64 /* no connection is made before a call needs it while so many are open */
 };
 
 /* Copies one endpoint. */
@@ -93,75 +93,81 @@
 		endpoints->endpoints[i].tried = false;
 }
 
-/* Sets up an empty set of connections. */
-void endpoint_links_init(endpoint_links_t *links)
-{
-	*links =
-		(endpoint_links_t){.addresses = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL)};
-}
+/* What decides whether a connection is kept. */
+typedef struct {
+	GHashTable *reachable; /* addresses that routes lead to */
+	bool (*in_use)(const void *data, const char *address);
+	const void *data;
+} retention_t;
 
-/* Frees the set; the connections belong to the clients. */
-void endpoint_links_clear(endpoint_links_t *links)
+/* Returns true for an address that a route leads to or a call uses. */
+static bool is_wanted(const void *data, const char *address)
 {
-	g_hash_table_destroy(links->addresses);
+	const retention_t *retention = data;
+
+	return g_hash_table_contains(retention->reachable, address) ||
+	       retention->in_use(retention->data, address);
 }
 
-/* Returns the addresses that routes of a view lead to; NULL for no view. */
-static GHashTable *addresses_of(const view_t *view)
+/* Fills in the addresses that routes of a view lead to, in the order of the routes and once each. */
+static void gather_addresses(const view_t *view, GHashTable *reachable, GPtrArray *ordered)
 {
-	GHashTable *addresses = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-
-	for (uint32_t i = 0; view && i < view->route_count; i++) {
+	for (uint32_t i = 0; i < view->route_count; i++) {
 		const view_route_t *route = &view->routes[i];
 
-		for (uint32_t j = 0; j < route->endpoint_count; j++)
-			if (g_hash_table_size(addresses) < MAX_AHEAD)
-				g_hash_table_add(addresses,
-						 g_strdup(view->endpoints[route->endpoints[j]].call_address));
+		for (uint32_t j = 0; j < route->endpoint_count; j++) {
+			const char *address = view->endpoints[route->endpoints[j]].call_address;
+			char *copy;
+
+			if (g_hash_table_contains(reachable, address))
+				continue;
+			copy = g_strdup(address);
+			g_hash_table_add(reachable, copy);
+			g_ptr_array_add(ordered, copy);
+		}
 	}
-	return addresses;
 }
 
-/* Closes connections that no route leads to and no call uses; the others stay in the wanted set. */
-static void close_unwanted(endpoint_links_t *links, GHashTable *wanted, link_clients_t *clients,
-			   bool (*in_use)(const void *data, const char *address), const void *data)
+/* Orders addresses by a hash that differs from one proxy to the next. */
+static gint compare_by_hash(gconstpointer a, gconstpointer b, gpointer seed)
 {
-	GHashTableIter iter;
-	gpointer address;
-
-	g_hash_table_iter_init(&iter, links->addresses);
-	while (g_hash_table_iter_next(&iter, &address, NULL)) {
-		if (g_hash_table_contains(wanted, address))
-			continue;
-		if (in_use(data, address))
-			g_hash_table_add(wanted, g_strdup(address));
-		else
-			link_clients_drop(clients, address);
-	}
+	const char *left = *(char *const *)a;
+	const char *right = *(char *const *)b;
+	uint64_t left_hash = cw_hash(left, strlen(left), *(const uint64_t *)seed);
+	uint64_t right_hash = cw_hash(right, strlen(right), *(const uint64_t *)seed);
+
+	return (left_hash > right_hash) - (left_hash < right_hash);
 }
 
-/* Follows a new view: connects to what its routes lead to and closes what they no longer do. */
-void endpoint_links_follow(endpoint_links_t *links, const view_slot_t *views, link_clients_t *clients,
-			   bool (*in_use)(const void *data, const char *address), const void *data)
+/*
+ * Follows a new view: closes connections that no route leads to and no call
+ * uses, and opens some ahead of the calls that may need them.  The others are
+ * opened by the first call, so that a proxy pays for the targets it calls and
+ * not for all that its routes name.  The seed, its incarnation, spreads the
+ * connections of many proxies over the endpoints.
+ */
+void endpoint_links_follow(uint64_t *seen_serial, uint64_t seed, const view_slot_t *views,
+			   link_clients_t *clients, bool (*in_use)(const void *data, const char *address),
+			   const void *data)
 {
-	GHashTable *wanted = NULL;
-	GHashTableIter iter;
-	gpointer address;
+	g_autoptr(GHashTable) reachable = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	g_autoptr(GPtrArray) ordered = g_ptr_array_new();
+	retention_t retention = {.reachable = reachable, .in_use = in_use, .data = data};
 	const view_t *view;
+	bool changed;
 
 	urcu_memb_read_lock();
 	view = view_slot_read(views);
-	if (view && view->serial != links->seen_serial) {
-		wanted = addresses_of(view);
-		links->seen_serial = view->serial;
+	changed = view && view->serial != *seen_serial;
+	if (changed) {
+		gather_addresses(view, reachable, ordered);
+		*seen_serial = view->serial;
 	}
 	urcu_memb_read_unlock();
-	if (!wanted)
+	if (!changed)
 		return;
-	close_unwanted(links, wanted, clients, in_use, data);
-	g_hash_table_iter_init(&iter, wanted);
-	while (g_hash_table_iter_next(&iter, &address, NULL))
-		link_clients_connect(clients, address);
-	g_hash_table_destroy(links->addresses);
-	links->addresses = wanted;
+	link_clients_retain(clients, is_wanted, &retention);
+	g_ptr_array_sort_with_data(ordered, compare_by_hash, &seed);
+	for (guint i = 0; i < ordered->len && link_clients_count(clients) < MAX_AHEAD; i++)
+		link_clients_connect(clients, g_ptr_array_index(ordered, i));
 }
--- a/daemon/endpoints.h
+++ b/daemon/endpoints.h
@@ -34,16 +34,9 @@
 /* Lets endpoints that were tried be chosen again. */
 void endpoints_forget_tried(endpoints_t *endpoints);
 
-/* Connections kept to the endpoints of the view, made before the first call needs them. */
-typedef struct {
-	uint64_t seen_serial;  /* of the view last followed */
-	GHashTable *addresses; /* connected; char * */
-} endpoint_links_t;
-
-void endpoint_links_init(endpoint_links_t *links);
-void endpoint_links_clear(endpoint_links_t *links);
-/* Follows a new view; in_use tells whether an address still has calls. */
-void endpoint_links_follow(endpoint_links_t *links, const view_slot_t *views, link_clients_t *clients,
-			   bool (*in_use)(const void *data, const char *address), const void *data);
+/* Follows a new view; the seed is the proxy's own, in_use tells whether an address still has calls. */
+void endpoint_links_follow(uint64_t *seen_serial, uint64_t seed, const view_slot_t *views,
+			   link_clients_t *clients, bool (*in_use)(const void *data, const char *address),
+			   const void *data);
 
 #endif
--- a/daemon/forward.c
+++ b/daemon/forward.c
@@ -37,7 +37,7 @@
 	uint64_t incarnation;
 	const view_slot_t *views;
 	link_clients_t *clients;
-	endpoint_links_t links;
+	uint64_t seen_serial; /* of the view that connections were made for */
 	forward_hooks_t hooks;
 	cw_pick_t *pick;
 	GHashTable *budgets; /* of cw_budget_t by service, so that one does not pay for another's retries */
@@ -64,7 +64,6 @@
 	forward->calls = g_ptr_array_new();
 	forward->by_sequence = g_hash_table_new(g_int64_hash, g_int64_equal);
 	forward->next_ms = INT64_MAX;
-	endpoint_links_init(&forward->links);
 	return forward;
 }
 
@@ -107,7 +106,6 @@
 	g_ptr_array_free(forward->calls, TRUE);
 	g_hash_table_destroy(forward->by_sequence);
 	g_hash_table_destroy(forward->budgets);
-	endpoint_links_clear(&forward->links);
 	cw_pick_free(forward->pick);
 	g_free(forward);
 }
@@ -475,7 +473,8 @@
 {
 	int64_t now_ms = clock_now_ms();
 
-	endpoint_links_follow(&forward->links, forward->views, forward->clients, address_in_use, forward);
+	endpoint_links_follow(&forward->seen_serial, forward->incarnation, forward->views, forward->clients,
+			      address_in_use, forward);
 	if (now_ms >= forward->next_ms)
 		tick_calls(forward, now_ms);
 	if (now_ms >= forward->pick_expire_ms) {
--- a/daemon/link.c
+++ b/daemon/link.c
@@ -413,6 +413,24 @@
 	g_hash_table_remove(clients->sockets, address);
 }
 
+/* Returns how many connections are open or being opened. */
+size_t link_clients_count(const link_clients_t *clients)
+{
+	return clients->addresses->len;
+}
+
+/* Closes the connections to addresses that keep() does not want; what is queued on them is dropped. */
+void link_clients_retain(link_clients_t *clients, bool (*keep)(const void *data, const char *address),
+			 const void *data)
+{
+	for (guint i = clients->addresses->len; i > 0; i--) {
+		const char *address = g_ptr_array_index(clients->addresses, i - 1);
+
+		if (!keep(data, address))
+			link_clients_drop(clients, address);
+	}
+}
+
 /* Returns the next answer and the address it came from, or NULL when none waits; addresses take turns. */
 Caraway__Message *link_clients_receive(link_clients_t *clients, const char **address)
 {
--- a/daemon/link.h
+++ b/daemon/link.h
@@ -44,6 +44,10 @@
 /* Opens the connection to an address ahead of its first message. */
 void link_clients_connect(link_clients_t *clients, const char *address);
 void link_clients_drop(link_clients_t *clients, const char *address);
+size_t link_clients_count(const link_clients_t *clients); /* connections open or being opened */
+/* Closes the connections to addresses that keep() does not want; it must not use the clients. */
+void link_clients_retain(link_clients_t *clients, bool (*keep)(const void *data, const char *address),
+			 const void *data);
 /* Returns the next answer and the address it came from (borrowed), or NULL when none waits. */
 Caraway__Message *link_clients_receive(link_clients_t *clients, const char **address);
 /* Waits until a message may be read from the server or the clients, at most timeout_ms. */
--- a/tests/unit/test_endpoints.c
+++ b/tests/unit/test_endpoints.c
@@ -81,6 +81,64 @@
 }
 END_TEST
 
+/* Adds endpoints to the route of a view, on ports that follow the first. */
+static void add_endpoints(view_t *view, uint32_t count)
+{
+	view->endpoints = g_renew(view_endpoint_t, view->endpoints, count);
+	view->routes[0].endpoints = g_renew(uint32_t, view->routes[0].endpoints, count);
+	for (uint32_t i = 1; i < count; i++) {
+		view->endpoints[i] =
+			(view_endpoint_t){.vm = g_strdup_printf("vm%u", i),
+					  .call_address = g_strdup_printf("127.0.0.1:%u", i + 1)};
+		view->routes[0].endpoints[i] = i;
+	}
+	view->endpoint_count = count;
+	view->routes[0].endpoint_count = count;
+}
+
+/* Says that no call uses an address. */
+static bool unused(const void *data, const char *address)
+{
+	(void)data;
+	(void)address;
+	return false;
+}
+
+/* Publishes a view with so many endpoints; returns how many connections are open once it is followed. */
+static size_t follow(view_slot_t *slot, link_clients_t *clients, uint64_t *seen, uint32_t count)
+{
+	view_t *view = new_view(1, "s", "127.0.0.1:1");
+	void *sockets[512];
+
+	add_endpoints(view, count);
+	view->serial = *seen + 1;
+	view_slot_publish(slot, view);
+	endpoint_links_follow(seen, 7, slot, clients, unused, NULL);
+	return link_clients_sockets(clients, sockets, G_N_ELEMENTS(sockets));
+}
+
+/* Few connections are made ahead however many endpoints there are, and none stays to an endpoint that is gone. */
+START_TEST(test_links)
+{
+	link_context_t *context = link_context_new();
+	link_clients_t *clients = link_clients_new(context);
+	view_slot_t *slot = view_slot_new();
+	uint64_t seen = 0;
+
+	urcu_memb_register_thread();
+	ck_assert_uint_eq(follow(slot, clients, &seen, 5), 5);
+	ck_assert_uint_eq(follow(slot, clients, &seen, 300), 64);
+	link_clients_connect(clients,
+			     "127.0.0.1:999"); /* opened by a call, to an endpoint that is gone since */
+	ck_assert_uint_eq(follow(slot, clients, &seen, 300), 64);
+	ck_assert_uint_eq(follow(slot, clients, &seen, 5), 5);
+	urcu_memb_unregister_thread();
+	view_slot_free(slot);
+	link_clients_free(clients);
+	link_context_free(context);
+}
+END_TEST
+
 /* Runs the tests; the exit status is the number of failures, at most 1. */
 int main(void)
 {
@@ -91,6 +149,7 @@
 
 	tcase_add_test(tcase, test_one_version);
 	tcase_add_test(tcase, test_no_route);
+	tcase_add_test(tcase, test_links);
 	suite_add_tcase(suite, tcase);
 	srunner_run_all(runner, CK_NORMAL);
 	failed = srunner_ntests_failed(runner);
