Name the due time that repeats a booking whose answer was lost

Cause: the tool says that the same command may be given again, but a due time as +1h is another time then, so the repeat was a conflict with the first if that had been carried out. Measured: test_cli passes, with a time between seconds rounded up; the message itself is checked by no script.

--- a/cli/carawayctl.c
+++ b/cli/carawayctl.c
@@ -54,7 +54,7 @@
 	case CW_ERR_TIMEOUT:
 		return "see which control replicas answer: carawayctl status";
 	case CW_ERR_UNKNOWN_OUTCOME:
-		return "give the same command again; it is not carried out twice";
+		return "give the same command again, with the same due time; it is not carried out twice";
 	case CW_ERR_DENIED:
 		return "use a key whose role allows this";
 	default:
--- a/cli/commands.c
+++ b/cli/commands.c
@@ -78,6 +78,15 @@
 	return cw_change_parse(text, length, file, content);
 }
 
+/* Tells the due time to repeat a booking with, as one given from now on would be another. */
+static void print_due(int64_t due_ms)
+{
+	g_autofree char *due = due_text(due_ms);
+
+	if (due_ms)
+		fprintf(stderr, "to repeat this booking, give --due %s\n", due);
+}
+
 /* Books the change of a file under the number and due time given. */
 cw_status_t command_book(session_t *session, const arguments_t *arguments)
 {
@@ -93,6 +102,8 @@
 	request.body_case = CARAWAY__OPERATOR_REQUEST__BODY_BOOK;
 	request.book = &book;
 	status = run_change(session, arguments, book.number, &request);
+	if (status == CW_ERR_UNKNOWN_OUTCOME)
+		print_due(book.due_ms);
 	cw_message_free(book.content);
 	return status;
 }
--- a/cli/due.c
+++ b/cli/due.c
@@ -19,7 +19,7 @@
 	return 0;
 }
 
-/* Reads a time after now, from its digits on. */
+/* Reads a time after now, from its digits on; whole seconds, so that its text names the same time. */
 static cw_status_t parse_relative(const char *text, int64_t now_ms, int64_t *due_ms)
 {
 	char *unit = NULL;
@@ -29,7 +29,7 @@
 	if (!g_ascii_isdigit(*text) || !seconds || count > (guint64)(MAX_DAYS * (int64_t)S_PER_DAY / seconds))
 		return cw_fail(CW_ERR_USAGE, "--due +%s: give a number and s, m, h or d, at most %d days",
 			       text, MAX_DAYS);
-	*due_ms = now_ms + (int64_t)count * seconds * MS_PER_S;
+	*due_ms = ((now_ms + MS_PER_S - 1) / MS_PER_S + (int64_t)count * seconds) * MS_PER_S;
 	return CW_OK;
 }
 
