--- a/tests/unit/test_catalog.c
+++ b/tests/unit/test_catalog.c
@@ -190,20 +190,15 @@
 }
 END_TEST
 
-/* Runs the tests; the exit status is the number of failures, at most 1. */
+/* Runs the tests; returns the exit status of the program. */
 int main(void)
 {
 	Suite *suite = suite_create("catalog");
 	TCase *tcase = tcase_create("catalog");
-	SRunner *runner = srunner_create(suite);
-	int failed;
 
 	tcase_add_test(tcase, test_script);
 	tcase_add_test(tcase, test_copy);
 	tcase_add_loop_test(tcase, test_load_refuses, 0, 6);
 	suite_add_tcase(suite, tcase);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed != 0;
+	return script_run_suite(suite);
 }
--- a/tests/unit/test_chain.c
+++ b/tests/unit/test_chain.c
@@ -12,6 +12,7 @@
 
 #include "caller.h"
 #include "process.h"
+#include "script.h"
 
 enum {
 	LEVELS = 11,
@@ -171,17 +172,12 @@
 	suite_add_tcase(suite, tcase);
 }
 
-/* Runs the tests; the exit status is the number of failures, at most 1. */
+/* Runs the tests; returns the exit status of the program. */
 int main(void)
 {
 	Suite *suite = suite_create("chain");
-	SRunner *runner = srunner_create(suite);
-	int failed;
 
 	add(suite, test_deadlines_shrink);
 	add(suite, test_retries_not_stacked);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed != 0;
+	return script_run_suite(suite);
 }
--- a/tests/unit/test_drain.c
+++ b/tests/unit/test_drain.c
@@ -13,6 +13,7 @@
 #include <unistd.h>
 
 #include "mesh.h"
+#include "script.h"
 
 enum { CALLERS = 12, TIMEOUT_S = 90, ID_BYTES = 32, WARM_US = 300000, DEADLINE_MS = 4000 };
 
@@ -193,18 +194,13 @@
 	suite_add_tcase(suite, tcase);
 }
 
-/* Runs the tests; the exit status is the number of failures, at most 1. */
+/* Runs the tests; returns the exit status of the program. */
 int main(void)
 {
 	Suite *suite = suite_create("drain");
-	SRunner *runner = srunner_create(suite);
-	int failed;
 
 	add(suite, test_receiver_stops);
 	add(suite, test_every_proxy_stops);
 	add(suite, test_every_target_stops);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed != 0;
+	return script_run_suite(suite);
 }
--- a/tests/unit/test_endpoints.c
+++ b/tests/unit/test_endpoints.c
@@ -3,6 +3,7 @@
 #include <urcu/urcu-memb.h>
 
 #include "endpoints.h"
+#include "script.h"
 
 /* Returns a view of a version with one route to a service that has one endpoint. */
 static view_t *new_view(uint64_t version, const char *service, const char *address)
@@ -139,20 +140,15 @@
 }
 END_TEST
 
-/* Runs the tests; the exit status is the number of failures, at most 1. */
+/* Runs the tests; returns the exit status of the program. */
 int main(void)
 {
 	Suite *suite = suite_create("endpoints");
 	TCase *tcase = tcase_create("endpoints");
-	SRunner *runner = srunner_create(suite);
-	int failed;
 
 	tcase_add_test(tcase, test_one_version);
 	tcase_add_test(tcase, test_no_route);
 	tcase_add_test(tcase, test_links);
 	suite_add_tcase(suite, tcase);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed != 0;
+	return script_run_suite(suite);
 }
--- a/tests/unit/test_failures.c
+++ b/tests/unit/test_failures.c
@@ -11,6 +11,7 @@
 #include <unistd.h>
 
 #include "mesh.h"
+#include "script.h"
 
 enum { SETTLE_US = 400000, TIMEOUT_S = 60 };
 
@@ -237,12 +238,10 @@
 	suite_add_tcase(suite, tcase);
 }
 
-/* Runs the tests; the exit status is the number of failures, at most 1. */
+/* Runs the tests; returns the exit status of the program. */
 int main(void)
 {
 	Suite *suite = suite_create("failures");
-	SRunner *runner = srunner_create(suite);
-	int failed;
 
 	add(suite, test_target_frozen);
 	add(suite, test_receiver_killed);
@@ -253,8 +252,5 @@
 	add(suite, test_idempotent_retried);
 	add(suite, test_cut_body);
 	add(suite, test_caller_gone);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed != 0;
+	return script_run_suite(suite);
 }
--- a/tests/unit/test_feed_fuzz.c
+++ b/tests/unit/test_feed_fuzz.c
@@ -6,6 +6,7 @@
 #include <check.h>
 
 #include "mutate.h"
+#include "script.h"
 #include "words.h"
 
 enum { ROUNDS = 20000, MAX_BYTES = 1 << 20 };
@@ -137,19 +138,14 @@
 }
 END_TEST
 
-/* Runs the tests; the exit status is the number of failures, at most 1. */
+/* Runs the tests; returns the exit status of the program. */
 int main(void)
 {
 	Suite *suite = suite_create("feed_fuzz");
 	TCase *tcase = tcase_create("feed_fuzz");
-	SRunner *runner = srunner_create(suite);
-	int failed;
 
 	tcase_set_timeout(tcase, 300);
 	tcase_add_test(tcase, test_news);
 	suite_add_tcase(suite, tcase);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed != 0;
+	return script_run_suite(suite);
 }
--- a/tests/unit/test_ledger_fuzz.c
+++ b/tests/unit/test_ledger_fuzz.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "mutate.h"
+#include "script.h"
 #include "words.h"
 
 enum {
@@ -408,13 +409,11 @@
 }
 END_TEST
 
-/* Runs the tests; the exit status is the number of failures, at most 1. */
+/* Runs the tests; returns the exit status of the program. */
 int main(void)
 {
 	Suite *suite = suite_create("ledger_fuzz");
 	TCase *tcase = tcase_create("ledger_fuzz");
-	SRunner *runner = srunner_create(suite);
-	int failed;
 
 	tcase_set_timeout(tcase, 300);
 	tcase_add_test(tcase, test_change);
@@ -424,8 +423,5 @@
 	tcase_add_test(tcase, test_archive);
 	tcase_add_test(tcase, test_damage);
 	suite_add_tcase(suite, tcase);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed != 0;
+	return script_run_suite(suite);
 }
--- a/tests/unit/test_ledger_random.c
+++ b/tests/unit/test_ledger_random.c
@@ -9,6 +9,7 @@
 #include "libcaraway.h"
 #include "observer.h"
 #include "random_content.h"
+#include "script.h"
 
 enum { SEEDS = 6, COMMANDS = 3000, RELOAD_EVERY = 97, COMPARE_EVERY = 50 };
 
@@ -450,19 +451,14 @@
 }
 END_TEST
 
-/* Runs the tests; the exit status is the number of failures, at most 1. */
+/* Runs the tests; returns the exit status of the program. */
 int main(void)
 {
 	Suite *suite = suite_create("ledger_random");
 	TCase *tcase = tcase_create("ledger_random");
-	SRunner *runner = srunner_create(suite);
-	int failed;
 
 	tcase_set_timeout(tcase, 600);
 	tcase_add_test(tcase, test_random);
 	suite_add_tcase(suite, tcase);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed != 0;
+	return script_run_suite(suite);
 }
--- a/tests/unit/test_message_fuzz.c
+++ b/tests/unit/test_message_fuzz.c
@@ -13,6 +13,7 @@
 #include "guard.h"
 #include "link.h"
 #include "mutate.h"
+#include "script.h"
 #include "settings.h"
 
 enum {
@@ -447,8 +448,6 @@
 {
 	Suite *suite = suite_create("message_fuzz");
 	TCase *tcase = tcase_create("fuzz");
-	SRunner *runner = srunner_create(suite);
-	int failed;
 
 	tcase_set_timeout(tcase, 120);
 	tcase_add_test(tcase, test_settings);
@@ -456,8 +455,5 @@
 	tcase_add_test(tcase, test_relay);
 	tcase_add_test(tcase, test_raft);
 	suite_add_tcase(suite, tcase);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return script_run_suite(suite);
 }
--- a/tests/unit/test_peers.c
+++ b/tests/unit/test_peers.c
@@ -12,6 +12,7 @@
 #include "caller.h"
 #include "link.h"
 #include "process.h"
+#include "script.h"
 
 enum { STEP_US = 5000, MAX_STEPS = 1000, TIMEOUT_S = 60, ORIGIN = 77, RECEIVER = 500, SETTLE_US = 200000 };
 
@@ -285,17 +286,12 @@
 	suite_add_tcase(suite, tcase);
 }
 
-/* Runs the tests; the exit status is the number of failures, at most 1. */
+/* Runs the tests; returns the exit status of the program. */
 int main(void)
 {
 	Suite *suite = suite_create("peers");
-	SRunner *runner = srunner_create(suite);
-	int failed;
 
 	add(suite, test_crossed_answers);
 	add(suite, test_crossed_requests);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed != 0;
+	return script_run_suite(suite);
 }
--- a/tests/unit/test_pick.c
+++ b/tests/unit/test_pick.c
@@ -140,18 +140,13 @@
 }
 END_TEST
 
-/* Runs the tests; the exit status is the number of failures, at most 1. */
+/* Runs the tests; returns the exit status of the program. */
 int main(void)
 {
 	Suite *suite = suite_create("pick");
 	TCase *tcase = tcase_create("pick");
-	SRunner *runner = srunner_create(suite);
-	int failed;
 
 	tcase_add_test(tcase, test_script);
 	suite_add_tcase(suite, tcase);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed != 0;
+	return script_run_suite(suite);
 }
--- a/tests/unit/test_settings.c
+++ b/tests/unit/test_settings.c
@@ -102,13 +102,8 @@
 {
 	Suite *suite = suite_create("settings");
 	TCase *tcase = tcase_create("scripts");
-	SRunner *runner = srunner_create(suite);
-	int failed;
 
 	tcase_add_test(tcase, test_scripts);
 	suite_add_tcase(suite, tcase);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return script_run_suite(suite);
 }
--- a/tests/unit/test_target_pool.c
+++ b/tests/unit/test_target_pool.c
@@ -10,6 +10,7 @@
 
 #include "clock.h"
 #include "headers.h"
+#include "script.h"
 #include "target_pool.h"
 
 enum { STEP_US = 1000, MAX_STEPS = 5000, DEADLINE_MS = 2000, TIMEOUT_S = 30 };
@@ -163,17 +164,12 @@
 	suite_add_tcase(suite, tcase);
 }
 
-/* Runs the tests; the exit status is the number of failures, at most 1. */
+/* Runs the tests; returns the exit status of the program. */
 int main(void)
 {
 	Suite *suite = suite_create("target pool");
-	SRunner *runner = srunner_create(suite);
-	int failed;
 
 	add(suite, test_sent_once);
 	add(suite, test_unreachable);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed != 0;
+	return script_run_suite(suite);
 }
