Take part again after a full disk, and announce forwarded addresses

With one of three replicas out for good the next loss takes the quorum. A failed replica now opens its data folder again each second, as a restart would; opening writes the log anew and syncs it, so nothing that a failed write left is taken for durable. The ledger stays, and entries that it holds are not applied a second time.

Ruled out: ending the process (its children and the relay go with it, and a disk that stays full restarts it again and again).

The test showed a second fault: the operators' tool took the answer of a failed replica, "io", as final while two others were well. It asks the next one now.

A proxy or replica behind a forwarder announces the address that others reach: call-announce and feed-announce, and for a replica its line in [control-replicas]. The soak puts its links there.

SIGXFSZ is ignored, as SIGPIPE is: a file size limit is a failed write.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 DAEMON_PACKAGES = $(PACKAGES) libzmq liburcu-memb jansson
 CFLAGS ?= -O2 -g
 WARNINGS = -std=gnu11 -Wall -Wextra -Werror -Wshadow -Wstrict-prototypes -Wmissing-prototypes
-CPPFLAGS += -D_GNU_SOURCE -Ilibcaraway -Idaemon -Icli $(shell pkg-config --cflags $(DAEMON_PACKAGES))
+CPPFLAGS += -D_GNU_SOURCE -Ilibcaraway -Idaemon -Icli -Itests/unit $(shell pkg-config --cflags $(DAEMON_PACKAGES))
 LIB_LIBS = $(shell pkg-config --libs $(PACKAGES))
 DAEMON_LIBS = $(shell pkg-config --libs $(DAEMON_PACKAGES)) -lhttp_parser -pthread -lm
 ifdef SANITIZE
@@ -19,8 +19,9 @@
 BENCH_HELPERS = bench/feed_contents.c bench/load_report.c
 TOOL_SOURCES = $(wildcard tests/tools/*.c) $(filter-out $(BENCH_HELPERS),$(wildcard bench/*.c))
 UNIT_SOURCES = $(wildcard tests/unit/test_*.c)
+SOAK_SOURCES = $(filter-out soak/misbehave.c,$(wildcard soak/*.c))
 UNIT_HELPERS = $(filter-out tests/unit/test_%,$(wildcard tests/unit/*.c))
-OWN_SOURCES = $(filter-out libcaraway/gen/%,$(wildcard libcaraway/*.[ch] daemon/*.[ch] platform/*.[ch] cli/*.[ch] tests/*/*.[ch] bench/*.[ch] examples/*.[ch]))
+OWN_SOURCES = $(filter-out libcaraway/gen/%,$(wildcard libcaraway/*.[ch] daemon/*.[ch] platform/*.[ch] cli/*.[ch] tests/*/*.[ch] bench/*.[ch] soak/*.[ch] examples/*.[ch]))
 
 object = $(patsubst %.c,$(BUILD)/%.o,$(1))
 LIBRARY = $(BUILD)/libcaraway.a
@@ -33,6 +34,8 @@
 
 all: $(LIBRARY) $(PROGRAMS) $(TOOLS)
 
+soak: all $(BUILD)/soak/soak $(BUILD)/soak/misbehave.so
+
 $(LIBRARY): $(call object,$(LIB_SOURCES))
 	rm -f $@
 	ar rcs $@ $^
@@ -57,6 +60,14 @@
 $(UNITS): $(BUILD)/%: $(BUILD)/%.o $(call object,$(UNIT_HELPERS)) $(CLI_LIBRARY) $(DAEMON_LIBRARY) $(LIBRARY)
 	$(CC) $(LDFLAGS) -o $@ $(filter %.o,$^) $(filter %.a,$^) $(DAEMON_LIBS) $(shell pkg-config --libs check gsl)
 
+# The fault soak: its helpers are those of the tests, and one library is preloaded into the daemons.
+$(BUILD)/soak/soak: $(call object,$(SOAK_SOURCES)) $(call object,$(addprefix tests/unit/,cluster.c process.c caller.c))
+	$(CC) $(LDFLAGS) -o $@ $^ $(DAEMON_LIBS) $(shell pkg-config --libs check)
+
+$(BUILD)/soak/misbehave.so: soak/misbehave.c
+	@mkdir -p $(@D)
+	$(CC) $(CPPFLAGS) $(filter-out -fsanitize%,$(CFLAGS)) $(WARNINGS) -shared -fPIC -o $@ $<
+
 $(BUILD)/%.o: %.c
 	@mkdir -p $(@D)
 	$(CC) $(CPPFLAGS) $(CFLAGS) $(if $(findstring gen/,$<),-w,$(WARNINGS)) -MMD -MP -c -o $@ $<
@@ -103,5 +114,5 @@
 
 -include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
 
-.PHONY: all units install generate format check-format check-lint clean
+.PHONY: all soak units install generate format check-format check-lint clean
 .SECONDARY:
--- a/cli/session.c
+++ b/cli/session.c
@@ -158,6 +158,7 @@
 	case CW_ERR_UNKNOWN_OUTCOME:
 	case CW_ERR_TIMEOUT:
 	case CW_ERR_FULL:
+	case CW_ERR_IO: /* its data folder has failed; the other replicas' may be well */
 		return true;
 	default:
 		return false;
--- a/daemon/carawayd.c
+++ b/daemon/carawayd.c
@@ -76,7 +76,10 @@
 	return 0;
 }
 
-/* Installs the handlers: SIGTERM and SIGINT are a planned stop, SIGHUP a change of settings; SIGPIPE is left to the writer. */
+/*
+ * Installs the handlers: SIGTERM and SIGINT are a planned stop, SIGHUP a change of settings.  SIGPIPE and SIGXFSZ
+ * are left to the writer, whose write fails.
+ */
 static void install_signals(void)
 {
 	struct sigaction action = {.sa_handler = request_stop};
@@ -88,6 +91,7 @@
 	sigaction(SIGHUP, &action, NULL);
 	action.sa_handler = SIG_IGN;
 	sigaction(SIGPIPE, &action, NULL);
+	sigaction(SIGXFSZ, &action, NULL);
 }
 
 /* Runs the role of the settings until a planned stop. */
--- a/daemon/control.c
+++ b/daemon/control.c
@@ -199,6 +199,7 @@
 		reload_init(&reload, signals);
 		while (!*signals->stop) {
 			run_round(&control);
+			control_replica_recover(&control, settings);
 			follow_settings(&control, &reload);
 		}
 		hand_over(&control);
--- a/daemon/control.h
+++ b/daemon/control.h
@@ -87,11 +87,13 @@
 	bool told_leads;
 	bool activation_pending;
 	bool failed;
+	int64_t recover_due_ms; /* when to open the failed data folder again */
 };
 
 /* control_replica.c: the replicated log and what it applies to. */
 cw_status_t control_replica_open(control_t *control, const settings_t *settings);
 void control_replica_close(control_t *control);
+void control_replica_recover(control_t *control, const settings_t *settings);
 /* Takes the addresses of other settings. */
 void control_set_addresses(control_t *control, const settings_t *settings);
 /* Gives an event to the replicated log and carries out what follows. */
--- a/daemon/control_replica.c
+++ b/daemon/control_replica.c
@@ -8,7 +8,10 @@
 
 #include <inttypes.h>
 
-enum { MAX_APPEND_BYTES = 1 << 20 };
+enum {
+	MAX_APPEND_BYTES = 1 << 20,
+	RECOVER_MS = 1000 /* between attempts to open a failed data folder: one or two elections */
+};
 
 /* Stops taking part after a failure of the data folder; the process keeps answering queries of its status. */
 static void fail_storage(control_t *control)
@@ -18,6 +21,7 @@
 	if (control->failed)
 		return;
 	control->failed = true;
+	control->recover_due_ms = clock_now_ms() + RECOVER_MS;
 	counter_add(COUNTER_STORAGE_FAILED, 1);
 	log_error("storage-failed", LOG_STR("message", cw_last_message()), LOG_END);
 	control_step(control, &event);
@@ -81,9 +85,14 @@
 	cw_message_free(command);
 }
 
-/* Applies a committed entry; the log itself has taken in a membership. */
+/*
+ * Applies a committed entry; the log itself has taken in a membership.  After a
+ * full disk the log tells entries again that the ledger holds.
+ */
 static void apply_entry(control_t *control, const Caraway__Entry *entry)
 {
+	if (entry->index <= control->applied_index)
+		return;
 	control->applied_index = entry->index;
 	if (entry->kind == CARAWAY__ENTRY_KIND__ENTRY_COMMAND)
 		apply_command(control, entry);
@@ -323,10 +332,11 @@
 static void create_raft(control_t *control, const settings_t *settings, const cw_raft_stored_t *stored)
 {
 	Caraway__Membership *peers = settings_membership(settings, 0);
+	const char *listed = controls_find(settings->controls, control->settings->id);
 	cw_raft_options_t options = {
 		.id = control->settings->id,
 		.incarnation = store_incarnation(control->store),
-		.address = control->settings->listen,
+		.address = (char *)(listed ? listed : control->settings->listen),
 		.heartbeat_ms = control->settings->heartbeat_ms,
 		.election_ms = control->settings->election_ms,
 		.lease_ms = control->settings->leader_lease_ms,
@@ -393,6 +403,47 @@
 	return status;
 }
 
+/* Opens the data folder again and goes on from what it holds, as after a restart; the ledger has that already. */
+static cw_status_t reopen(control_t *control, const settings_t *settings)
+{
+	const cw_raft_event_t tick = {.type = CW_RAFT_EV_TICK};
+	cw_raft_stored_t stored = {0};
+	GBytes *snapshot = NULL;
+	cw_status_t status;
+
+	store_close(control->store);
+	control->store = NULL;
+	status = store_open(control->settings->data_folder, &control->store, &stored, &snapshot);
+	if (status != CW_OK)
+		return status;
+	if (snapshot)
+		g_bytes_unref(snapshot);
+	cw_raft_free(control->raft);
+	create_raft(control, settings, &stored);
+	control->told_term = 0;
+	control->snapshot_index = stored.snapshot_index;
+	control->failed = false;
+	store_stored_clear(&stored);
+	control_step(control, &tick);
+	return CW_OK;
+}
+
+/*
+ * Takes part again once the data folder can be used, as after a full disk.
+ * Opening writes the log anew and syncs it, so nothing is taken for durable that
+ * a failed write or sync left behind.
+ */
+void control_replica_recover(control_t *control, const settings_t *settings)
+{
+	if (!control->failed || clock_now_ms() < control->recover_due_ms)
+		return;
+	control->recover_due_ms = clock_now_ms() + RECOVER_MS;
+	if (reopen(control, settings) == CW_OK)
+		log_info("storage-recovered", LOG_UINT("applied", control->applied_index), LOG_END);
+	else
+		log_warning("storage-still-failed", LOG_STR("message", cw_last_message()), LOG_END);
+}
+
 /* Frees the log, the ledger and the data folder. */
 void control_replica_close(control_t *control)
 {
--- a/daemon/proxy.c
+++ b/daemon/proxy.c
@@ -48,6 +48,12 @@
 	}
 }
 
+/* Returns the address to announce: the one from the settings, or else the one that is listened on. */
+static char *announced(char *setting, const char *bound)
+{
+	return *setting ? setting : (char *)bound;
+}
+
 /* Announces the state of this proxy's endpoint. */
 static void announce(proxy_t *proxy, Caraway__EndpointState state)
 {
@@ -62,8 +68,8 @@
 	endpoint.incarnation = proxy->incarnation;
 	endpoint.sequence = ++proxy->sequence;
 	endpoint.state = state;
-	endpoint.call_address = (char *)traffic_call_address(proxy->traffic);
-	endpoint.feed_address = (char *)link_server_address(proxy->server);
+	endpoint.call_address = announced(settings->call_announce, traffic_call_address(proxy->traffic));
+	endpoint.feed_address = announced(settings->feed_announce, link_server_address(proxy->server));
 	endpoint.slots = settings->slots;
 	relay_io_step(&proxy->io, &event);
 }
--- a/daemon/settings.h
+++ b/daemon/settings.h
@@ -43,6 +43,8 @@
 	char *listen;	       /* HOST:PORT for callers, HTTP */
 	char *call_listen;     /* HOST:PORT for calls from other proxies */
 	char *feed_listen;     /* HOST:PORT for children and queries */
+	char *call_announce;   /* HOST:PORT where others reach call_listen; empty: there */
+	char *feed_announce;   /* HOST:PORT where others reach feed_listen; empty: there */
 	char *target;	       /* HOST:PORT of the target beside this proxy */
 	uint32_t slots;	       /* calls the target runs at once */
 	uint32_t connections;  /* most callers' connections */
--- a/daemon/settings_rules.c
+++ b/daemon/settings_rules.c
@@ -44,6 +44,8 @@
 	{"proxy", "listen", VALUE_LISTEN, AT(proxy.listen), NULL, 0, 0},
 	{"proxy", "call-listen", VALUE_LISTEN, AT(proxy.call_listen), NULL, 0, 0},
 	{"proxy", "feed-listen", VALUE_LISTEN, AT(proxy.feed_listen), NULL, 0, 0},
+	{"proxy", "call-announce", VALUE_ADDRESS, AT(proxy.call_announce), "", 0, 0},
+	{"proxy", "feed-announce", VALUE_ADDRESS, AT(proxy.feed_announce), "", 0, 0},
 	{"proxy", "target", VALUE_ADDRESS, AT(proxy.target), NULL, 0, 0},
 	{"proxy", "slots", VALUE_NUMBER, AT(proxy.slots), "12", 1, 1024},
 	{"proxy", "connections", VALUE_NUMBER, AT(proxy.connections), "120", 1, 65536},
--- a/tests/tools/standin_link.c
+++ b/tests/tools/standin_link.c
@@ -9,6 +9,8 @@
  *   hold-back     keep those to the connecting side only
  *   heal          deliver what was kept and relay again
  *   cut           close every connection and refuse new ones until healed
+ *   reset         reset every connection; new ones work
+ *   silence       leave every connection open and silent for good; new ones work
  *   delay MS      deliver bytes so much later
  */
 #include <arpa/inet.h>
@@ -25,7 +27,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-enum { MAX_PAIRS = 64, READ_BYTES = 65536, FIXED_ITEMS = 2, US_PER_MS = 1000, FOREVER_MS = 1000 };
+enum { MAX_PAIRS = 256, READ_BYTES = 65536, FIXED_ITEMS = 2, US_PER_MS = 1000, FOREVER_MS = 1000 };
 
 /* Bytes on their way in one direction. */
 typedef struct {
@@ -38,6 +40,7 @@
 	int fds[2]; /* read side of direction 0 and 1 */
 	GQueue chunks[2];
 	bool ended[2];
+	bool silent; /* for good */
 } pair_t;
 
 static GPtrArray *pairs;
@@ -138,6 +141,8 @@
 {
 	chunk_t *chunk;
 
+	if (pair->silent)
+		return !pair->ended[0] || !pair->ended[1];
 	while (!held[side] && (chunk = g_queue_peek_head(&pair->chunks[side])) && chunk->due_ms <= now_ms()) {
 		gsize length = 0;
 		const char *data = chunk->bytes ? g_bytes_get_data(chunk->bytes, &length) : NULL;
@@ -165,13 +170,34 @@
 		for (int side = 0; side < 2; side++) {
 			const chunk_t *chunk = g_queue_peek_head(&pair->chunks[side]);
 
-			if (chunk && !held[side])
+			if (chunk && !held[side] && !pair->silent)
 				next_ms = MIN(next_ms, chunk->due_ms);
 		}
 	}
 	return (int)MAX(next_ms - now_ms(), 0);
 }
 
+/* Resets every connection on both sides. */
+static void reset_pairs(void)
+{
+	const struct linger at_once = {.l_onoff = 1, .l_linger = 0};
+
+	for (guint i = 0; i < pairs->len; i++) {
+		const pair_t *pair = g_ptr_array_index(pairs, i);
+
+		for (int side = 0; side < 2; side++)
+			setsockopt(pair->fds[side], SOL_SOCKET, SO_LINGER, &at_once, sizeof(at_once));
+	}
+	g_ptr_array_set_size(pairs, 0);
+}
+
+/* Makes every connection silent for good. */
+static void silence_pairs(void)
+{
+	for (guint i = 0; i < pairs->len; i++)
+		((pair_t *)g_ptr_array_index(pairs, i))->silent = true;
+}
+
 /* Carries out one command. */
 static void run_command(const char *line)
 {
@@ -183,6 +209,10 @@
 	} else if (g_str_has_prefix(line, "cut")) {
 		cut = true;
 		g_ptr_array_set_size(pairs, 0);
+	} else if (g_str_has_prefix(line, "reset")) {
+		reset_pairs();
+	} else if (g_str_has_prefix(line, "silence")) {
+		silence_pairs();
 	} else if (g_str_has_prefix(line, "delay ")) {
 		delay_ms = atoi(line + strlen("delay "));
 	}
--- a/tests/tools/standin_target.c
+++ b/tests/tools/standin_target.c
@@ -16,6 +16,8 @@
  */
 #include <argp.h>
 #include <arpa/inet.h>
+#include <errno.h>
+#include <fcntl.h>
 #include <glib.h>
 #include <inttypes.h>
 #include <jansson.h>
@@ -38,7 +40,8 @@
 	PERCENT = 100,
 	HTTP_SHED = 503,
 	HTTP_ERROR = 500,
-	CHAIN_BYTES = 4096
+	CHAIN_BYTES = 4096,
+	JOURNAL_KEY = 'j'
 };
 
 /* What can be set by an option and by /set. */
@@ -78,6 +81,7 @@
 };
 
 static GHashTable *executions; /* count by request id */
+static int journal = -1;       /* file that the ids of executions are appended to */
 static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
 static pthread_cond_t slot_free = PTHREAD_COND_INITIALIZER;
 static int running;	/* calls that hold a slot */
@@ -108,6 +112,8 @@
 {
 	gpointer count = g_hash_table_lookup(executions, id);
 
+	if (journal >= 0)
+		dprintf(journal, "%s\n", id);
 	g_hash_table_insert(executions, g_strdup(id), GINT_TO_POINTER(GPOINTER_TO_INT(count) + 1));
 }
 
@@ -365,6 +371,10 @@
 static error_t parse_option(int key, char *value, struct argp_state *state)
 {
 	(void)state;
+	if (key == JOURNAL_KEY) {
+		journal = open(value, O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
+		return journal < 0 ? errno : 0;
+	}
 	if (key < 1 || key > SETTINGS)
 		return ARGP_ERR_UNKNOWN;
 	atomic_store(&settings[key - 1].value, atoi(value));
@@ -374,12 +384,16 @@
 /* Reads the command line: one option for each setting. */
 static void parse_options(int argc, char **argv)
 {
-	struct argp_option options[SETTINGS + 1] = {0};
+	struct argp_option options[SETTINGS + 2] = {0};
 	struct argp argp = {.options = options, .parser = parse_option, .doc = "A stand-in for a target"};
 
 	for (int i = 0; i < SETTINGS; i++)
 		options[i] = (struct argp_option){
 			.name = settings[i].name, .key = i + 1, .arg = "N", .doc = settings[i].help};
+	options[SETTINGS] = (struct argp_option){.name = "journal",
+						 .key = JOURNAL_KEY,
+						 .arg = "FILE",
+						 .doc = "append the id of each execution to a file"};
 	argp_parse(&argp, argc, argv, 0, NULL, NULL);
 }
 
--- a/tests/unit/caller.c
+++ b/tests/unit/caller.c
@@ -46,8 +46,7 @@
 	}
 }
 
-/* Takes an answer apart. */
-static void parse(const GString *text, answer_t *answer)
+void caller_parse(const GString *text, answer_t *answer)
 {
 	const char *body = strstr(text->str, "\r\n\r\n");
 	char length[32];
@@ -91,7 +90,7 @@
 	GString *text = read_all(fd);
 
 	memset(answer, 0, sizeof(*answer));
-	parse(text, answer);
+	caller_parse(text, answer);
 	g_string_free(text, TRUE);
 }
 
--- a/tests/unit/caller.h
+++ b/tests/unit/caller.h
@@ -2,6 +2,7 @@
 #ifndef CALLER_H
 #define CALLER_H
 
+#include <glib.h>
 #include <stdbool.h>
 
 /* What a caller sees. */
@@ -18,6 +19,8 @@
 int caller_send(int port, const char *method, const char *path, const char *id, int deadline_ms);
 /* Reads the answer to its end and closes the socket. */
 void caller_receive(int fd, answer_t *answer);
+/* Takes the bytes of an answer apart; what is absent is left as it was. */
+void caller_parse(const GString *text, answer_t *answer);
 /* Both in one. */
 void caller_call(int port, const char *method, const char *path, const char *id, int deadline_ms,
 		 answer_t *answer);
--- a/tests/unit/cluster.c
+++ b/tests/unit/cluster.c
@@ -1,8 +1,9 @@
 /* Control replicas and proxies as real processes. */
 #include "cluster.h"
 
+#include "process.h"
+
 #include <arpa/inet.h>
-#include <check.h>
 #include <fcntl.h>
 #include <glib/gstdio.h>
 #include <jansson.h>
@@ -11,27 +12,41 @@
 #include <stdlib.h>
 #include <string.h>
 #include <sys/prctl.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
-enum { PATH_BYTES = 512, ANSWER_BYTES = 4096, PORTS_PER_PROXY = 4 };
+enum { PATH_BYTES = 512, ANSWER_BYTES = 4096 };
+
+/* The ports of a proxy; the first two others reach through links, when there are any. */
+enum { CALL_PORT, FEED_PORT, HTTP_PORT, TARGET_PORT, PORTS_PER_PROXY, LINKED_PORTS = FEED_PORT + 1 };
+
+/* A link before a port of a process. */
+typedef struct {
+	char *process; /* name */
+	process_t link;
+} link_before_t;
 
 typedef struct {
 	char *name;
 	char *zone;
 	char *service;
-	int port; /* of the HTTP port; calls, feed and target follow */
 	int ports[PORTS_PER_PROXY];
+	int announced[LINKED_PORTS];
 } proxy_t;
 
 struct cluster {
 	char *folder;
-	char *build; /* folder of the programs */
-	int replica_ports[CLUSTER_REPLICAS];
-	GPtrArray *proxies;    /* proxy_t * */
-	GHashTable *processes; /* name -> pid */
-	GArray *reserved;      /* int; sockets that hold ports */
+	bool keeps_folder;
+	char *build;			       /* folder of the programs */
+	int replica_ports[CLUSTER_REPLICAS];   /* listened on */
+	int announced_ports[CLUSTER_REPLICAS]; /* told to others */
+	GPtrArray *proxies;		       /* proxy_t * */
+	GPtrArray *links;		       /* link_before_t *; NULL: none are used */
+	GHashTable *processes;		       /* name -> pid */
+	GArray *reserved;		       /* int; sockets that hold ports */
+	char *preload;			       /* path of a library; NULL: none */
 };
 
 /*
@@ -46,10 +61,10 @@
 	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
 	int one = 1;
 
-	ck_assert_int_ge(fd, 0);
-	ck_assert_int_eq(bind(fd, (struct sockaddr *)&address, sizeof(address)), 0);
-	ck_assert_int_eq(getsockname(fd, (struct sockaddr *)&address, &length), 0);
-	ck_assert_int_eq(setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one)), 0);
+	g_assert_cmpint(fd, >=, 0);
+	g_assert_cmpint(bind(fd, (struct sockaddr *)&address, sizeof(address)), ==, 0);
+	g_assert_cmpint(getsockname(fd, (struct sockaddr *)&address, &length), ==, 0);
+	g_assert_cmpint(setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one)), ==, 0);
 	g_array_append_val(cluster->reserved, fd);
 	return ntohs(address.sin_port);
 }
@@ -63,20 +78,78 @@
 cluster_t *cluster_new(void)
 {
 	cluster_t *cluster = g_new0(cluster_t, 1);
-	g_autofree char *self = g_file_read_link("/proc/self/exe", NULL);
-	g_autofree char *unit = g_path_get_dirname(self);
 
-	cluster->build = g_build_filename(unit, "..", "..", NULL);
+	cluster->build = process_build_folder();
 	cluster->folder = g_dir_make_tmp("caraway-XXXXXX", NULL);
-	ck_assert_ptr_nonnull(cluster->folder);
+	g_assert_nonnull(cluster->folder);
 	cluster->reserved = g_array_new(FALSE, FALSE, sizeof(int));
 	for (int i = 0; i < CLUSTER_REPLICAS; i++)
-		cluster->replica_ports[i] = cluster_reserve_port(cluster);
+		cluster->replica_ports[i] = cluster->announced_ports[i] = cluster_reserve_port(cluster);
 	cluster->proxies = g_ptr_array_new();
 	cluster->processes = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	return cluster;
 }
 
+/* Starts a link before a port of a process; returns the port to announce instead. */
+static int start_link(cluster_t *cluster, const char *process, int to_port)
+{
+	link_before_t *before = g_new0(link_before_t, 1);
+	int port = cluster_reserve_port(cluster);
+	g_autofree char *listen = g_strdup_printf("%d", port);
+	g_autofree char *to = g_strdup_printf("%d", to_port);
+	const char *arguments[] = {listen, to, NULL};
+	g_autofree char *line = NULL;
+
+	before->process = g_strdup(process);
+	process_start(&before->link, "standin_link", arguments);
+	line = process_read_line(&before->link);
+	g_assert_cmpstr(line, ==, listen);
+	g_ptr_array_add(cluster->links, before);
+	return port;
+}
+
+/* Ends a link. */
+static void free_link(gpointer data)
+{
+	link_before_t *before = data;
+
+	process_kill(&before->link);
+	g_free(before->process);
+	g_free(before);
+}
+
+void cluster_use_links(cluster_t *cluster)
+{
+	cluster->links = g_ptr_array_new_with_free_func(free_link);
+	for (int i = 0; i < CLUSTER_REPLICAS; i++) {
+		g_autofree char *name = g_strdup_printf("r%d", i + 1);
+
+		cluster->announced_ports[i] = start_link(cluster, name, cluster->replica_ports[i]);
+	}
+}
+
+void cluster_command_links(cluster_t *cluster, const char *process, const char *command)
+{
+	for (guint i = 0; i < cluster->links->len; i++) {
+		link_before_t *before = g_ptr_array_index(cluster->links, i);
+
+		if (!strcmp(before->process, process))
+			process_command(&before->link, command);
+	}
+}
+
+void cluster_preload(cluster_t *cluster, const char *library)
+{
+	cluster->preload = g_build_filename(cluster->build, library, NULL);
+}
+
+void cluster_misbehave(cluster_t *cluster, const char *process, const char *text)
+{
+	g_autofree char *path = file_path(cluster, process, ".misbehave");
+
+	g_assert_true(g_file_set_contents(path, text, -1, NULL));
+}
+
 /* Removes a folder and what it holds. */
 static void remove_folder(const char *folder)
 {
@@ -108,6 +181,16 @@
 	g_free(proxy);
 }
 
+const char *cluster_folder(const cluster_t *cluster)
+{
+	return cluster->folder;
+}
+
+void cluster_keep_folder(cluster_t *cluster)
+{
+	cluster->keeps_folder = true;
+}
+
 /* Tells that a process ended by itself with a failure, and what it wrote last. */
 static void tell_failed(const cluster_t *cluster, const char *name, int status)
 {
@@ -137,13 +220,17 @@
 		if (WIFEXITED(status) && WEXITSTATUS(status) != EXIT_SUCCESS)
 			tell_failed(cluster, name, WEXITSTATUS(status));
 	}
+	if (cluster->links)
+		g_ptr_array_free(cluster->links, TRUE);
+	g_free(cluster->preload);
 	for (guint i = 0; i < cluster->reserved->len; i++)
 		close(g_array_index(cluster->reserved, int, i));
 	g_array_free(cluster->reserved, TRUE);
 	g_hash_table_destroy(cluster->processes);
 	g_ptr_array_foreach(cluster->proxies, proxy_free, NULL);
 	g_ptr_array_free(cluster->proxies, TRUE);
-	remove_folder(cluster->folder);
+	if (!cluster->keeps_folder)
+		remove_folder(cluster->folder);
 	g_free(cluster->folder);
 	g_free(cluster->build);
 	g_free(cluster);
@@ -156,21 +243,34 @@
 	prctl(PR_SET_PDEATHSIG, SIGKILL);
 }
 
+/* Returns the environment of a process; daemons get the library to preload. */
+static char **environment_of(const cluster_t *cluster, const char *name, const char *program)
+{
+	char **environment = g_get_environ();
+	g_autofree char *told = file_path(cluster, name, ".misbehave");
+
+	if (!cluster->preload || strcmp(program, "carawayd") != 0)
+		return environment;
+	environment = g_environ_setenv(environment, "LD_PRELOAD", cluster->preload, TRUE);
+	return g_environ_setenv(environment, "SOAK_MISBEHAVE", told, TRUE);
+}
+
 /* Starts a program under a name, its output appended to a log of that name. */
 static void start(cluster_t *cluster, const char *name, const char *program, const char *const *arguments)
 {
 	g_autofree char *path = g_build_filename(cluster->build, program, NULL);
 	g_autofree char *log = file_path(cluster, name, ".log");
 	g_autofree const char **argv = g_new0(const char *, g_strv_length((char **)arguments) + 2);
+	g_auto(GStrv) environment = environment_of(cluster, name, program);
 	int fd = open(log, O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
 	GPid pid = 0;
 
-	ck_assert_int_ge(fd, 0);
+	g_assert_cmpint(fd, >=, 0);
 	argv[0] = path;
 	for (size_t i = 0; arguments[i]; i++)
 		argv[i + 1] = arguments[i];
-	ck_assert(g_spawn_async_with_fds(NULL, (char **)argv, NULL, G_SPAWN_DO_NOT_REAP_CHILD,
-					 end_with_parent, NULL, &pid, -1, fd, fd, NULL));
+	g_assert_true(g_spawn_async_with_fds(NULL, (char **)argv, environment, G_SPAWN_DO_NOT_REAP_CHILD,
+					     end_with_parent, NULL, &pid, -1, fd, fd, NULL));
 	close(fd);
 	g_hash_table_replace(cluster->processes, g_strdup(name), GINT_TO_POINTER(pid));
 }
@@ -180,7 +280,7 @@
 {
 	g_string_append(text, "[keys]\ninsecure=yes\n[control-replicas]\n");
 	for (int i = 0; i < CLUSTER_REPLICAS; i++)
-		g_string_append_printf(text, "%d=127.0.0.1:%d\n", i + 1, cluster->replica_ports[i]);
+		g_string_append_printf(text, "%d=127.0.0.1:%d\n", i + 1, cluster->announced_ports[i]);
 }
 
 /* Writes the settings of a process and returns the name of their file. */
@@ -192,7 +292,7 @@
 	g_string_append_printf(text, "[process]\nrole=%s\n", role);
 	append_replicas(cluster, text);
 	g_string_append(text, own);
-	ck_assert(g_file_set_contents(path, text->str, -1, NULL));
+	g_assert_true(g_file_set_contents(path, text->str, -1, NULL));
 	return path;
 }
 
@@ -214,7 +314,7 @@
 	const char *arguments[] = {"--format", settings, NULL};
 
 	start(cluster, name, "carawayd", arguments);
-	ck_assert_int_eq(cluster_wait(cluster, name), 0);
+	g_assert_cmpint(cluster_wait(cluster, name), ==, 0);
 }
 
 void cluster_start_replica(cluster_t *cluster, int id)
@@ -233,6 +333,38 @@
 	remove_folder(folder);
 }
 
+/* Appends the beginning of a log's own first record to it, or as many zeros: a write torn by a loss of power. */
+static void tear_file(const char *path, size_t length, bool zeros)
+{
+	g_autofree char *content = NULL;
+	gsize held = 0;
+	FILE *file;
+
+	if (!g_file_get_contents(path, &content, &held, NULL))
+		return;
+	file = fopen(path, "ae");
+	for (size_t i = 0; file && i < MIN(held, length); i++)
+		fputc(zeros ? 0 : content[i], file);
+	if (file)
+		fclose(file);
+}
+
+void cluster_tear_log(cluster_t *cluster, int id, size_t length, bool zeros)
+{
+	g_autofree char *folder = g_strdup_printf("%s/data%d", cluster->folder, id);
+	GDir *dir = g_dir_open(folder, 0, NULL);
+	const char *name;
+
+	while (dir && (name = g_dir_read_name(dir))) {
+		g_autofree char *path = g_build_filename(folder, name, NULL);
+
+		if (g_str_has_prefix(name, "log-"))
+			tear_file(path, length, zeros);
+	}
+	if (dir)
+		g_dir_close(dir);
+}
+
 /* Returns the proxy of a name. */
 static proxy_t *find_proxy(const cluster_t *cluster, const char *name)
 {
@@ -242,7 +374,7 @@
 		if (!strcmp(proxy->name, name))
 			return proxy;
 	}
-	ck_abort_msg("no proxy %s", name);
+	g_error("no proxy %s", name);
 	return NULL;
 }
 
@@ -255,16 +387,34 @@
 	proxy->service = g_strdup(service);
 	for (int i = 0; i < PORTS_PER_PROXY; i++)
 		proxy->ports[i] = cluster_reserve_port(cluster);
-	proxy->port = proxy->ports[0];
+	for (int i = 0; i < LINKED_PORTS; i++)
+		proxy->announced[i] =
+			cluster->links ? start_link(cluster, name, proxy->ports[i]) : proxy->ports[i];
 	g_ptr_array_add(cluster->proxies, proxy);
 	cluster_start_target(cluster, name);
 }
 
+int cluster_http_port(const cluster_t *cluster, const char *proxy)
+{
+	return find_proxy(cluster, proxy)->ports[HTTP_PORT];
+}
+
+int cluster_target_port(const cluster_t *cluster, const char *proxy)
+{
+	return find_proxy(cluster, proxy)->ports[TARGET_PORT];
+}
+
+char *cluster_target_journal(const cluster_t *cluster, const char *proxy)
+{
+	return file_path(cluster, proxy, ".journal");
+}
+
 void cluster_start_target(cluster_t *cluster, const char *proxy)
 {
 	g_autofree char *target = g_strdup_printf("target-%s", proxy);
-	g_autofree char *port = g_strdup_printf("%d", find_proxy(cluster, proxy)->ports[3]);
-	const char *arguments[] = {"--port", port, NULL};
+	g_autofree char *port = g_strdup_printf("%d", cluster_target_port(cluster, proxy));
+	g_autofree char *journal = cluster_target_journal(cluster, proxy);
+	const char *arguments[] = {"--port", port, "--journal", journal, NULL};
 
 	start(cluster, target, "tests/tools/standin_target", arguments);
 }
@@ -275,27 +425,47 @@
 	g_autofree char *own =
 		g_strdup_printf("[proxy]\nvm=%s\nzone=%s\nregion=eszak\nservice=%s\nlisten=127.0.0.1:%d\n"
 				"call-listen=127.0.0.1:%d\nfeed-listen=127.0.0.1:%d\ntarget=127.0.0.1:%d\n"
-				"report-ms=1000\n",
-				proxy->name, proxy->zone, proxy->service, proxy->ports[0], proxy->ports[1],
-				proxy->ports[2], proxy->ports[3]);
+				"call-announce=127.0.0.1:%d\nfeed-announce=127.0.0.1:%d\nreport-ms=1000\n",
+				proxy->name, proxy->zone, proxy->service, proxy->ports[HTTP_PORT],
+				proxy->ports[CALL_PORT], proxy->ports[FEED_PORT], proxy->ports[TARGET_PORT],
+				proxy->announced[CALL_PORT], proxy->announced[FEED_PORT]);
 	g_autofree char *settings = write_settings(cluster, name, "proxy", own);
 	const char *arguments[] = {"--config", settings, NULL};
 
 	start(cluster, name, "carawayd", arguments);
 }
 
+void cluster_start(cluster_t *cluster, const char *process)
+{
+	if (process[0] == 'r' && g_ascii_isdigit(process[1]))
+		cluster_start_replica(cluster, process[1] - '0');
+	else if (g_str_has_prefix(process, "target-"))
+		cluster_start_target(cluster, process + strlen("target-"));
+	else
+		cluster_start_proxy(cluster, process);
+}
+
 /* Returns the process id of a name that runs. */
 static GPid process_of(const cluster_t *cluster, const char *name)
 {
 	gpointer pid = g_hash_table_lookup(cluster->processes, name);
 
-	ck_assert_msg(pid != NULL, "%s does not run", name);
+	if (!pid)
+		g_error("%s does not run", name);
 	return GPOINTER_TO_INT(pid);
 }
 
 void cluster_signal(cluster_t *cluster, const char *process, int number)
 {
-	ck_assert_int_eq(kill(process_of(cluster, process), number), 0);
+	g_assert_cmpint(kill(process_of(cluster, process), number), ==, 0);
+}
+
+void cluster_limit_files(cluster_t *cluster, const char *process, long bytes)
+{
+	struct rlimit limit = {.rlim_cur = bytes < 0 ? RLIM_INFINITY : (rlim_t)bytes,
+			       .rlim_max = RLIM_INFINITY};
+
+	g_assert_cmpint(prlimit(process_of(cluster, process), RLIMIT_FSIZE, &limit, NULL), ==, 0);
 }
 
 int cluster_wait(cluster_t *cluster, const char *process)
@@ -307,6 +477,17 @@
 	return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
 }
 
+bool cluster_ended(cluster_t *cluster, const char *process, int *status)
+{
+	int code = 0;
+
+	if (waitpid(process_of(cluster, process), &code, WNOHANG) <= 0)
+		return false;
+	g_hash_table_remove(cluster->processes, process);
+	*status = WIFEXITED(code) ? WEXITSTATUS(code) : -WTERMSIG(code);
+	return true;
+}
+
 bool cluster_runs(const cluster_t *cluster, const char *process)
 {
 	return g_hash_table_contains(cluster->processes, process);
@@ -336,13 +517,14 @@
 	int status = 0;
 
 	append_replicas(cluster, text);
-	ck_assert(g_file_set_contents(settings, text->str, -1, NULL));
+	g_assert_true(g_file_set_contents(settings, text->str, -1, NULL));
 	argv[0] = path;
 	argv[1] = "--config";
 	argv[2] = settings;
 	for (size_t i = 0; arguments[i]; i++)
 		argv[i + 3] = arguments[i];
-	ck_assert(g_spawn_sync(NULL, (char **)argv, NULL, 0, NULL, NULL, &printed, &errors, &status, NULL));
+	g_assert_true(
+		g_spawn_sync(NULL, (char **)argv, NULL, 0, NULL, NULL, &printed, &errors, &status, NULL));
 	g_string_append(out, printed);
 	g_string_append(out, errors);
 	return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
@@ -405,7 +587,7 @@
 	size_t held = 0;
 	ssize_t got = 0;
 
-	address.sin_port = htons((uint16_t)find_proxy(cluster, proxy)->port);
+	address.sin_port = htons((uint16_t)cluster_http_port(cluster, proxy));
 	if (connect(fd, (struct sockaddr *)&address, sizeof(address)) == 0 &&
 	    write(fd, request, strlen(request)) == (ssize_t)strlen(request))
 		while (held < sizeof(answer) - 1 &&
@@ -425,7 +607,7 @@
 	g_autofree char *text = NULL;
 	g_auto(GStrv) lines = NULL;
 
-	ck_assert(g_file_get_contents(path, &text, NULL, NULL));
+	g_assert_true(g_file_get_contents(path, &text, NULL, NULL));
 	lines = g_strsplit(text, "\n", -1);
 	for (size_t i = 0; lines[i]; i++) {
 		json_t *entry = json_loads(lines[i], 0, NULL);
--- a/tests/unit/process.c
+++ b/tests/unit/process.c
@@ -1,7 +1,6 @@
 /* Processes that a test starts, each with its standard output and input as pipes. */
 #include "process.h"
 
-#include <check.h>
 #include <fcntl.h>
 #include <glib.h>
 #include <signal.h>
@@ -10,13 +9,20 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
-/* Returns the path of a tool beside this test's folder. */
-static char *tool_path(const char *tool)
+char *process_build_folder(void)
 {
-	g_autofree char *self = g_file_read_link("/proc/self/exe", NULL);
-	g_autofree char *folder = g_path_get_dirname(self);
+	char *folder = g_file_read_link("/proc/self/exe", NULL);
 
-	return g_build_filename(folder, "..", "tools", tool, NULL);
+	for (;;) {
+		char *above = g_path_get_dirname(folder);
+		g_autofree char *daemon = g_build_filename(above, "carawayd", NULL);
+
+		g_assert_cmpstr(above, !=, folder);
+		g_free(folder);
+		folder = above;
+		if (g_file_test(daemon, G_FILE_TEST_EXISTS))
+			return folder;
+	}
 }
 
 /* Becomes the tool; it dies with its parent. */
@@ -31,19 +37,20 @@
 
 void process_start(process_t *process, const char *tool, const char *const *arguments)
 {
-	g_autofree char *path = tool_path(tool);
+	g_autofree char *build = process_build_folder();
+	g_autofree char *path = g_build_filename(build, "tests", "tools", tool, NULL);
 	char **argv = g_new0(char *, g_strv_length((char **)arguments) + 2);
 	int in[2], out[2];
 
 	argv[0] = path;
 	for (size_t i = 0; arguments[i]; i++)
 		argv[i + 1] = (char *)arguments[i];
-	ck_assert_int_eq(pipe2(in, O_CLOEXEC), 0);
-	ck_assert_int_eq(pipe2(out, O_CLOEXEC), 0);
+	g_assert_cmpint(pipe2(in, O_CLOEXEC), ==, 0);
+	g_assert_cmpint(pipe2(out, O_CLOEXEC), ==, 0);
 	process->pid = fork();
 	if (process->pid == 0)
 		run_tool(path, argv, in, out);
-	ck_assert_int_gt(process->pid, 0);
+	g_assert_cmpint(process->pid, >, 0);
 	close(in[0]);
 	close(out[1]);
 	process->in = in[1];
@@ -66,14 +73,14 @@
 	g_autofree char *whole = g_strdup_printf("%s\n", line);
 	g_autofree char *answer = NULL;
 
-	ck_assert_int_eq(write(process->in, whole, strlen(whole)), (ssize_t)strlen(whole));
+	g_assert_cmpint(write(process->in, whole, strlen(whole)), ==, (ssize_t)strlen(whole));
 	answer = process_read_line(process);
-	ck_assert_str_eq(answer, "ok");
+	g_assert_cmpstr(answer, ==, "ok");
 }
 
 void process_signal(const process_t *process, int number)
 {
-	ck_assert_int_eq(kill(process->pid, number), 0);
+	g_assert_cmpint(kill(process->pid, number), ==, 0);
 }
 
 bool process_wait(process_t *process)
--- a/tests/unit/process.h
+++ b/tests/unit/process.h
@@ -11,6 +11,8 @@
 	int out;   /* of the process, to read from */
 } process_t;
 
+/* Returns the build folder that this program runs from; the caller frees it. */
+char *process_build_folder(void);
 /* Starts a tool by its name in the build folder that this test runs from; the list of arguments ends with NULL. */
 void process_start(process_t *process, const char *tool, const char *const *arguments);
 /* Reads one line of its output, without the line's end; the caller frees it. */
--- a/tests/unit/test_control.c
+++ b/tests/unit/test_control.c
@@ -156,17 +156,6 @@
 	return names;
 }
 
-/* Starts a process by its name. */
-static void start(run_t *run, const char *name)
-{
-	if (name[0] == 'r' && g_ascii_isdigit(name[1]))
-		cluster_start_replica(run->cluster, name[1] - '0');
-	else if (g_str_has_prefix(name, "target-"))
-		cluster_start_target(run->cluster, name + strlen("target-"));
-	else
-		cluster_start_proxy(run->cluster, name);
-}
-
 /* Carries out an action on one process; prints how it ended where it is told to end. */
 static void act_on(run_t *run, const char *action, const char *name, GString *out)
 {
@@ -174,11 +163,15 @@
 	    !cluster_runs(run->cluster, name) && strcmp(action, "lose-disk") != 0)
 		return;
 	if (!strcmp(action, "start")) {
-		start(run, name);
+		cluster_start(run->cluster, name);
 	} else if (!strcmp(action, "format")) {
 		cluster_format_replica(run->cluster, name[1] - '0');
 	} else if (!strcmp(action, "lose-disk")) {
 		cluster_remove_data(run->cluster, name[1] - '0');
+	} else if (!strcmp(action, "fill-disk")) {
+		cluster_limit_files(run->cluster, name, 0);
+	} else if (!strcmp(action, "free-disk")) {
+		cluster_limit_files(run->cluster, name, -1);
 	} else if (!strcmp(action, "freeze")) {
 		cluster_signal(run->cluster, name, SIGSTOP);
 	} else if (!strcmp(action, "thaw")) {
