Add the fault soak

Control replicas, proxies and targets as real processes behind links that delay, reset, cut, hold and silence; processes paused, killed, stopped and started by signals, disks lost, torn, slow and full, and clocks stepped by a preloaded library. Callers keep their connections; operators make changes throughout. Checked while it runs: nothing unsafe runs twice, nothing refused as not run runs, answers are whole and the request's own, a process never goes back to an older configuration nor ahead of a review, planned work loses no answer, every acknowledged change is listed and in force everywhere within 16 s once faults end, all replicas vote again, and no process ends by itself.

--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -58,7 +58,7 @@
 	[ -e "$settings" ] || continue
 	step "settings/$(basename "$settings" .ini)" build/carawayd --check-config "$settings"
 done
-for script in tests/*/run.sh spin/run.sh; do
+for script in tests/*/run.sh soak/run.sh spin/run.sh; do
 	[ -e "$script" ] || continue
 	step "$(dirname "$script")" bash "$script"
 done
