--- a/soak/faults.c
+++ b/soak/faults.c
@@ -205,9 +205,14 @@
 	}
 }
 
-/* Kills a replica and leaves a write that was not synced half done at the end of its log. */
+/*
+ * Kills a replica and leaves a write that was not synced half done at the end of
+ * its log; one that is down has written nothing since.
+ */
 static void tear_log(faults_t *faults, const fault_t *fault)
 {
+	if (!cluster_runs(faults->cluster, fault->process))
+		return;
 	kill_process(faults, fault->process);
 	cluster_tear_log(faults->cluster, fault->process[1] - '0', (size_t)fault->amount,
 			 fault->amount % 2 == 0);
--- a/soak/misbehave.c
+++ b/soak/misbehave.c
@@ -5,7 +5,6 @@
  *   clock=MS   the time of day is so much ahead, or behind when negative
  *   sync=MS    each sync takes so much longer
  *   full=1     writes to files fail for want of space
- *   broken=1   syncs fail
  */
 #include <dlfcn.h>
 #include <errno.h>
@@ -20,23 +19,25 @@
 #include <time.h>
 #include <unistd.h>
 
-enum { TEXT_BYTES = 128, MS_PER_S = 1000, NS_PER_MS = 1000000, NS_PER_S = 1000000000, LOOK_MS = 50 };
+enum {
+	TEXT_BYTES = 128,
+	MS_PER_S = 1000,
+	US_PER_MS = 1000,
+	NS_PER_MS = 1000000,
+	NS_PER_S = 1000000000,
+	LOOK_MS = 50
+};
 
 typedef struct {
 	long clock_ms;
 	long sync_ms;
 	bool full;
-	bool broken;
 } misbehaviour_t;
 
 static misbehaviour_t current;
 static long looked_ms;
 static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
 
-int clock_gettime(clockid_t id, struct timespec *time);
-ssize_t write(int fd, const void *data, size_t length);
-int fsync(int fd);
-
 /* Returns the number after a word, 0 when the word is absent. */
 static long number_after(const char *text, const char *word)
 {
@@ -66,7 +67,6 @@
 	current.clock_ms = number_after(text, "clock=");
 	current.sync_ms = number_after(text, "sync=");
 	current.full = number_after(text, "full=");
-	current.broken = number_after(text, "broken=");
 }
 
 /* Returns what the file says, read anew now and then. */
@@ -129,16 +129,9 @@
 	return syscall(SYS_write, fd, data, length);
 }
 
-/* Syncs, later than asked or in vain. */
+/* Syncs, later than asked. */
 int fsync(int fd)
 {
-	misbehaviour_t how = misbehaviour();
-
-	if (how.sync_ms)
-		usleep((useconds_t)how.sync_ms * MS_PER_S);
-	if (how.broken) {
-		errno = EIO;
-		return -1;
-	}
+	usleep((useconds_t)misbehaviour().sync_ms * US_PER_MS);
 	return (int)syscall(SYS_fsync, fd);
 }
