--- a/daemon/settings.c
+++ b/daemon/settings.c
@@ -214,6 +214,8 @@
 	g_free(settings->proxy.listen);
 	g_free(settings->proxy.call_listen);
 	g_free(settings->proxy.feed_listen);
+	g_free(settings->proxy.call_announce);
+	g_free(settings->proxy.feed_announce);
 	g_free(settings->proxy.target);
 	g_free(settings->proxy.target_listen);
 	g_free(settings->proxy.ready_listen);
