--- a/review/rig.c
+++ b/review/rig.c
@@ -447,6 +447,35 @@
 	int fd;
 } served_t;
 
+/* Adds a connection to those of a target, or removes it. */
+static void list_connection(target_t *target, int fd, bool added)
+{
+	pthread_mutex_lock(&target->lock);
+	for (int i = 0; i < TARGET_CONNECTIONS; i++)
+		if (target->connections[i] == (added ? -1 : fd)) {
+			target->connections[i] = added ? fd : -1;
+			break;
+		}
+	pthread_mutex_unlock(&target->lock);
+}
+
+void target_exit(target_t *target)
+{
+	const struct linger reset = {1, 0};
+
+	target->beats = false;
+	shutdown(target->listener, SHUT_RDWR);
+	close(target->listener);
+	pthread_mutex_lock(&target->lock);
+	for (int i = 0; i < TARGET_CONNECTIONS; i++)
+		if (target->connections[i] >= 0) {
+			setsockopt(target->connections[i], SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+			shutdown(target->connections[i], SHUT_RDWR);
+		}
+	pthread_mutex_unlock(&target->lock);
+	rig_record("target %d has ended", target->host);
+}
+
 static void *serve_connection(void *data)
 {
 	served_t served = *(served_t *)data;
@@ -455,6 +484,7 @@
 	bool open = true;
 
 	free(data);
+	list_connection(target, served.fd, true);
 	while (open) {
 		message_t request;
 
@@ -464,6 +494,7 @@
 					      : target_answer(target, served.fd, &request);
 		rig_message_clear(&request);
 	}
+	list_connection(target, served.fd, false);
 	close(served.fd);
 	return NULL;
 }
@@ -554,6 +585,7 @@
 	target->slots = slots;
 	target->work_ms = work_ms;
 	target->beats = true;
+	memset(target->connections, -1, sizeof(target->connections));
 	snprintf(target->service, sizeof(target->service), "%s", service);
 	snprintf(target->id, sizeof(target->id), "i-%d-%d", host, (int)(target->born_ms % 1000000));
 	pthread_mutex_init(&target->lock, NULL);
--- a/review/rig.h
+++ b/review/rig.h
@@ -19,7 +19,8 @@
 	PORT_OUTBOUND = 8304,
 	PORT_CONTROL = 8306,
 	RIG_HEAD_BYTES = 16384,
-	RIG_REPLICAS = 3
+	RIG_REPLICAS = 3,
+	TARGET_CONNECTIONS = 512
 };
 
 /* A request or a response as read from a socket. */
@@ -53,6 +54,7 @@
 	int listener;
 	int receive_buffer; /* of its sockets in bytes; 0: the system's */
 	int running;
+	int connections[TARGET_CONNECTIONS]; /* open ones; -1: none */
 	pthread_mutex_t lock;
 	pthread_cond_t free_slot;
 	pthread_t accept_thread;
@@ -106,6 +108,8 @@
 bool target_deregister(target_t *target);
 /* Answers a request as a sound server does. */
 bool target_answer(target_t *target, int fd, message_t *request);
+/* Ends a target as an exit of its process does: its port closes, and every connection is reset. */
+void target_exit(target_t *target);
 /* Answers a health check. */
 bool target_answer_health(target_t *target, int fd);
 
