--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,5 +1,6 @@
 #!/bin/bash
 # Runs the case; exit status 1: the rule was broken, 0: it held, 2: the case could not run.
+# TROUBLE=0 runs it without the disruption.
 cd "$(dirname "$0")/../.." || exit 2
-[ -x review/build/case-3 ] || exit 2
-RECORD=review/3/record.txt exec review/build/case-3
+[ -x review/3/case ] || exit 2
+TROUBLE=${TROUBLE:-1} RECORD=review/3/record.txt exec review/3/case
