Keep an answer without length incomplete when its reset meets an unsent request

Cause: a socket reports an error once. on_connection_ready() sent the rest of the request before it read, so send() took ECONNRESET, and the recv() after it returned 0, which completes an answer without length. Seen in the system calls of the new test: sendto() = -1 ECONNRESET, recvfrom() = 0.

Change: a connection with a pending error is only read, and a failure of send() after the first byte is kept, so that no end of the stream after it counts as regular. EPIPE is not kept: it follows a regular end, before which the answer is whole (the close-reset lines of the script).

Ruled out: answers framed by length or chunks, requests sent in full, the links between proxies and the connections of callers, which close at any failure.

--- a/daemon/target_connection.c
+++ b/daemon/target_connection.c
@@ -162,14 +162,20 @@
 	poller_change(connection->pool->poller, connection->fd, events, &connection->watch);
 }
 
-/* Sends the rest of the request; a failure before the first byte fails the connection. */
+/*
+ * Sends the rest of the request; a failure before the first byte fails the
+ * connection.  After a later one the target may have responded before it closed, so
+ * that read_connection() decides.  It no longer sees an error that was reported here;
+ * EPIPE is none: it follows a regular end of the stream.
+ */
 static void send_request(target_connection_t *connection)
 {
 	if (send_buffer_flush(&connection->output, connection->fd) != SEND_BUFFER_FAILED)
 		update_events(connection);
 	else if (!connection->output.sent)
 		fail_connection(connection, CW_REASON_CUT);
-	/* Otherwise the target may have responded before it closed: read_connection() decides. */
+	else if (errno != EPIPE)
+		connection->reset = true;
 }
 
 /* Starts a job on an established connection. */
@@ -330,7 +336,7 @@
 	} else if (length > 0) {
 		parse_bytes(connection, buffer, (size_t)length);
 	} else {
-		handle_end_of_stream(connection, length < 0);
+		handle_end_of_stream(connection, connection->reset || length < 0);
 	}
 }
 
@@ -367,7 +373,8 @@
 			handle_connect_result(connection);
 		return;
 	}
-	if ((events & EPOLLOUT) && connection->state == CONNECTION_BUSY)
+	/* A pending error is left to recv(): send() would take it, and the stream would seem to end regularly. */
+	if ((events & EPOLLOUT) && !(events & (EPOLLERR | EPOLLHUP)) && connection->state == CONNECTION_BUSY)
 		send_request(connection);
 	if (connection->fd >= 0 && (events & (EPOLLIN | EPOLLRDHUP | EPOLLERR | EPOLLHUP)))
 		read_connection(connection);
