Use a target after a restart only once its health check or time confirms it

Cause: announcements are ordered by start time and sequence, and a process that has just started knows neither, so the first to arrive counted as the newest whatever its age. The health check, which said that the target leaves, was asked for the identifier only.

Change: an incarnation is up once its health check, asked since the start, answers 200 with its identifier, or once an announcement comes later than 10 s after the start. Leaving takes effect at once. A late heartbeat of an earlier incarnation no longer replaces the one that a health check named. New counter announcement-unconfirmed, and the state unconfirmed in target-announced.

Ruled out: keeping the acknowledgement (proxies have no disk), believing the health check alone (it may be false for long), counting heartbeats (late ones come in groups).

--- a/daemon/counters.h
+++ b/daemon/counters.h
@@ -85,6 +85,8 @@
 	X(ANSWER_CROSSED, "answer-crossed")                                                                  \
 	X(ANSWER_UNASKED, "answer-unasked")                                                                  \
 	X(ANSWER_UNREADABLE, "answer-unreadable")                                                            \
+	/* announcements of a target that its health check has not confirmed since this process started */   \
+	X(ANNOUNCEMENT_UNCONFIRMED, "announcement-unconfirmed")                                              \
 	/* calls received from callers, and those of them that a target answered */                          \
 	X(CALL_TAKEN, "call-taken")                                                                          \
 	X(CALL_ANSWERED, "call-answered")                                                                    \
--- a/daemon/receiver.c
+++ b/daemon/receiver.c
@@ -1,6 +1,8 @@
 /* The receiving side of calls: admission control in front of this proxy's target. */
 #include "receiver.h"
 
+#include <string.h>
+
 #include "call_counters.h"
 #include "clock.h"
 #include "headers.h"
@@ -38,6 +40,7 @@
 	bool was_unreachable;		  /* the target, at the last receiver_run() */
 	char *health_path;		  /* of the target's health check; "": unknown */
 	bool identity_probe_running;
+	bool identity_changed; /* an announcement named another incarnation since the probe was sent */
 	int64_t next_identity_probe_ms; /* earliest time of the next identity probe */
 };
 
@@ -50,7 +53,7 @@
 
 	receiver->settings = settings;
 	receiver->incarnation = incarnation;
-	receiver->target = cw_target_new(settings->service, settings->target);
+	receiver->target = cw_target_new(settings->service, settings->target, clock_now_ms());
 	receiver->transit = cw_transit_new(MAX_SENDERS);
 	receiver->running = g_ptr_array_new();
 	receiver->pool = pool;
@@ -323,15 +326,22 @@
 }
 
 /*
- * Returns whether the target may be given calls: it is identified, if it announces itself at all, and
- * neither the target nor this proxy is draining.
+ * Returns whether the target may be given calls: it is up, if it announces itself at all, and neither the
+ * target nor this proxy is draining.
  */
 static bool accepts_calls(const receiver_t *receiver)
 {
-	bool identified = cw_target_id(receiver->target) || !*receiver->settings->target_listen;
+	bool up = cw_target_is_up(receiver->target) || !*receiver->settings->target_listen;
+
+	return up && !receiver->draining && !receiver->target_draining_until_ms;
+}
 
-	return identified && !receiver->draining && !receiver->target_draining_until_ms &&
-	       !cw_target_is_leaving(receiver->target);
+/* Returns the name of the target's state for the log. */
+static const char *target_state_name(const cw_target_t *target)
+{
+	if (cw_target_is_leaving(target))
+		return "leaving";
+	return cw_target_is_up(target) ? "up" : "unconfirmed";
 }
 
 /* Handles an announcement of the target. */
@@ -345,12 +355,15 @@
 		return verdict;
 	if (g_strcmp0(previous_id, announcement->id) != 0 || was_leaving != announcement->leaving)
 		log_info("target-announced", LOG_STR("target", announcement->id),
-			 LOG_STR("state", announcement->leaving ? "leaving" : "up"),
+			 LOG_STR("state", target_state_name(receiver->target)),
 			 LOG_INT("started_ms", announcement->started_ms),
 			 LOG_UINT("sequence", announcement->sequence), LOG_UINT("slots", announcement->slots),
 			 LOG_END);
+	receiver->identity_changed |= g_strcmp0(previous_id, announcement->id) != 0;
+	if (cw_target_awaits_check(receiver->target))
+		counter_add(COUNTER_ANNOUNCEMENT_UNCONFIRMED, 1);
 	target_pool_set_target_id(receiver->pool, cw_target_id(receiver->target));
-	if (!announcement->leaving)
+	if (cw_target_is_up(receiver->target))
 		cw_admit_mark_warm(receiver->admit, clock_now_ms());
 	if (cw_target_slots(receiver->target))
 		cw_admit_set_slots(receiver->admit, cw_target_slots(receiver->target));
@@ -406,24 +419,29 @@
 /*
  * Probes the identity of a target that was already running when this proxy
  * started.  The target also announces itself periodically, but waiting for that
- * would leave its slots unused for up to a whole interval.
+ * would leave its slots unused for up to a whole interval, and an announcement may
+ * be one that was sent before the target left.
  */
 static void probe_identity(receiver_t *receiver)
 {
 	int64_t now_ms = clock_now_ms();
 
-	if (cw_target_id(receiver->target) || !*receiver->settings->target_listen ||
+	if (!cw_target_awaits_check(receiver->target) || !*receiver->settings->target_listen ||
 	    !*receiver->settings->headers.target_id || !*receiver->health_path)
 		return;
 	if (receiver->identity_probe_running || now_ms < receiver->next_identity_probe_ms ||
 	    !target_pool_is_reachable(receiver->pool))
 		return;
 	receiver->identity_probe_running = true;
+	receiver->identity_changed = false;
 	receiver->next_identity_probe_ms = now_ms + IDENTITY_PROBE_INTERVAL_MS;
 	target_pool_submit(receiver->pool, identity_probe_new(receiver));
 }
 
-/* Handles the answer to an identity probe; that of an unhealthy target is ignored, as it may be draining. */
+/*
+ * Handles the answer to an identity probe.  That of an unhealthy target is ignored, as it may be draining,
+ * and so is one about another incarnation than was announced since.
+ */
 static void handle_identity(receiver_t *receiver, target_job_t *job)
 {
 	const char *id = NULL;
@@ -431,7 +449,9 @@
 	receiver->identity_probe_running = false;
 	if (job->result == CW_ADMIT_ANSWERED && job->response->status == STATUS_HEALTHY)
 		id = http_message_header(job->response, receiver->settings->headers.target_id);
-	if (id && cw_target_set_id(receiver->target, id)) {
+	if (id && receiver->identity_changed && strcmp(id, cw_target_id(receiver->target)) != 0)
+		id = NULL;
+	if (id && cw_target_confirm(receiver->target, id)) {
 		log_info("target-found", LOG_STR("target", id), LOG_END);
 		target_pool_set_target_id(receiver->pool, id);
 		cw_admit_mark_warm(receiver->admit, clock_now_ms());
@@ -470,8 +490,9 @@
 	int64_t deadline_ms =
 		MIN(cw_admit_next_check_ms(receiver->admit), target_pool_next_tick_ms(receiver->pool));
 
-	return cw_target_id(receiver->target) ? deadline_ms
-					      : MIN(deadline_ms, clock_now_ms() + IDENTITY_PROBE_INTERVAL_MS);
+	if (!cw_target_awaits_check(receiver->target))
+		return deadline_ms;
+	return MIN(deadline_ms, clock_now_ms() + IDENTITY_PROBE_INTERVAL_MS);
 }
 
 /* Refuses new calls from now on. */
--- a/libcaraway/caraway_calls.h
+++ b/libcaraway/caraway_calls.h
@@ -187,14 +187,21 @@
 
 typedef struct cw_target cw_target_t;
 
-/* Creates the state of a target without announcements. */
-cw_target_t *cw_target_new(const char *service, const char *address);
+/* Creates the state of a target without announcements; now_ms is by the clock of cw_target_announce(). */
+cw_target_t *cw_target_new(const char *service, const char *address, int64_t now_ms);
 void cw_target_free(cw_target_t *target);
 /* Applies an announcement unless it is incomplete, meant for another target, or stale. */
 cw_target_verdict_t cw_target_announce(cw_target_t *target, const cw_announcement_t *announcement,
 				       int64_t now_ms);
-/* Sets the identifier that the target returned when queried; returns false if it is "" or one is known. */
-bool cw_target_set_id(cw_target_t *target, const char *id);
+/*
+ * Confirms the incarnation whose identifier a health check returned, which was sent after the announcements so
+ * far.  Returns false, and changes nothing, if the identifier is "" or no check is awaited.
+ */
+bool cw_target_confirm(cw_target_t *target, const char *id);
+/* Returns whether a health check is awaited: the target does not leave, but may have left before the start. */
+bool cw_target_awaits_check(const cw_target_t *target);
+/* Returns whether the target may be used: its incarnation is known and confirmed, and is not leaving. */
+bool cw_target_is_up(const cw_target_t *target);
 /* Returns the identifier of the current incarnation; NULL while it is not known. */
 const char *cw_target_id(const cw_target_t *target);
 bool cw_target_is_leaving(const cw_target_t *target);
--- a/libcaraway/target.c
+++ b/libcaraway/target.c
@@ -4,9 +4,17 @@
  * Each start of a target is a new incarnation with its own start time and nearly
  * always its own identifier.  Announcements may arrive late or out of order,
  * even after the incarnation that they describe has ended.
+ *
+ * A process that has just started does not know which announcements an earlier
+ * process of this proxy was sent, so one that arrives late may contradict a later
+ * one that was acknowledged there.  Until no such announcement can be on its way any
+ * more, an incarnation is used only once its health check has confirmed it.
  */
 #include "internal.h"
 
+/* Longest time that an announcement is on its way. */
+enum { MAX_ANNOUNCEMENT_DELAY_MS = 10000 };
+
 struct cw_target {
 	char *service;
 	char *address;
@@ -16,13 +24,16 @@
 	uint32_t slots;	       /* 0: not announced */
 	int64_t warmup_end_ms; /* by the clock of cw_target_announce() */
 	bool leaving;
+	bool confirmed; /* this incarnation, or an earlier one, is known to have been up since the start */
+	int64_t settled_ms; /* from then on every announcement sent before the start has arrived */
 };
 
 /* Creates the state of a target without announcements. */
-cw_target_t *cw_target_new(const char *service, const char *address)
+cw_target_t *cw_target_new(const char *service, const char *address, int64_t now_ms)
 {
 	cw_target_t *target = g_new0(cw_target_t, 1);
 
+	target->settled_ms = now_ms + MAX_ANNOUNCEMENT_DELAY_MS;
 	target->service = g_strdup(service);
 	target->address = g_strdup(address);
 	return target;
@@ -59,6 +70,15 @@
 	return !announcement->started_ms && announcement->leaving && !g_strcmp0(target->id, announcement->id);
 }
 
+/* Sets the identifier of the current incarnation. */
+static void replace_id(cw_target_t *target, const char *id)
+{
+	char *copy = g_strdup(id);
+
+	g_free(target->id);
+	target->id = copy;
+}
+
 /* Applies an announcement unless it is incomplete, meant for another target, or stale. */
 cw_target_verdict_t cw_target_announce(cw_target_t *target, const cw_announcement_t *announcement,
 				       int64_t now_ms)
@@ -70,10 +90,12 @@
 		return CW_TARGET_MISMATCH;
 	if (is_stale(target, announcement))
 		return CW_TARGET_STALE;
-	if (g_strcmp0(target->id, announcement->id) != 0) {
-		g_free(target->id);
-		target->id = g_strdup(announcement->id);
-	}
+	/* Without the start time of the incarnation that was confirmed, this one may be older. */
+	if (g_strcmp0(target->id, announcement->id) != 0 && !target->started_ms)
+		target->confirmed = false;
+	if (!announcement->leaving && now_ms >= target->settled_ms)
+		target->confirmed = true;
+	replace_id(target, announcement->id);
 	if (announcement->started_ms)
 		target->started_ms = announcement->started_ms;
 	target->sequence = announcement->sequence;
@@ -85,18 +107,32 @@
 }
 
 /*
- * Sets the identifier that a target returned when queried, unless it is "" or one
- * is known already.  It has no start time or sequence to be ordered by, so every
- * announcement replaces it.
+ * Confirms an incarnation by the identifier that a health check returned, sent
+ * after the announcements so far, while one is awaited.  An incarnation with another
+ * identifier than announced takes the place of that one, whose start time remains as
+ * a lower bound: the announcement was late.
  */
-bool cw_target_set_id(cw_target_t *target, const char *id)
+bool cw_target_confirm(cw_target_t *target, const char *id)
 {
-	if (target->id || !*id)
+	if (!*id || !cw_target_awaits_check(target))
 		return false;
-	target->id = g_strdup(id);
+	replace_id(target, id);
+	target->confirmed = true;
 	return true;
 }
 
+/* Returns whether the target may be in use once its health check confirms it. */
+bool cw_target_awaits_check(const cw_target_t *target)
+{
+	return !target->confirmed && !target->leaving;
+}
+
+/* Returns whether the target is known to run and not leaving. */
+bool cw_target_is_up(const cw_target_t *target)
+{
+	return target->id && target->confirmed && !target->leaving;
+}
+
 /* Returns the identifier of the current incarnation, or NULL. */
 const char *cw_target_id(const cw_target_t *target)
 {
--- a/tests/unit/test_announcements.c
+++ b/tests/unit/test_announcements.c
@@ -24,7 +24,7 @@
 static bool is_applied(const char *body)
 {
 	GByteArray *bytes = g_byte_array_new();
-	cw_target_t *target = cw_target_new("tabla", "10.0.0.1:80");
+	cw_target_t *target = cw_target_new("tabla", "10.0.0.1:80", 0);
 	codec_announcement_t decoded;
 	bool applied;
 
--- a/tests/unit/test_receiver.c
+++ b/tests/unit/test_receiver.c
@@ -143,7 +143,10 @@
 }
 END_TEST
 
-/* A target whose health check fails may be leaving: it is not ready until it announces itself. */
+/*
+ * DRAIN: a heartbeat that arrives after a restart may have been sent before the target left, and its health
+ * check fails: it is not used.
+ */
 START_TEST(test_unhealthy)
 {
 	const cw_announcement_t announcement = {
@@ -155,7 +158,62 @@
 	set_up(&fixture, &target);
 	ck_assert(!run_until_ready(&fixture, NOT_READY_CHECK_MS));
 	ck_assert_int_eq(receiver_handle_announcement(fixture.receiver, &announcement), CW_TARGET_APPLIED);
+	ck_assert(!run_until_ready(&fixture, NOT_READY_CHECK_MS));
+	tear_down(&fixture);
+	stop_target(&target);
+}
+END_TEST
+
+/* DRAIN: a heartbeat that arrives before the answer of the health check does not put the target in use either. */
+START_TEST(test_announced_before_check)
+{
+	const cw_announcement_t announcement = {
+		.id = "i-7", .service = "konvoj", .started_ms = 5, .sequence = 1};
+	target_t target;
+	fixture_t fixture;
+
+	start_target(&target, "HTTP/1.1 503 Leaving\r\nX-Id: i-7\r\nContent-Length: 0\r\n\r\n");
+	set_up(&fixture, &target);
+	ck_assert_int_eq(receiver_handle_announcement(fixture.receiver, &announcement), CW_TARGET_APPLIED);
+	ck_assert(!run_until_ready(&fixture, NOT_READY_CHECK_MS));
+	tear_down(&fixture);
+	stop_target(&target);
+}
+END_TEST
+
+/* A target that announces itself and whose health check answers 200 is in use, and stays so. */
+START_TEST(test_announced_and_healthy)
+{
+	cw_announcement_t announcement = {.id = "i-7", .service = "konvoj", .started_ms = 5, .sequence = 1};
+	target_t target;
+	fixture_t fixture;
+
+	start_target(&target, "HTTP/1.1 200 OK\r\nX-Id: i-7\r\nContent-Length: 0\r\n\r\n");
+	set_up(&fixture, &target);
+	ck_assert_int_eq(receiver_handle_announcement(fixture.receiver, &announcement), CW_TARGET_APPLIED);
+	ck_assert(run_until_ready(&fixture, READY_TIMEOUT_MS));
+	announcement.sequence++;
+	ck_assert_int_eq(receiver_handle_announcement(fixture.receiver, &announcement), CW_TARGET_APPLIED);
+	ck_assert(receiver_target_ready(fixture.receiver));
+	tear_down(&fixture);
+	stop_target(&target);
+}
+END_TEST
+
+/* A late heartbeat of an earlier incarnation keeps the sound target out until the next health check at most. */
+START_TEST(test_announced_earlier_incarnation)
+{
+	const cw_announcement_t announcement = {
+		.id = "i-6", .service = "konvoj", .started_ms = 5, .sequence = 1};
+	target_t target;
+	fixture_t fixture;
+
+	start_target(&target, "HTTP/1.1 200 OK\r\nX-Id: i-7\r\nContent-Length: 0\r\n\r\n");
+	set_up(&fixture, &target);
 	ck_assert(run_until_ready(&fixture, READY_TIMEOUT_MS));
+	ck_assert_int_eq(receiver_handle_announcement(fixture.receiver, &announcement), CW_TARGET_APPLIED);
+	ck_assert(!receiver_target_ready(fixture.receiver));
+	ck_assert(run_until_ready(&fixture, NOT_READY_CHECK_MS));
 	tear_down(&fixture);
 	stop_target(&target);
 }
@@ -187,6 +245,9 @@
 	tcase_set_timeout(tcase, TIMEOUT_S);
 	tcase_add_test(tcase, test_healthy);
 	tcase_add_test(tcase, test_unhealthy);
+	tcase_add_test(tcase, test_announced_before_check);
+	tcase_add_test(tcase, test_announced_and_healthy);
+	tcase_add_test(tcase, test_announced_earlier_incarnation);
 	tcase_add_test(tcase, test_leaving);
 	suite_add_tcase(suite, tcase);
 	return script_run_suite(suite);
--- a/tests/unit/test_target.c
+++ b/tests/unit/test_target.c
@@ -9,6 +9,7 @@
 typedef struct {
 	cw_target_t *target; /* NULL until the command "target" */
 	cw_transit_t *transit;
+	int64_t now_ms;
 } run_t;
 
 static const char *const verdict_names[] = {"applied", "stale", "mismatch", "incomplete"};
@@ -23,12 +24,14 @@
 						.sequence = strtoull(argv[5], NULL, 10),
 						.leaving = g_str_equal(argv[6], "leaving")};
 
-	g_string_append_printf(out, "%s\n", verdict_names[cw_target_announce(run->target, &announcement, 0)]);
+	g_string_append_printf(out, "%s\n",
+			       verdict_names[cw_target_announce(run->target, &announcement, run->now_ms)]);
 }
 
 /*
- * Runs one script command: "target SERVICE ADDRESS", "announce", "show", or "sent SENDER SENT_MS NOW_MS",
- * which prints the estimated transit delay of a message.
+ * Runs one script command: "target SERVICE ADDRESS", "at NOW_MS", "announce", "show", "check ID" for a health
+ * check that returns an identifier, "use", which prints whether the target may be used, or "sent SENDER SENT_MS
+ * NOW_MS", which prints the estimated transit delay of a message.
  */
 static void run_command(void *data, int argc, char **argv, GString *out)
 {
@@ -37,13 +40,23 @@
 	if (g_str_equal(argv[0], "target")) {
 		if (run->target)
 			cw_target_free(run->target);
-		run->target = cw_target_new(argv[1], argv[2]);
+		run->target = cw_target_new(argv[1], argv[2], run->now_ms);
 	} else if (g_str_equal(argv[0], "announce") && argc == 7) {
 		run_announce(run, argv, out);
 	} else if (g_str_equal(argv[0], "show")) {
 		g_string_append_printf(out, "%s %s\n",
 				       cw_target_id(run->target) ? cw_target_id(run->target) : "unknown",
 				       cw_target_is_leaving(run->target) ? "leaving" : "up");
+	} else if (g_str_equal(argv[0], "at") && argc == 2) {
+		run->now_ms = atoll(argv[1]);
+	} else if (g_str_equal(argv[0], "check") && argc == 2) {
+		g_string_append_printf(out, "%s\n",
+				       cw_target_confirm(run->target, argv[1]) ? "confirmed" : "not awaited");
+	} else if (g_str_equal(argv[0], "use")) {
+		g_string_append_printf(out, "%s\n",
+				       cw_target_is_up(run->target)	     ? "yes"
+				       : cw_target_awaits_check(run->target) ? "no, awaits a check"
+									     : "no");
 	} else if (g_str_equal(argv[0], "sent") && argc == 4) {
 		g_string_append_printf(out, "delay %" G_GINT64_FORMAT "\n",
 				       cw_transit_delay_ms(run->transit, strtoull(argv[1], NULL, 10),
