Refuse accepted calls that have not started a second after the target leaves

Cause: draining refuses new calls only. cw_admit_next() starts queued calls whatever the target's state, and so does a connection that takes seconds to be made.

Change: queued calls start for one second after the target said that it leaves, then the queue and the pool refuse them as not run, reason draining. A planned stop of the proxy itself does not limit its queue.

Ruled out: refusing the whole queue at once, which moves callers that are about to be served.

Test: drain.script and test_connection_after_leaving, which fail with the two checks taken out (3 start; reason deadline).

--- a/daemon/receiver.c
+++ b/daemon/receiver.c
@@ -18,8 +18,10 @@
 	MAX_SENDERS = 16384, /* whose transport delay is measured; as many as admission keeps records of */
 	MAX_CALL_TIME_MS = 60 * 60 * 1000,  /* upper bound on the times in a request */
 	TARGET_DRAINING_TIMEOUT_MS = 30000, /* then a draining target that did not stop is used again */
-	IDENTITY_PROBE_INTERVAL_MS = 300,   /* a busy target answers a probe once it has a free slot */
-	IDENTITY_PROBE_TIMEOUT_MS = 1500,   /* by then the target has announced itself */
+	START_AFTER_LEAVING_MS =
+		1000, /* within this time after the target said so, accepted calls still start */
+	IDENTITY_PROBE_INTERVAL_MS = 300, /* a busy target answers a probe once it has a free slot */
+	IDENTITY_PROBE_TIMEOUT_MS = 1500, /* by then the target has announced itself */
 	STATUS_HEALTHY = 200
 };
 
@@ -37,6 +39,7 @@
 	uint64_t last_cookie;		  /* of the last call passed to admission control */
 	bool draining;			  /* this proxy is shutting down */
 	int64_t target_draining_until_ms; /* set by a response that says it is draining; 0: it is not */
+	int64_t start_until_ms;		  /* until when accepted calls start; INT64_MAX: the target stays */
 	bool was_unreachable;		  /* the target, at the last receiver_run() */
 	char *health_path;		  /* of the target's health check; "": unknown */
 	bool identity_probe_running;
@@ -52,6 +55,7 @@
 	cw_admit_options_t options = {.slots = settings->slots, .queue = settings->queue, .ramp_ms = RAMP_MS};
 
 	receiver->settings = settings;
+	receiver->start_until_ms = INT64_MAX;
 	receiver->incarnation = incarnation;
 	receiver->target = cw_target_new(settings->service, settings->target, clock_now_ms());
 	receiver->transit = cw_transit_new(MAX_SENDERS);
@@ -336,6 +340,20 @@
 	return up && !receiver->draining && !receiver->target_draining_until_ms;
 }
 
+/* Applies whether new calls are accepted, and until when accepted ones start once the target leaves. */
+static void update_admission(receiver_t *receiver)
+{
+	bool leaving = cw_target_is_leaving(receiver->target) || receiver->target_draining_until_ms;
+
+	if (!leaving)
+		receiver->start_until_ms = INT64_MAX;
+	else if (receiver->start_until_ms == INT64_MAX)
+		receiver->start_until_ms = clock_now_ms() + START_AFTER_LEAVING_MS;
+	cw_admit_set_start_until(receiver->admit, receiver->start_until_ms);
+	target_pool_set_start_until(receiver->pool, receiver->start_until_ms);
+	cw_admit_set_draining(receiver->admit, !accepts_calls(receiver));
+}
+
 /* Returns the name of the target's state for the log. */
 static const char *target_state_name(const cw_target_t *target)
 {
@@ -367,7 +385,7 @@
 		cw_admit_mark_warm(receiver->admit, clock_now_ms());
 	if (cw_target_slots(receiver->target))
 		cw_admit_set_slots(receiver->admit, cw_target_slots(receiver->target));
-	cw_admit_set_draining(receiver->admit, !accepts_calls(receiver));
+	update_admission(receiver);
 	return verdict;
 }
 
@@ -384,7 +402,7 @@
 		receiver->target_draining_until_ms = 0;
 	receiver->was_unreachable = !reachable;
 	target_pool_set_probe_always(receiver->pool, receiver->target_draining_until_ms != 0);
-	cw_admit_set_draining(receiver->admit, !accepts_calls(receiver));
+	update_admission(receiver);
 }
 
 /* Sets the path of the target's health check. */
--- a/daemon/target_connection.c
+++ b/daemon/target_connection.c
@@ -352,6 +352,11 @@
 		return;
 	}
 	target_pool_set_reachable(connection->pool, true);
+	if (connection->job && !connection->job->is_identity_probe &&
+	    clock_now_ms() >= connection->pool->start_until_ms) {
+		target_connection_abort(connection, CW_REASON_DRAINING);
+		return;
+	}
 	if (connection->job) {
 		target_connection_begin(connection, connection->job);
 		return;
--- a/daemon/target_pool.c
+++ b/daemon/target_pool.c
@@ -55,6 +55,7 @@
 	}
 	pool->header_names = header_names;
 	pool->poller = poller;
+	pool->start_until_ms = INT64_MAX;
 	g_queue_init(&pool->active);
 	g_queue_init(&pool->idle);
 	g_queue_init(&pool->finished);
@@ -145,7 +146,25 @@
 	return g_queue_pop_head(&pool->finished);
 }
 
-/* Aborts jobs past their deadline, closes expired idle connections, and probes the target when due. */
+/* Returns until when a job that waits for its connection may start. */
+static int64_t latest_start_ms(const target_connection_t *connection)
+{
+	return connection->output.sent || connection->job->is_identity_probe
+		       ? INT64_MAX
+		       : connection->pool->start_until_ms;
+}
+
+/* Aborts a job that has passed its deadline, or its latest start. */
+static void abort_expired(target_connection_t *connection, int64_t now_ms)
+{
+	if (now_ms >= connection->job->deadline_ms)
+		target_connection_abort(connection,
+					connection->output.sent ? CW_REASON_NO_ANSWER : CW_REASON_DEADLINE);
+	else if (now_ms >= latest_start_ms(connection))
+		target_connection_abort(connection, CW_REASON_DRAINING);
+}
+
+/* Aborts jobs past their deadline or latest start, closes expired idle connections, and probes the target when due. */
 void target_pool_tick(target_pool_t *pool, int64_t now_ms)
 {
 	GList *next;
@@ -154,9 +173,8 @@
 		target_connection_t *connection = link->data;
 
 		next = link->next;
-		if (connection->job && now_ms >= connection->job->deadline_ms)
-			target_connection_abort(connection, connection->output.sent ? CW_REASON_NO_ANSWER
-										    : CW_REASON_DEADLINE);
+		if (connection->job)
+			abort_expired(connection, now_ms);
 	}
 	while (pool->idle.tail && now_ms >= ((target_connection_t *)pool->idle.tail->data)->idle_until_ms)
 		target_connection_close(pool->idle.tail->data);
@@ -177,7 +195,8 @@
 		const target_connection_t *connection = link->data;
 
 		if (connection->job)
-			deadline_ms = MIN(deadline_ms, connection->job->deadline_ms);
+			deadline_ms = MIN(deadline_ms,
+					  MIN(connection->job->deadline_ms, latest_start_ms(connection)));
 	}
 	if (pool->idle.tail)
 		deadline_ms = MIN(deadline_ms, ((target_connection_t *)pool->idle.tail->data)->idle_until_ms);
@@ -195,6 +214,12 @@
 		target_connection_close(pool->idle.head->data);
 }
 
+/* Sets until when requests are sent. */
+void target_pool_set_start_until(target_pool_t *pool, int64_t start_until_ms)
+{
+	pool->start_until_ms = start_until_ms;
+}
+
 /* Returns whether the last attempt to connect to the target succeeded. */
 bool target_pool_is_reachable(const target_pool_t *pool)
 {
--- a/daemon/target_pool.h
+++ b/daemon/target_pool.h
@@ -46,6 +46,11 @@
 int64_t target_pool_next_tick_ms(const target_pool_t *pool);
 /* Sets the incarnation of the target that calls are for, by the identifier it reports; NULL: any. */
 void target_pool_set_target_id(target_pool_t *pool, const char *target_id);
+/*
+ * Sets until when requests are sent; jobs that still wait for a connection then end as not started, except
+ * identity probes.  INT64_MAX: without limit.
+ */
+void target_pool_set_start_until(target_pool_t *pool, int64_t start_until_ms);
 /* Returns whether the last attempt to connect to the target succeeded. */
 bool target_pool_is_reachable(const target_pool_t *pool);
 /* Sets whether to probe the target also while it is reachable, to detect the restart of a draining one. */
--- a/libcaraway/admit.c
+++ b/libcaraway/admit.c
@@ -68,10 +68,11 @@
 	GHashTable *routes; /* route -> route_stats_t */
 	uint32_t running;   /* calls that have started and not ended */
 	bool draining;
-	bool warm;	   /* the target has answered since it was last unreachable */
-	int64_t warm_ms;   /* start of the ramp-up: time of the first answer since then */
-	double service_ms; /* mean service time of all routes; 0: no sample yet */
-	double slowest_ms; /* mean service time of the slowest route of late */
+	int64_t start_until_ms; /* queued calls that have not started by then are refused; INT64_MAX: never */
+	bool warm;		/* the target has answered since it was last unreachable */
+	int64_t warm_ms;	/* start of the ramp-up: time of the first answer since then */
+	double service_ms;	/* mean service time of all routes; 0: no sample yet */
+	double slowest_ms;	/* mean service time of the slowest route of late */
 };
 
 /* Creates admission control for a cold target: one that has not answered yet. */
@@ -80,6 +81,7 @@
 	cw_admit_t *admit = g_new0(cw_admit_t, 1);
 
 	admit->options = *options;
+	admit->start_until_ms = INT64_MAX;
 	admit->records = cw_records_new(MAX_ORIGINS);
 	admit->queue = g_ptr_array_new_with_free_func(g_free);
 	admit->routes = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
@@ -339,6 +341,8 @@
 {
 	if (now_ms >= first->call.deadline_ms)
 		return CW_REASON_DEADLINE;
+	if (now_ms >= admit->start_until_ms)
+		return CW_REASON_DRAINING;
 	if (!meets_objective(admit, first, now_ms) && delays_useful_calls(admit, now_ms))
 		return CW_REASON_CROWDED;
 	return CW_REASON_NONE;
@@ -481,12 +485,18 @@
 	return cw_records_set(admit->records, id, CW_RECORD_REFUSED, now_ms) == CW_OK;
 }
 
-/* While draining, new calls are refused; queued calls still start. */
+/* While draining, new calls are refused; queued calls still start, until cw_admit_set_start_until(). */
 void cw_admit_set_draining(cw_admit_t *admit, bool draining)
 {
 	admit->draining = draining;
 }
 
+/* Sets until when queued calls start; later they are refused as draining.  INT64_MAX: without limit. */
+void cw_admit_set_start_until(cw_admit_t *admit, int64_t start_until_ms)
+{
+	admit->start_until_ms = start_until_ms;
+}
+
 /* Sets the number of slots: calls that the target runs at once. */
 void cw_admit_set_slots(cw_admit_t *admit, uint32_t slots)
 {
@@ -523,10 +533,10 @@
 	return admit->running + admit->queue->len;
 }
 
-/* Returns the earliest deadline of the queued calls; INT64_MAX when the queue is empty. */
+/* Returns when the first queued call has to be refused; INT64_MAX when the queue is empty. */
 int64_t cw_admit_next_check_ms(const cw_admit_t *admit)
 {
-	int64_t deadline_ms = INT64_MAX;
+	int64_t deadline_ms = admit->queue->len ? admit->start_until_ms : INT64_MAX;
 
 	for (guint i = 0; i < admit->queue->len; i++)
 		deadline_ms =
--- a/libcaraway/caraway_calls.h
+++ b/libcaraway/caraway_calls.h
@@ -127,8 +127,10 @@
 		   int64_t started_ms, int64_t now_ms);
 /* Returns true when the call has not started and never will; *cookie is then the queued call, or 0. */
 bool cw_admit_revoke(cw_admit_t *admit, const cw_call_id_t *id, int64_t now_ms, uint64_t *cookie);
-/* While draining, new calls are refused; queued calls still start. */
+/* While draining, new calls are refused; queued calls still start, until cw_admit_set_start_until(). */
 void cw_admit_set_draining(cw_admit_t *admit, bool draining);
+/* Sets until when queued calls start; later they are refused as draining.  INT64_MAX: without limit. */
+void cw_admit_set_start_until(cw_admit_t *admit, int64_t start_until_ms);
 /* Sets how many calls the target runs at once. */
 void cw_admit_set_slots(cw_admit_t *admit, uint32_t slots);
 uint32_t cw_admit_slots(const cw_admit_t *admit);
--- a/tests/unit/test_admission.c
+++ b/tests/unit/test_admission.c
@@ -103,7 +103,7 @@
 
 /*
  * Runs one script command: one of the above, "new SLOTS QUEUE RAMP_MS", "at NOW_MS",
- * "mark-warm", "drain on|off" or "load", which prints the calls in use and their limit.
+ * "mark-warm", "drain on|off", "start-until MS" or "load", which prints the calls in use and their limit.
  */
 static void run_command(void *data, int argc, char **argv, GString *out)
 {
@@ -133,6 +133,8 @@
 		run_revoke(run, argv, out);
 	} else if (g_str_equal(command, "drain")) {
 		cw_admit_set_draining(run->admit, g_str_equal(argv[1], "on"));
+	} else if (g_str_equal(command, "start-until")) {
+		cw_admit_set_start_until(run->admit, atoll(argv[1]));
 	} else if (g_str_equal(command, "load")) {
 		g_string_append_printf(out, "load %u limit %u\n", cw_admit_load(run->admit),
 				       cw_admit_limit(run->admit, run->now_ms));
--- a/tests/unit/test_target_pool.c
+++ b/tests/unit/test_target_pool.c
@@ -20,6 +20,8 @@
 	TIMEOUT_S = 30,
 	IDLE_CONNECTION_US = 600000,
 	ENDLESS_JOBS = 4,
+	BACKLOG_CONNECTIONS = 4,
+	START_UNTIL_MS = 100,
 	MAX_BUFFERED_BYTES = 33 << 20 /* the limit of the pool and what one read adds */
 };
 
@@ -275,6 +277,56 @@
 }
 END_TEST
 
+/* Fills the queue of connections of a listener that accepts none; returns the connections. */
+static GArray *fill_backlog(int listener)
+{
+	struct sockaddr_in address;
+	socklen_t length = sizeof(address);
+	GArray *connections = g_array_new(FALSE, FALSE, sizeof(int));
+
+	getsockname(listener, (struct sockaddr *)&address, &length);
+	for (int i = 0; i < BACKLOG_CONNECTIONS; i++) {
+		int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+
+		connect(fd, (struct sockaddr *)&address, sizeof(address));
+		g_array_append_val(connections, fd);
+	}
+	return connections;
+}
+
+/* DRAIN: a call that waits for its connection when its target has been leaving for a while is not sent late. */
+START_TEST(test_connection_after_leaving)
+{
+	struct sockaddr_in address = {.sin_family = AF_INET};
+	socklen_t length = sizeof(address);
+	int listener = socket(AF_INET, SOCK_STREAM, 0);
+	poller_t *poller = poller_new();
+	GArray *connections;
+	target_pool_t *pool;
+	target_job_t *job;
+	char text[32];
+
+	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	ck_assert_int_eq(bind(listener, (struct sockaddr *)&address, sizeof(address)), 0);
+	ck_assert_int_eq(listen(listener, 0), 0);
+	getsockname(listener, (struct sockaddr *)&address, &length);
+	connections = fill_backlog(listener);
+	g_snprintf(text, sizeof(text), "127.0.0.1:%d", ntohs(address.sin_port));
+	ck_assert_int_eq(target_pool_new(text, &header_names, poller, &pool), CW_OK);
+	target_pool_set_start_until(pool, clock_now_ms() + START_UNTIL_MS);
+	job = run_job(poller, pool, new_job("POST", false));
+	ck_assert_int_eq(job->result, CW_ADMIT_NOT_STARTED);
+	ck_assert_int_eq(job->reason, CW_REASON_DRAINING);
+	target_job_free(job);
+	target_pool_free(pool);
+	poller_free(poller);
+	for (guint i = 0; i < connections->len; i++)
+		close(g_array_index(connections, int, i));
+	g_array_unref(connections);
+	close(listener);
+}
+END_TEST
+
 /* When connections are refused, the call was certainly not started, and the target is unreachable. */
 START_TEST(test_unreachable)
 {
@@ -312,6 +364,7 @@
 	add_test_case(suite, test_reused_connection_closed);
 	add_test_case(suite, test_endless_bodies);
 	add_test_case(suite, test_endless_head);
+	add_test_case(suite, test_connection_after_leaving);
 	add_test_case(suite, test_unreachable);
 	return script_run_suite(suite);
 }
