Refuse a path without a route with 503 while the configuration may be old

Cause: a proxy that has fallen behind keeps its parent until no newer stamp has come for 2 s, and is given what it lacks by the next. Meanwhile it says that there is no such route, though it cannot know.

Change: 404 only within 1.5 s of the confirmation of a stamp that covers no more than the feed has; else 503 with the new reason config-stale. Updates carry the age of their stamp (a new field, 0 from older senders), as the observer in test_relay showed that a parent which was cut off hands its old stamp on as if it were new.

Ruled out: refusing all calls of a stale proxy, which would stop a machine that is cut off from the control replicas but not from its targets. A proxy that is behind still uses the routes that it has.

--- a/daemon/counters.h
+++ b/daemon/counters.h
@@ -11,6 +11,7 @@
 /* One counter for each reason of cw_reason_t except "none", in the order of that enum. */
 #define REASON_COUNTERS(X, ID, name)                                                                         \
 	X(ID##_NO_CONFIG, name "-no-config")                                                                 \
+	X(ID##_CONFIG_STALE, name "-config-stale")                                                           \
 	X(ID##_NO_ROUTE, name "-no-route")                                                                   \
 	X(ID##_NO_TARGET, name "-no-target")                                                                 \
 	X(ID##_UNREACHABLE, name "-unreachable")                                                             \
--- a/daemon/endpoints.c
+++ b/daemon/endpoints.c
@@ -4,6 +4,8 @@
 #include <string.h>
 #include <urcu/urcu-memb.h>
 
+#include "clock.h"
+
 enum {
 	MAX_PREOPENED_CONNECTIONS = 64 /* with so many open, others are opened only when a call needs them */
 };
@@ -45,6 +47,8 @@
 	const view_route_t *route;
 	const view_t *view;
 
+	int64_t current_until_ms = published_view_current_until_ms(published_view);
+
 	*endpoints = (endpoints_t){.refusal = CW_REASON_NONE};
 	urcu_memb_read_lock();
 	view = published_view_read(published_view);
@@ -55,7 +59,8 @@
 	if (!view || !view->route_count)
 		endpoints->refusal = CW_REASON_NO_CONFIG;
 	else if (!route)
-		endpoints->refusal = CW_REASON_NO_ROUTE;
+		endpoints->refusal =
+			clock_now_ms() < current_until_ms ? CW_REASON_NO_ROUTE : CW_REASON_CONFIG_STALE;
 	else
 		copy_route(endpoints, route, random_unit);
 }
--- a/daemon/forward.c
+++ b/daemon/forward.c
@@ -217,7 +217,7 @@
 {
 	forward_outcome_t outcome = {.outcome = CARAWAY__CALL_OUTCOME__OUTCOME_NOT_RUN, .reason = reason};
 
-	if (reason == CW_REASON_NO_CONFIG)
+	if (reason == CW_REASON_NO_CONFIG || reason == CW_REASON_CONFIG_STALE)
 		outcome.retry_after_ms = cw_retry_after_unconfigured_ms(clock_now_ms() - forward->started_ms,
 									g_rand_double(forward->random));
 	call_count_outcome(reason);
--- a/daemon/proxy.c
+++ b/daemon/proxy.c
@@ -135,6 +135,15 @@
 		 LOG_UINT("index", cw_feed_index(proxy->feed)), LOG_END);
 }
 
+/* Tells the traffic thread until when the published view counts as the newest. */
+static void publish_currency(const proxy_t *proxy)
+{
+	bool published = cw_catalog_version(cw_feed_catalog(proxy->feed)) == proxy->published_version;
+
+	published_view_set_current_until(proxy->published_view,
+					 published ? cw_relay_current_until_ms(proxy->relay_io.relay) : 0);
+}
+
 /* Runs one iteration of the event loop: waits for messages or the next timer, then handles both. */
 static void run_iteration(proxy_t *proxy)
 {
@@ -148,6 +157,7 @@
 	relay_io_tick(&proxy->relay_io);
 	if (clock_now_ms() >= proxy->view_deadline_ms)
 		publish_view(proxy);
+	publish_currency(proxy);
 }
 
 /* Creates the relay of a proxy. */
--- a/daemon/view.c
+++ b/daemon/view.c
@@ -1,6 +1,7 @@
 /* Views: the configuration and endpoints that calls use, published under RCU. */
 #include "view.h"
 
+#include <stdatomic.h>
 #include <stdlib.h>
 #include <string.h>
 #include <urcu/urcu-memb.h>
@@ -356,14 +357,18 @@
 }
 
 struct published_view {
-	view_t *view;	 /* NULL: none */
-	uint64_t serial; /* of the last view published */
+	view_t *view;			  /* NULL: none */
+	uint64_t serial;		  /* of the last view published */
+	_Atomic int64_t current_until_ms; /* until when it counts as the newest */
 };
 
 /* Creates a pointer to a published view, with no view yet. */
 published_view_t *published_view_new(void)
 {
-	return g_new0(published_view_t, 1);
+	published_view_t *published = g_new0(published_view_t, 1);
+
+	atomic_init(&published->current_until_ms, INT64_MAX);
+	return published;
 }
 
 /* Frees the pointer and its view; there must be no readers. */
@@ -393,3 +398,18 @@
 {
 	return rcu_dereference(published->view);
 }
+
+/* Sets until when the published view counts as the newest. */
+void published_view_set_current_until(published_view_t *published, int64_t current_until_ms)
+{
+	atomic_store(&published->current_until_ms, current_until_ms);
+}
+
+/*
+ * Returns until when the published view counts as the newest.  Read it before the
+ * view: a view that is replaced in between is not older than the time returned.
+ */
+int64_t published_view_current_until_ms(const published_view_t *published)
+{
+	return atomic_load(&published->current_until_ms);
+}
--- a/daemon/view.h
+++ b/daemon/view.h
@@ -85,5 +85,9 @@
 void published_view_replace(published_view_t *published, view_t *view);
 /* Must be called, and its result used, within a read-side critical section of a registered thread. */
 const view_t *published_view_read(const published_view_t *published);
+/* Sets until when the published view counts as the newest; any time before the first call. */
+void published_view_set_current_until(published_view_t *published, int64_t current_until_ms);
+/* Returns until when the published view counts as the newest; to be read before the view. */
+int64_t published_view_current_until_ms(const published_view_t *published);
 
 #endif
--- a/libcaraway/caraway_calls.h
+++ b/libcaraway/caraway_calls.h
@@ -15,16 +15,17 @@
 #define CW_REASONS(X)                                                                                        \
 	X(NONE, "none", 200)                                                                                 \
 	/* the call was not run */                                                                           \
-	X(NO_CONFIG, "no-config", 503)			 /* no configuration is in force yet */              \
-	X(NO_ROUTE, "no-route", 404)			 /* no route matches the host and path */            \
-	X(NO_TARGET, "no-target", 503)			 /* the service has no endpoint to try */            \
-	X(UNREACHABLE, "unreachable", 503)		 /* no connection to the receiver */                 \
-	X(QUEUE_FULL, "queue-full", 503)		 /* the queue of the receiver is full */             \
-	X(CROWDED, "crowded", 503)			 /* it would miss its latency objective */           \
-	X(TARGET_FULL, "target-full", 503)		 /* the target answered that it did not run it */    \
-	X(DEADLINE, "deadline", 503)			 /* it cannot be run before its deadline */          \
-	X(DRAINING, "draining", 503)			 /* a proxy or the target is draining */             \
-	X(INCARNATION, "incarnation", 503)		 /* the receiver or its target was restarted */      \
+	X(NO_CONFIG, "no-config", 503)	     /* no configuration is in force yet */                          \
+	X(CONFIG_STALE, "config-stale", 503) /* no route, but there may be a newer configuration */          \
+	X(NO_ROUTE, "no-route", 404)	     /* no route matches the host and path */                        \
+	X(NO_TARGET, "no-target", 503)	     /* the service has no endpoint to try */                        \
+	X(UNREACHABLE, "unreachable", 503)   /* no connection to the receiver */                             \
+	X(QUEUE_FULL, "queue-full", 503)     /* the queue of the receiver is full */                         \
+	X(CROWDED, "crowded", 503)	     /* it would miss its latency objective */                       \
+	X(TARGET_FULL, "target-full", 503)   /* the target answered that it did not run it */                \
+	X(DEADLINE, "deadline", 503)	     /* it cannot be run before its deadline */                      \
+	X(DRAINING, "draining", 503)	     /* a proxy or the target is draining */                         \
+	X(INCARNATION, "incarnation", 503)   /* the receiver or its target was restarted */                  \
 	X(TARGET_UNREACHABLE, "target-unreachable", 503) /* the receiver cannot reach its target */          \
 	X(REVOKED, "revoked", 503)			 /* revoked before it started */                     \
 	X(RECORDS_FULL, "records-full", 503)		 /* the receiver has records of too many origins */  \
--- a/libcaraway/caraway_relay.h
+++ b/libcaraway/caraway_relay.h
@@ -175,6 +175,11 @@
 bool cw_relay_is_ready(const cw_relay_t *relay);
 /* True while the newest stamp that counts (see relay.c) is younger than the freshness bound. */
 bool cw_relay_is_fresh(const cw_relay_t *relay, int64_t now_ms);
+/*
+ * Returns until when the feed of a proxy counts as the newest, in milliseconds by the clock of cw_relay_step();
+ * 0 while it is not ready or lacks records that the newest stamp covers.
+ */
+int64_t cw_relay_current_until_ms(const cw_relay_t *relay);
 const char *cw_relay_parent(const cw_relay_t *relay); /* HOST:PORT; NULL until it has sent a stamp */
 uint32_t cw_relay_depth(const cw_relay_t *relay);     /* levels below a control replica, which has 0 */
 size_t cw_relay_child_count(const cw_relay_t *relay);
--- a/libcaraway/gen/caraway.pb-c.c
+++ b/libcaraway/gen/caraway.pb-c.c
@@ -7042,7 +7042,7 @@
   (ProtobufCMessageInit) caraway__pull__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor caraway__news__field_descriptors[15] =
+static const ProtobufCFieldDescriptor caraway__news__field_descriptors[16] =
 {
   {
     "request",
@@ -7224,6 +7224,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "stamp_age_ms",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Caraway__News, stamp_age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned caraway__news__field_indices_by_name[] = {
   9,   /* field[9] = depth */
@@ -7241,11 +7253,12 @@
   3,   /* field[3] = snapshot */
   4,   /* field[4] = snapshot_digest */
   1,   /* field[1] = stamp */
+  15,   /* field[15] = stamp_age_ms */
 };
 static const ProtobufCIntRange caraway__news__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 15 }
+  { 0, 16 }
 };
 const ProtobufCMessageDescriptor caraway__news__descriptor =
 {
@@ -7255,7 +7268,7 @@
   "Caraway__News",
   "caraway",
   sizeof(Caraway__News),
-  15,
+  16,
   caraway__news__field_descriptors,
   caraway__news__field_indices_by_name,
   1,  caraway__news__number_ranges,
--- a/libcaraway/gen/caraway.pb-c.h
+++ b/libcaraway/gen/caraway.pb-c.h
@@ -1192,10 +1192,14 @@
    * instead of records: zstd of a packed News with only them
    */
   ProtobufCBinaryData records_packed;
+  /*
+   * since the confirmation of the stamp began, without the time on links
+   */
+  uint32_t stamp_age_ms;
 };
 #define CARAWAY__NEWS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&caraway__news__descriptor) \
-    , 0, NULL, 0,NULL, {0,NULL}, 0, 0, 0, 0, 0,NULL, 0, 0, 0, 0, {0,NULL}, {0,NULL} }
+    , 0, NULL, 0,NULL, {0,NULL}, 0, 0, 0, 0, 0,NULL, 0, 0, 0, 0, {0,NULL}, {0,NULL}, 0 }
 
 
 /*
--- a/libcaraway/relay.c
+++ b/libcaraway/relay.c
@@ -24,6 +24,9 @@
 /* Delay before a refused confirmation is restarted. */
 enum { CONFIRM_RETRY_MS = 50 };
 
+/* The feed counts as the newest for this time after the confirmation of a stamp that covers no more than it has. */
+enum { CURRENT_MS = 1500 };
+
 void cw_relay_add_count(cw_relay_actions_t *actions, cw_relay_counter_t counter)
 {
 	cw_relay_add_action(actions, CW_RELAY_AC_COUNT)->counter = counter;
@@ -140,13 +143,14 @@
 	return stamp->sequence > relay->stamp.sequence;
 }
 
-bool cw_relay_accept_stamp(cw_relay_t *relay, const Caraway__Stamp *stamp, int64_t now_ms)
+bool cw_relay_accept_stamp(cw_relay_t *relay, const Caraway__Stamp *stamp, uint32_t age_ms, int64_t now_ms)
 {
 	if (!cw_relay_is_newer(relay, stamp))
 		return false;
 	relay->stamp.term = stamp->term;
 	relay->stamp.sequence = stamp->sequence;
 	relay->stamp.feed_index = stamp->feed_index;
+	relay->stamp_issued_ms = now_ms - age_ms;
 	if (cw_feed_index(relay->feed) < relay->fresh_index)
 		return false;
 	relay->fresh_index = stamp->feed_index;
@@ -176,6 +180,7 @@
 {
 	relay->confirm_pending = true;
 	relay->confirm_covers = relay->floor_requests;
+	relay->confirm_start_ms = now_ms;
 	relay->confirm_due_ms = now_ms + relay->options.stamp_ms;
 	relay->confirm_timeout_ms = now_ms + (int64_t)CONFIRM_TIMEOUT_STAMPS * relay->options.stamp_ms;
 	cw_relay_add_action(actions, CW_RELAY_AC_CONFIRM)->cookie = ++relay->confirm_cookie;
@@ -210,7 +215,7 @@
 	stamp.term = relay->lead_term;
 	stamp.sequence = ++relay->lead_sequence;
 	stamp.feed_index = cw_feed_index(relay->feed);
-	cw_relay_accept_stamp(relay, &stamp, now_ms);
+	cw_relay_accept_stamp(relay, &stamp, (uint32_t)(now_ms - relay->confirm_start_ms), now_ms);
 	cw_relay_record_floor(relay, relay->confirm_covers, stamp.feed_index);
 }
 
@@ -341,6 +346,14 @@
 	return now_ms < relay->fresh_until_ms;
 }
 
+/* Returns until when the feed counts as the newest; 0 while it is not ready or lacks records of the newest stamp. */
+int64_t cw_relay_current_until_ms(const cw_relay_t *relay)
+{
+	if (!relay->ready || !relay->stamp.term || cw_feed_index(relay->feed) < relay->stamp.feed_index)
+		return 0;
+	return relay->stamp_issued_ms + CURRENT_MS;
+}
+
 /* Returns the address of the parent, or NULL before it has sent an update with a stamp. */
 const char *cw_relay_parent(const cw_relay_t *relay)
 {
--- a/libcaraway/relay_child.c
+++ b/libcaraway/relay_child.c
@@ -186,7 +186,7 @@
 	if (!update->stamp)
 		return;
 	newer = cw_relay_is_newer(relay, update->stamp);
-	if (cw_relay_accept_stamp(relay, update->stamp, now_ms)) {
+	if (cw_relay_accept_stamp(relay, update->stamp, update->stamp_age_ms, now_ms)) {
 		relay->parent.stamp_by_ms = now_ms + relay->options.freshness_ms;
 		relay->failed_parents = 0;
 	} else if (newer && advanced) {
--- a/libcaraway/relay_internal.h
+++ b/libcaraway/relay_internal.h
@@ -69,7 +69,8 @@
 	GRand *random;
 	Caraway__Endpoint *own_endpoint; /* endpoint of this proxy; NULL until known, and in a replica */
 	/* freshness */
-	Caraway__Stamp stamp;	/* newest received or issued */
+	Caraway__Stamp stamp; /* newest received or issued */
+	int64_t stamp_issued_ms; /* when the confirmation of the newest stamp began, as far as its age is known */
 	int64_t fresh_until_ms; /* freshness bound after the newest stamp that counted */
 	uint64_t fresh_index;	/* the feed must reach this index before the next stamp counts */
 	/* floor requests of this process and its children, by order of arrival; a proxy's own is the first */
@@ -83,6 +84,7 @@
 	uint64_t lead_sequence;	       /* of the newest stamp issued */
 	uint64_t confirm_cookie;       /* of the newest action CONFIRM */
 	uint64_t confirm_covers;       /* the confirmation answers the floor requests up to this position */
+	int64_t confirm_start_ms;      /* when the newest confirmation started */
 	int64_t confirm_due_ms;	       /* when the next confirmation starts */
 	int64_t confirm_not_before_ms; /* a floor request starts none before this time */
 	int64_t confirm_timeout_ms;    /* when the pending one is abandoned */
@@ -118,8 +120,8 @@
 cw_relay_action_t *cw_relay_add_action(cw_relay_actions_t *actions, cw_relay_action_type_t type);
 /* Returns true for a stamp newer than the newest received. */
 bool cw_relay_is_newer(const cw_relay_t *relay, const Caraway__Stamp *stamp);
-/* Stores a stamp if it is newer than the newest received; returns true if it extends the freshness. */
-bool cw_relay_accept_stamp(cw_relay_t *relay, const Caraway__Stamp *stamp, int64_t now_ms);
+/* Stores a stamp of an age if it is newer than the newest received; returns true if it extends the freshness. */
+bool cw_relay_accept_stamp(cw_relay_t *relay, const Caraway__Stamp *stamp, uint32_t age_ms, int64_t now_ms);
 /* Marks the floor requests up to a position as answered; the first answer sets the floor of this process. */
 void cw_relay_record_floor(cw_relay_t *relay, uint64_t covers, uint64_t feed_index);
 /* Makes the configuration usable once the feed has reached the floor. */
--- a/libcaraway/relay_serve.c
+++ b/libcaraway/relay_serve.c
@@ -274,15 +274,17 @@
 }
 
 /* Answers the held pull of a child; takes ownership of update, which contains the records that it lacks. */
-static void answer_pull(const cw_relay_t *relay, relay_child_t *child, Caraway__News *update,
+static void answer_pull(const cw_relay_t *relay, relay_child_t *child, Caraway__News *update, int64_t now_ms,
 			cw_relay_actions_t *actions)
 {
 	Caraway__Message *message = add_answer(actions, child->peer);
 
 	update->request = child->request;
 	update->depth = cw_relay_depth(relay);
-	if (relay->stamp.term)
+	if (relay->stamp.term) {
 		update->stamp = cw_message_copy(&relay->stamp.base);
+		update->stamp_age_ms = (uint32_t)CLAMP(now_ms - relay->stamp_issued_ms, 0, UINT32_MAX);
+	}
 	fill_endpoints(relay, child, update);
 	if (has_floor_answer(relay, child)) {
 		update->floor = child->floor;
@@ -329,7 +331,7 @@
 				     relay->options.max_update_bytes, update);
 	reason = refusal_reason(relay, child, status, update, now_ms);
 	if (reason == CARAWAY__PULL_REASON__PULL_OK) {
-		answer_pull(relay, child, update, actions);
+		answer_pull(relay, child, update, now_ms, actions);
 		return false;
 	}
 	cw_message_free(update);
--- a/tests/unit/relay_observer.c
+++ b/tests/unit/relay_observer.c
@@ -3,6 +3,12 @@
 
 #include <string.h>
 
+enum {
+	US_PER_MS = 1000,
+	/* An older configuration must not count as the newest for longer; a platform allows as much to apply one. */
+	MAX_CURRENT_US = 2000 * US_PER_MS
+};
+
 typedef struct {
 	char *parent; /* last parent that it sent a pull to */
 	int64_t parent_since_us;
@@ -131,6 +137,19 @@
 	process->parent = NULL;
 }
 
+/* Checks that a proxy does not count its configuration as the newest long after another was put in force. */
+static void check_current(observer_t *observer, const net_node_t *node, int64_t now_us)
+{
+	uint64_t next = node->used_version + 1;
+
+	if (!node->used_version || next >= observer->versions->len ||
+	    cw_relay_current_until_ms(node->relay) * US_PER_MS <= now_us)
+		return;
+	if (now_us - g_array_index(observer->version_times_us, int64_t, next) > MAX_CURRENT_US)
+		add_violation(observer,
+			      g_strdup_printf("%s: takes an old version for the newest", node->name));
+}
+
 /* Processes a sent message: a pull of a proxy, or an update that carries a stamp. */
 static void on_message_sent(void *data, const net_node_t *from, const net_node_t *to,
 			    const Caraway__Message *message, bool delivered, int64_t now_us)
@@ -139,6 +158,8 @@
 	process_state_t *process;
 	const Caraway__Stamp *stamp;
 
+	if (!from->is_control_replica && from->relay)
+		check_current(observer, from, now_us);
 	if (message->body_case == CARAWAY__MESSAGE__BODY_PULL && !from->is_control_replica)
 		on_pull(observer, from, to, now_us);
 	if (message->body_case != CARAWAY__MESSAGE__BODY_NEWS || !delivered || !message->news->stamp)
@@ -158,6 +179,7 @@
 	observer_t *observer = g_new0(observer_t, 1);
 
 	observer->versions = g_array_new(FALSE, TRUE, sizeof(observer_version_t));
+	observer->version_times_us = g_array_new(FALSE, TRUE, sizeof(int64_t));
 	observer->highest_versions = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	observer->processes = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, process_state_free);
 	observer->violations = g_ptr_array_new_with_free_func(g_free);
@@ -170,6 +192,7 @@
 	if (!observer)
 		return;
 	g_array_unref(observer->versions);
+	g_array_unref(observer->version_times_us);
 	g_hash_table_unref(observer->highest_versions);
 	g_hash_table_unref(observer->processes);
 	g_ptr_array_unref(observer->violations);
@@ -185,7 +208,8 @@
 				 .disconnected = on_disconnected};
 }
 
-void observer_add_version(observer_t *observer, const observer_version_t *version)
+void observer_add_version(observer_t *observer, const observer_version_t *version, int64_t now_us)
 {
+	g_array_append_val(observer->version_times_us, now_us);
 	g_array_append_vals(observer->versions, version, 1);
 }
--- a/tests/unit/relay_observer.h
+++ b/tests/unit/relay_observer.h
@@ -18,6 +18,7 @@
 
 typedef struct {
 	GArray *versions;	      /* observer_version_t, by version */
+	GArray *version_times_us;     /* int64_t, when each was put in force */
 	GHashTable *highest_versions; /* VM -> uint64_t *, highest version used by any of its processes */
 	GHashTable *processes;	      /* VM -> state of its current process */
 	GPtrArray *violations;	      /* char * */
@@ -29,7 +30,7 @@
 void observer_free(observer_t *observer);
 /* Returns the callbacks with which the simulation reports to the observer. */
 net_callbacks_t observer_callbacks(observer_t *observer);
-/* Appends the content of the next version. */
-void observer_add_version(observer_t *observer, const observer_version_t *version);
+/* Appends the content of the next version, which is put in force now. */
+void observer_add_version(observer_t *observer, const observer_version_t *version, int64_t now_us);
 
 #endif
--- a/tests/unit/test_endpoints.c
+++ b/tests/unit/test_endpoints.c
@@ -2,10 +2,11 @@
 #include <check.h>
 #include <urcu/urcu-memb.h>
 
+#include "clock.h"
 #include "endpoints.h"
 #include "script.h"
 
-enum { CALLS = 1000 };
+enum { CALLS = 1000, CURRENT_MS = 60000 };
 
 /* Returns a view of a content and of count endpoints of a service, on consecutive ports from first_port. */
 static view_t *new_view_of_content(Caraway__Content *content, uint64_t version, const char *service,
@@ -135,6 +136,28 @@
 }
 END_TEST
 
+/* CONFIG: a path without a route is refused with config-stale, a 503, when there may be a newer configuration. */
+START_TEST(test_no_route_when_stale)
+{
+	published_view_t *published_view = published_view_new();
+	endpoints_t endpoints;
+
+	urcu_memb_register_thread();
+	published_view_replace(published_view, new_view(1, "s", 1, 1));
+	published_view_set_current_until(published_view, clock_now_ms());
+	endpoints_lookup(&endpoints, published_view, NULL, "/xy", 0);
+	ck_assert_int_eq(endpoints.refusal, CW_REASON_CONFIG_STALE);
+	ck_assert_uint_eq(cw_reason_http_status(endpoints.refusal), 503);
+	endpoints_clear(&endpoints);
+	published_view_set_current_until(published_view, clock_now_ms() + CURRENT_MS);
+	endpoints_lookup(&endpoints, published_view, NULL, "/xy", 0);
+	ck_assert_int_eq(endpoints.refusal, CW_REASON_NO_ROUTE);
+	endpoints_clear(&endpoints);
+	published_view_free(published_view);
+	urcu_memb_unregister_thread();
+}
+END_TEST
+
 /* The route with the longest matching path prefix is chosen; one without a host serves the other hosts. */
 START_TEST(test_hosts)
 {
@@ -266,6 +289,7 @@
 	tcase_add_test(tcase, test_host_before_any_host);
 	tcase_add_test(tcase, test_one_version);
 	tcase_add_test(tcase, test_no_route);
+	tcase_add_test(tcase, test_no_route_when_stale);
 	tcase_add_test(tcase, test_hosts);
 	tcase_add_test(tcase, test_split);
 	tcase_add_test(tcase, test_links);
--- a/tests/unit/test_relay.c
+++ b/tests/unit/test_relay.c
@@ -67,7 +67,7 @@
 			g_string_append_printf(out, "no such option: %s\n", argv[i]);
 	run->observer = observer_new(max_stale_ms * US_PER_MS);
 	for (uint32_t i = 0; i <= options.proxies; i++)
-		observer_add_version(run->observer, &run->newest);
+		observer_add_version(run->observer, &run->newest, 0);
 	callbacks = observer_callbacks(run->observer);
 	run->net = net_new(&options, &callbacks);
 }
@@ -107,7 +107,7 @@
 /* Activates the newest staged change. */
 static void activate(run_t *run)
 {
-	observer_add_version(run->observer, &run->newest);
+	observer_add_version(run->observer, &run->newest, net_now_us(run->net));
 	net_activate(run->net, run->last_change);
 }
 
