Compress endpoints once for the children that lack the same, register few at a time

Cause, by a new log line for iterations over 200 ms (long-turn): a follower held its thread for 1,972 ms on one update, as it copies, packs and compresses the changed endpoints anew for each of 94 children; the leader for 526 ms on registrations, one proposal, disk write and four messages for each endpoint that announces itself. No heartbeat leaves meanwhile.

Change: the compressed endpoints are kept for the next child that lacks the same changes; at most eight registrations are in progress; a proxy that is not registered yet takes itself for what its settings say, without labels, so that it does not wait for its turn.

--- a/daemon/control.c
+++ b/daemon/control.c
@@ -9,6 +9,7 @@
 enum {
 	MAX_WAIT_MS = 50, /* bounds the delay of the timers that do not end the wait */
 	MAX_MESSAGES_PER_ITERATION = 1000,
+	LONG_TURN_MS = 200,	       /* a longer iteration is logged: timers and heartbeats were as late */
 	LEADERSHIP_TRANSFER_MS = 1000, /* longest wait for another leader on a planned stop */
 	FLUSH_MS = 100		       /* lets the last messages be sent before the sockets close */
 };
@@ -43,13 +44,17 @@
 	}
 }
 
-/* Handles the waiting messages, up to a limit per iteration so that timers are not delayed. */
-static void receive_messages(control_t *control)
+/*
+ * Handles the waiting messages, up to a limit per iteration so that timers are
+ * not delayed.  Returns how many there were.
+ */
+static unsigned receive_messages(control_t *control)
 {
 	Caraway__Message *message;
 	GBytes *peer;
+	unsigned count;
 
-	for (int i = 0; i < MAX_MESSAGES_PER_ITERATION; i++) {
+	for (count = 0; count < MAX_MESSAGES_PER_ITERATION; count++) {
 		message = link_server_receive(control->server, &peer);
 		if (!message)
 			break;
@@ -57,6 +62,7 @@
 		cw_message_free(message);
 		g_bytes_unref(peer);
 	}
+	return count;
 }
 
 /* Handles the answers of another replica to the relay's pulls. */
@@ -79,14 +85,28 @@
 	link_wait(control->server, control->clients, control->poller, -1, CLAMP(wait_ms, 0, MAX_WAIT_MS));
 }
 
+/* Logs an iteration that has held the thread for long. */
+static void log_long_turn(int64_t start_ms, int64_t received_ms, unsigned messages)
+{
+	int64_t end_ms = clock_now_ms();
+
+	if (end_ms - start_ms < LONG_TURN_MS)
+		return;
+	counter_add(COUNTER_LONG_TURN, 1);
+	log_warning("long-turn", LOG_INT("took_ms", end_ms - start_ms),
+		    LOG_INT("messages_ms", received_ms - start_ms), LOG_UINT("messages", messages), LOG_END);
+}
+
 /* Runs one iteration of the event loop: messages first, then timers. */
 static void run_iteration(control_t *control)
 {
 	cw_raft_event_t tick = {.type = CW_RAFT_EV_TICK};
-	int64_t now_ms;
+	int64_t start_ms, now_ms;
+	unsigned messages;
 
 	wait_for_events(control);
-	receive_messages(control);
+	start_ms = clock_now_ms();
+	messages = receive_messages(control);
 	receive_answers(control);
 	now_ms = clock_now_ms();
 	if (cw_raft_next_tick_ms(control->raft) <= now_ms)
@@ -97,6 +117,7 @@
 	metrics_tick(control->metrics, now_ms);
 	if (control->gateway_state)
 		control->gateway->tick_control(control->gateway_state, now_ms);
+	log_long_turn(start_ms, now_ms, messages);
 }
 
 /*
--- a/daemon/control_relay.c
+++ b/daemon/control_relay.c
@@ -9,11 +9,13 @@
 enum {
 	BATCH_MS = 100, /* longest time that an endpoint change waits to be sent with others */
 	MAX_UPDATE_BYTES = 1 << 16,
-	REPORTS_PER_LEASE = 3,		 /* only an own endpoint is reported, which a replica has none of */
-	REGISTRATION_INTERVAL_MS = 1000, /* between comparisons of endpoints with registered VMs */
-	COMMAND_TIMEOUT_MS = 5000,	 /* for a proposal or confirmation to get an outcome */
-	FRESHNESS_MS = 2000, /* two stamps were missed: children should switch to another parent */
-	HOLD_MS = 1000	     /* longest time that a pull is held when there is nothing to send */
+	REPORTS_PER_LEASE = 3,		/* only an own endpoint is reported, which a replica has none of */
+	REGISTRATION_INTERVAL_MS = 100, /* between comparisons of endpoints with registered VMs */
+	/* Proposals in progress: hundreds at once would hold the thread for longer than an election timeout. */
+	MAX_PENDING_REGISTRATIONS = 8,
+	COMMAND_TIMEOUT_MS = 5000, /* for a proposal or confirmation to get an outcome */
+	FRESHNESS_MS = 2000,	   /* two stamps were missed: children should switch to another parent */
+	HOLD_MS = 1000		   /* longest time that a pull is held when there is nothing to send */
 };
 
 /* Returns true when a VM has no record, or its record differs from the announced endpoint. */
@@ -52,8 +54,9 @@
 }
 
 /*
- * Registers every known endpoint that still needs it: those announced before
- * this replica became leader, and those whose registration failed.
+ * Registers the known endpoints that still need it, a limited number at a time:
+ * those announced, before this replica became leader too, and those whose
+ * registration failed.
  */
 static void register_endpoints(control_t *control)
 {
@@ -63,7 +66,9 @@
 		return;
 	control->next_registration_ms = clock_now_ms() + REGISTRATION_INTERVAL_MS;
 	endpoints = cw_members_endpoints(control->members);
-	for (guint i = 0; i < endpoints->len; i++)
+	for (guint i = 0; i < endpoints->len &&
+			  g_hash_table_size(control->pending_registrations) < MAX_PENDING_REGISTRATIONS;
+	     i++)
 		register_vm(control, g_ptr_array_index(endpoints, i));
 	g_ptr_array_free(endpoints, TRUE);
 }
@@ -84,9 +89,6 @@
 	control_t *control = data;
 
 	switch (action->type) {
-	case CW_RELAY_AC_ANNOUNCED:
-		register_vm(control, action->endpoint);
-		break;
 	case CW_RELAY_AC_CONFIRM:
 		confirm_leadership(control, action->cookie);
 		break;
--- a/daemon/counters.h
+++ b/daemon/counters.h
@@ -47,6 +47,7 @@
 	X(ACTIVATED, "activated")                                                                            \
 	X(ACTIVATED_LATE, "activated-late")                                                                  \
 	X(ELECTION, "election")                                                                              \
+	X(LONG_TURN, "long-turn")                                                                            \
 	X(REGISTRATION_REFUSED, "registration-refused")                                                      \
 	X(STAMP_REFUSED, "stamp-refused")                                                                    \
 	X(STORAGE_FAILED, "storage-failed")                                                                  \
--- a/daemon/proxy.c
+++ b/daemon/proxy.c
@@ -112,13 +112,23 @@
 /* Builds a view from the current configuration and endpoints, and publishes it. */
 static void publish_view(proxy_t *proxy)
 {
+	const proxy_settings_t *settings = &proxy->settings->proxy;
 	const cw_catalog_t *catalog = cw_feed_catalog(proxy->feed);
-	const Caraway__Vm *vm = cw_catalog_vm(catalog, proxy->settings->proxy.vm);
+	const Caraway__Vm *vm = cw_catalog_vm(catalog, settings->vm);
+	Caraway__Vm unregistered = CARAWAY__VM__INIT;
 	GPtrArray *endpoints;
 
 	proxy->view_deadline_ms = INT64_MAX;
-	if (!vm || !cw_relay_is_ready(proxy->relay_io.relay))
+	if (!cw_relay_is_ready(proxy->relay_io.relay))
 		return;
+	if (!vm) {
+		/* As it will be registered: labels are given to registered VMs only. */
+		unregistered.name = settings->vm;
+		unregistered.zone = settings->zone;
+		unregistered.region = settings->region;
+		unregistered.service = settings->service;
+		vm = &unregistered;
+	}
 	if (cw_catalog_check_vm(catalog, vm) != CW_OK) {
 		counter_add(COUNTER_VIEW_REFUSED, 1);
 		log_error("configuration-refused", LOG_UINT("version", cw_catalog_version(catalog)),
--- a/libcaraway/members.c
+++ b/libcaraway/members.c
@@ -31,6 +31,7 @@
 	members->next_expiry_ms = INT64_MAX;
 	members->by_vm = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, member_free);
 	g_queue_init(&members->changes);
+	members->packed = g_new0(packed_endpoints_t, 1);
 	return members;
 }
 
@@ -40,6 +41,9 @@
 	if (!members)
 		return;
 	g_hash_table_unref(members->by_vm);
+	if (members->packed->bytes)
+		g_bytes_unref(members->packed->bytes);
+	g_free(members->packed);
 	g_free(members);
 }
 
@@ -66,6 +70,7 @@
 	if (!member->table_sequence)
 		return;
 	g_queue_unlink(&members->changes, &member->link);
+	members->revision++;
 	member->table_sequence = 0;
 	if (is_gone(member))
 		members->gone_count--;
@@ -75,6 +80,7 @@
 static void append_change(cw_members_t *members, member_t *member, uint64_t sequence)
 {
 	member->table_sequence = sequence;
+	members->revision++;
 	g_queue_push_tail_link(&members->changes, &member->link);
 	if (is_gone(member))
 		members->gone_count++;
--- a/libcaraway/members_internal.h
+++ b/libcaraway/members_internal.h
@@ -20,6 +20,13 @@
 	GList link;			     /* in cw_members.changes */
 } member_t;
 
+/* The endpoints that were compressed last, for the next child that lacks the same changes. */
+typedef struct {
+	uint64_t revision; /* of the list of changes; 0: none were compressed yet */
+	uint64_t first;	   /* table sequence of the first change */
+	GBytes *bytes;
+} packed_endpoints_t;
+
 struct cw_members {
 	uint64_t epoch;	     /* term of the leader that numbers the changes */
 	uint64_t sequence;   /* of the newest change */
@@ -32,6 +39,9 @@
 	size_t gone_count;	/* gone endpoints in changes */
 	GHashTable *by_vm;	/* char * -> member_t * */
 	GQueue changes;		/* member_t *, by table_sequence, lowest first */
+	uint64_t revision;	/* of that list, raised whenever it changes */
+	packed_endpoints_t
+		*packed; /* owned; filled by cw_members_fill_update(), which leaves the table as it is */
 };
 
 /* Returns the entry of a VM; adds one without an endpoint if there is none. */
--- a/libcaraway/members_read.c
+++ b/libcaraway/members_read.c
@@ -6,41 +6,63 @@
 /* The endpoints of an update are sent compressed when there are more than this. */
 enum { MAX_UNCOMPRESSED_ENDPOINTS = 32 };
 
-/* Copies the endpoints changed after a table sequence into an update, in order of change. */
-static void put_endpoints_after(const cw_members_t *members, uint64_t sequence, Caraway__News *update)
+/* Returns the first change after a table sequence, NULL if there is none, and the number of them. */
+static const GList *changes_after(const cw_members_t *members, uint64_t sequence, size_t *count)
 {
 	const GList *link = members->changes.tail;
-	size_t count = 0;
 
+	*count = 0;
 	while (link && ((const member_t *)link->data)->table_sequence > sequence) {
 		link = link->prev;
-		count++;
+		(*count)++;
 	}
-	link = link ? link->next : members->changes.head;
+	return link ? link->next : members->changes.head;
+}
+
+/* Copies endpoints from a change on into an update, in order of change. */
+static void put_endpoints(const GList *link, size_t count, Caraway__News *update)
+{
 	update->n_endpoints = count;
 	update->endpoints = g_new0(Caraway__Endpoint *, count);
 	for (size_t i = 0; i < count; i++, link = link->next)
 		update->endpoints[i] = cw_message_copy(&((const member_t *)link->data)->endpoint->base);
 }
 
-/* Compresses the endpoints of an update when there are more than MAX_UNCOMPRESSED_ENDPOINTS. */
-static void compress_endpoints(Caraway__News *update)
+/* Returns endpoints from a change on in compressed form, borrowed. */
+static GBytes *compress_endpoints(const cw_members_t *members, const GList *link, size_t count)
 {
-	Caraway__News packed = CARAWAY__NEWS__INIT;
-	GBytes *bytes;
+	packed_endpoints_t *packed = members->packed;
+	uint64_t first = ((const member_t *)link->data)->table_sequence;
+	Caraway__News update = CARAWAY__NEWS__INIT;
+
+	if (packed->bytes && packed->revision == members->revision && packed->first == first)
+		return packed->bytes;
+	if (packed->bytes)
+		g_bytes_unref(packed->bytes);
+	update.n_endpoints = count;
+	update.endpoints = g_new(Caraway__Endpoint *, count);
+	for (size_t i = 0; i < count; i++, link = link->next)
+		update.endpoints[i] = ((const member_t *)link->data)->endpoint;
+	*packed = (packed_endpoints_t){
+		.revision = members->revision, .first = first, .bytes = cw_message_compress(&update.base)};
+	g_free(update.endpoints);
+	return packed->bytes;
+}
+
+/* Puts the endpoints changed after a table sequence into an update; many of them are compressed. */
+static void put_endpoints_after(const cw_members_t *members, uint64_t sequence, Caraway__News *update)
+{
+	size_t count;
+	const GList *link = changes_after(members, sequence, &count);
+	const void *data;
 	gsize length;
 
-	if (update->n_endpoints <= MAX_UNCOMPRESSED_ENDPOINTS)
+	if (count <= MAX_UNCOMPRESSED_ENDPOINTS) {
+		put_endpoints(link, count, update);
 		return;
-	packed.n_endpoints = update->n_endpoints;
-	packed.endpoints = update->endpoints;
-	bytes = cw_message_compress(&packed.base);
-	for (size_t i = 0; i < update->n_endpoints; i++)
-		cw_message_free(update->endpoints[i]);
-	g_free(update->endpoints);
-	update->n_endpoints = 0;
-	update->endpoints = NULL;
-	update->endpoints_packed.data = g_bytes_unref_to_data(bytes, &length);
+	}
+	data = g_bytes_get_data(compress_endpoints(members, link, count), &length);
+	update->endpoints_packed.data = g_memdup2(data, length);
 	update->endpoints_packed.len = length;
 }
 
@@ -68,7 +90,6 @@
 					  sequence < members->oldest_sequence;
 	}
 	put_endpoints_after(members, update->endpoints_whole ? 0 : sequence, update);
-	compress_endpoints(update);
 }
 
 /* Keeps an endpoint for one more lease, although the authoritative table no longer lists it. */
