--- a/daemon/forward.c
+++ b/daemon/forward.c
@@ -406,12 +406,17 @@
 	return false;
 }
 
-/* Runs the expired timers of calls and finds the next one to expire. */
+/*
+ * Runs the expired timers of calls and finds the next one to expire.  A step may
+ * remove other calls too: completing one closes the connection of a caller that has
+ * left, which cancels its other calls.  The calls not visited yet stay below the
+ * index, as removal only moves the last call to a lower one.
+ */
 static void tick_calls(forward_t *forward, int64_t now_ms)
 {
 	forward->next_tick_ms = INT64_MAX;
-	for (guint i = forward->calls->len; i-- > 0;) {
-		forward_call_t *call = g_ptr_array_index(forward->calls, i);
+	for (guint i = forward->calls->len; i > 0; i = MIN(i - 1, forward->calls->len)) {
+		forward_call_t *call = g_ptr_array_index(forward->calls, i - 1);
 		int64_t due_ms = cw_call_next_tick_ms(&call->state);
 
 		if (due_ms <= now_ms)
