Keep the connection of a health check, and tell its answers from others

Change: on a connection that has carried a health check, an answer without a request id is for no call; one with an id is for no health check.

--- a/daemon/target_connection.c
+++ b/daemon/target_connection.c
@@ -182,6 +182,7 @@
 void target_connection_begin(target_connection_t *connection, target_job_t *job)
 {
 	connection->job = job;
+	connection->probed |= job->is_identity_probe;
 	connection->mismatched_responses = 0;
 	connection->reader.answers_head = !strcmp(job->message->call_request->method, "HEAD");
 	set_state(connection, CONNECTION_BUSY);
@@ -216,18 +217,24 @@
 	return MIN(MAX_IDLE_MS, target_timeout_ms / KEEP_ALIVE_DIVISOR);
 }
 
-/* Returns whether a response carries the request id of another request than the present one. */
+/*
+ * Returns whether a response belongs to another request than the present one: it
+ * carries another request id, or an id where the present request is an identity probe,
+ * or none where an earlier request on the connection was one.
+ */
 static bool is_mismatched(const target_connection_t *connection, const http_message_t *response)
 {
 	const char *name = connection->pool->header_names->request_id;
 	const Caraway__CallRequest *call = connection->job->message->call_request;
 	const char *response_id = http_message_header(response, name);
 
-	if (!response_id)
+	if (connection->job->is_identity_probe)
+		return response_id != NULL;
+	if (!response_id && !connection->probed)
 		return false;
 	for (size_t i = 0; i < call->n_headers; i++)
 		if (!g_ascii_strcasecmp(call->headers[i]->name, name))
-			return strcmp(call->headers[i]->value, response_id) != 0;
+			return g_strcmp0(call->headers[i]->value, response_id) != 0;
 	return false;
 }
 
@@ -243,9 +250,8 @@
 	const header_names_t *names = connection->pool->header_names;
 	target_job_t *job = connection->job;
 	bool request_sent = !send_buffer_pending(&connection->output);
-	/* A second answer to a probe could not be told from one to the next request: it has no request id. */
-	bool reusable = response->keep_alive && request_sent && !extra_bytes &&
-			!connection->mismatched_responses && !job->is_identity_probe;
+	bool reusable =
+		response->keep_alive && request_sent && !extra_bytes && !connection->mismatched_responses;
 	int64_t max_idle_ms = idle_limit_ms(response);
 
 	job->target_draining = http_message_header(response, HEADER_DRAINING) != NULL;
--- a/daemon/target_connection.h
+++ b/daemon/target_connection.h
@@ -21,6 +21,7 @@
 	target_job_t *job; /* NULL: idle, or a probe */
 	send_buffer_t output;
 	bool reused;		       /* it has carried an earlier job */
+	bool probed;		       /* it has carried an identity probe, whose answer has no request id */
 	bool reset;		       /* sending failed, and not because the target had closed regularly */
 	uint32_t mismatched_responses; /* responses to other requests, skipped during the present job */
 	int64_t idle_until_ms;	       /* when an idle connection is closed */
--- a/daemon/target_pool.c
+++ b/daemon/target_pool.c
@@ -96,16 +96,11 @@
 	return connection;
 }
 
-/*
- * Starts a job on an idle connection, or else on a new one.  An identity probe has
- * no request id, so it gets a connection of its own.
- */
+/* Starts a job on an idle connection, or else on a new one. */
 void target_pool_submit(target_pool_t *pool, target_job_t *job)
 {
 	target_connection_t *connection =
-		job->is_identity_probe
-			? NULL
-			: find_idle(pool, job->message->call_request->idempotent, clock_now_ms());
+		find_idle(pool, job->message->call_request->idempotent, clock_now_ms());
 
 	if (connection)
 		target_connection_begin(connection, job);
