Count answers that are not sent yet as work when a proxy stops

Replies that wait in a link to another proxy were not counted either.

Change: both count until they are sent, at most until the exit time. Links with keys do not tell what they have not sent.

--- a/daemon/http_server.c
+++ b/daemon/http_server.c
@@ -185,6 +185,15 @@
 	return count;
 }
 
+/* Returns whether a part of a response has not been sent yet. */
+bool http_server_has_unsent(const http_server_t *server)
+{
+	for (const GList *link = server->connections.head; link; link = link->next)
+		if (send_buffer_pending(&((const http_connection_t *)link->data)->output))
+			return true;
+	return false;
+}
+
 /* Returns the number of open connections. */
 uint32_t http_server_connections(const http_server_t *server)
 {
--- a/daemon/http_server.h
+++ b/daemon/http_server.h
@@ -50,6 +50,7 @@
 /* Accepts no new connections; established ones are still served. */
 void http_server_stop_accepting(http_server_t *server);
 uint32_t http_server_in_flight(const http_server_t *server);   /* unanswered requests, also partly received */
+bool http_server_has_unsent(const http_server_t *server);      /* a part of a response is not sent yet */
 uint32_t http_server_connections(const http_server_t *server); /* open connections, idle ones included */
 
 const http_message_t *http_exchange_request(const http_exchange_t *exchange);
--- a/daemon/link.c
+++ b/daemon/link.c
@@ -123,6 +123,12 @@
 	return send_to_socket_peer(server, peer, message);
 }
 
+/* Returns whether a message that was queued has not been sent yet; false where that is not known. */
+bool link_server_has_unsent(const link_server_t *server)
+{
+	return server->stream && stream_server_has_unsent(server->stream);
+}
+
 /*
  * Rejects a message that its sender is not permitted to send: increments a
  * counter, replies to an operator request with CW_ERR_DENIED, frees the message.
--- a/daemon/link.h
+++ b/daemon/link.h
@@ -37,6 +37,8 @@
 Caraway__Message *link_server_receive(link_server_t *server, GBytes **peer);
 /* CW_ERR_IO or CW_ERR_FULL when the peer has disconnected or its queue is full: the message was not sent. */
 cw_status_t link_server_send(link_server_t *server, GBytes *peer, const Caraway__Message *message);
+/* Returns whether a message that was queued has not been sent yet; false where that is not known. */
+bool link_server_has_unsent(const link_server_t *server);
 
 link_clients_t *link_clients_new(link_context_t *context);
 void link_clients_free(link_clients_t *clients);
--- a/daemon/stream.h
+++ b/daemon/stream.h
@@ -22,6 +22,8 @@
 poller_t *stream_server_poller(const stream_server_t *server);
 /* Returns whether a message is in the receive queue. */
 bool stream_server_has_queued(const stream_server_t *server);
+/* Returns whether a part of a message has not been sent yet. */
+bool stream_server_has_unsent(const stream_server_t *server);
 /* Returns the next message and the identity of the connection it came on, or NULL. */
 Caraway__Message *stream_server_receive(stream_server_t *server, GBytes **peer);
 /* CW_ERR_IO when the connection is closed, CW_ERR_FULL when its queue is full: the message was not sent. */
--- a/daemon/stream_server.c
+++ b/daemon/stream_server.c
@@ -96,6 +96,19 @@
 	return !g_queue_is_empty((GQueue *)&server->group.received);
 }
 
+/* Returns whether a part of a message has not been sent yet. */
+bool stream_server_has_unsent(const stream_server_t *server)
+{
+	GHashTableIter iter;
+	gpointer connection;
+
+	g_hash_table_iter_init(&iter, server->connections);
+	while (g_hash_table_iter_next(&iter, NULL, &connection))
+		if (send_buffer_pending(&((const stream_connection_t *)connection)->output))
+			return true;
+	return false;
+}
+
 /* Returns the next message and the identity of its connection, or NULL. */
 Caraway__Message *stream_server_receive(stream_server_t *server, GBytes **peer)
 {
--- a/daemon/traffic.c
+++ b/daemon/traffic.c
@@ -192,11 +192,16 @@
 		traffic->gateway->tick_proxy(traffic->gateway_state, clock_now_ms());
 }
 
-/* Returns whether a call is in flight, from a caller or from another proxy. */
+/*
+ * Returns whether a call is in flight, from a caller or from another proxy, or an
+ * answer to one is not sent yet: callers may read slowly, and links be full.
+ */
 static bool is_busy(const traffic_t *traffic)
 {
-	return http_server_in_flight(http_frontend_server(traffic->http_frontend)) ||
-	       receiver_in_flight(traffic->receiver);
+	const http_server_t *http_server = http_frontend_server(traffic->http_frontend);
+
+	return http_server_in_flight(http_server) || receiver_in_flight(traffic->receiver) ||
+	       http_server_has_unsent(http_server) || link_server_has_unsent(traffic->server);
 }
 
 /* Returns how long no call must have been in flight before the ports are closed. */
--- a/tests/unit/test_drain.c
+++ b/tests/unit/test_drain.c
@@ -3,6 +3,7 @@
  * twice.  Callers send POST requests without pause, each with its own id, to
  * proxies that are up: a caller whose connection is refused tries the next proxy.
  */
+#include <arpa/inet.h>
 #include <check.h>
 #include <glib.h>
 #include <jansson.h>
@@ -10,6 +11,7 @@
 #include <stdatomic.h>
 #include <stdio.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include "mesh.h"
@@ -17,6 +19,15 @@
 
 enum { CALLERS = 12, TIMEOUT_S = 90, ID_BYTES = 32, LOAD_PHASE_US = 300000, DEADLINE_MS = 4000 };
 
+/* Answers that do not fit into the buffers of a connection, and a caller that takes about a second to read them. */
+enum {
+	LONG_REQUESTS = 8,
+	LONG_BYTES = 3 << 20,
+	SLOW_BUFFER_BYTES = 65536,
+	SLOW_READ_BYTES = 262144,
+	SLOW_PAUSE_US = 10000
+};
+
 static const char *const target_arguments[] = {"--service-ms=10", "--grace-ms=1500", NULL};
 
 /* Callers that put load on a mesh, and their results. */
@@ -144,6 +155,72 @@
 }
 END_TEST
 
+/* Opens a connection with a small receive buffer to a proxy. */
+static int connect_slowly(int port)
+{
+	struct sockaddr_in address = {.sin_family = AF_INET, .sin_port = htons((uint16_t)port)};
+	int size = SLOW_BUFFER_BYTES;
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &size, sizeof(size));
+	ck_assert_int_eq(connect(fd, (struct sockaddr *)&address, sizeof(address)), 0);
+	return fd;
+}
+
+/* Sends requests whose bodies the target returns in its answers. */
+static void send_long_requests(int fd)
+{
+	g_autofree char *body = g_strnfill(LONG_BYTES, 'x');
+
+	for (int i = 0; i < LONG_REQUESTS; i++) {
+		g_autofree char *head =
+			g_strdup_printf("POST /long HTTP/1.1\r\nHost: a\r\nX-Request-Id: long-%d\r\n"
+					"Caraway-Deadline-Ms: %d\r\nContent-Length: %d\r\n\r\n",
+					i, DEADLINE_MS, LONG_BYTES);
+
+		ck_assert_int_eq(send(fd, head, strlen(head), MSG_NOSIGNAL), strlen(head));
+		for (size_t sent = 0; sent < LONG_BYTES;) {
+			ssize_t count = send(fd, body + sent, LONG_BYTES - sent, MSG_NOSIGNAL);
+
+			ck_assert_int_gt(count, 0);
+			sent += (size_t)count;
+		}
+	}
+}
+
+/* Reads answers slowly to the end of the stream; returns the number of bytes. */
+static size_t read_slowly(int fd)
+{
+	g_autofree char *buffer = g_malloc(SLOW_READ_BYTES);
+	size_t length = 0;
+	ssize_t count;
+
+	while ((count = recv(fd, buffer, SLOW_READ_BYTES, 0)) > 0) {
+		length += (size_t)count;
+		usleep(SLOW_PAUSE_US);
+	}
+	return length;
+}
+
+/* LOST: a proxy that stops sends the answers that it has to callers that read slowly. */
+START_TEST(test_slow_readers)
+{
+	mesh_t mesh;
+	int fd;
+
+	mesh_start(&mesh, target_arguments);
+	fd = connect_slowly(mesh.http_ports[MESH_ORIGIN]);
+	send_long_requests(fd);
+	usleep(LOAD_PHASE_US);
+	process_signal(&mesh.proxies[MESH_ORIGIN], SIGTERM);
+	ck_assert_uint_gt(read_slowly(fd), (size_t)LONG_REQUESTS * LONG_BYTES);
+	ck_assert(process_wait(&mesh.proxies[MESH_ORIGIN]));
+	close(fd);
+	mesh_stop(&mesh);
+}
+END_TEST
+
 /* Every proxy stops and restarts, one after another. */
 START_TEST(test_every_proxy_stops)
 {
@@ -204,6 +281,7 @@
 	Suite *suite = suite_create("drain");
 
 	add_test_case(suite, test_receiver_stops);
+	add_test_case(suite, test_slow_readers);
 	add_test_case(suite, test_every_proxy_stops);
 	add_test_case(suite, test_every_target_stops);
 	return script_run_suite(suite);
