--- a/daemon/proxy.c
+++ b/daemon/proxy.c
@@ -9,12 +9,8 @@
 #include "reload.h"
 
 enum {
-	MAX_WAIT_MS = 100,     /* longest wait before the stop flag is checked */
-	VIEW_WAIT_MS = 50,     /* delay to collect further changes of endpoints before a view is built */
-	PROPAGATION_MS = 2200, /* for callers to notice the stop: two polls a second apart, plus a margin */
-	ACCEPT_PERCENT = 50,   /* of the grace period: until then new calls are accepted */
-	EXIT_PERCENT = 86,     /* of the grace period: the process exits by then, even on a busy small VM */
-	PERCENT = 100,
+	MAX_WAIT_MS = 100, /* longest wait before the stop flag is checked */
+	VIEW_WAIT_MS = 50, /* delay to collect further changes of endpoints before a view is built */
 	TARGET_ANNOUNCE_INTERVAL_MS = 1000, /* minimum between announcements of the target's state */
 	MAX_UPDATE_BYTES = 65536,	    /* of the records in one update to a child */
 	ENDPOINT_LEASE_MS = 30000 /* an endpoint missing from a new leader's table is kept this long */
@@ -276,23 +272,6 @@
 				       : CARAWAY__ENDPOINT_STATE__ENDPOINT_DRAINING);
 }
 
-/* The latest end of each step of a planned stop. */
-typedef struct {
-	int64_t propagated_ms;	 /* other proxies and callers have learnt of the stop */
-	int64_t accept_until_ms; /* new calls are accepted until then */
-	int64_t exit_by_ms;	 /* the process exits by then */
-} shutdown_plan_t;
-
-/* Returns the schedule of a planned stop that begins now. */
-static shutdown_plan_t plan_shutdown(const proxy_t *proxy, int64_t now_ms)
-{
-	int64_t grace_ms = proxy->settings->proxy.grace_ms;
-
-	return (shutdown_plan_t){.propagated_ms = now_ms + MIN(grace_ms, PROPAGATION_MS),
-				 .accept_until_ms = now_ms + grace_ms * ACCEPT_PERCENT / PERCENT,
-				 .exit_by_ms = now_ms + grace_ms * EXIT_PERCENT / PERCENT};
-}
-
 /*
  * Shuts down in steps.  First callers are directed to other proxies while all
  * calls are still accepted, so that the target is without work only briefly.
@@ -302,7 +281,7 @@
 static void shut_down(proxy_t *proxy)
 {
 	int64_t now_ms = clock_now_ms();
-	shutdown_plan_t plan = plan_shutdown(proxy, now_ms);
+	cw_stop_plan_t plan = cw_stop_plan(now_ms, proxy->settings->proxy.grace_ms);
 	cw_relay_event_t stopping = {.type = CW_RELAY_EV_STOPPING};
 
 	log_info("leaving", LOG_UINT("in-flight", traffic_in_flight(proxy->traffic)), LOG_END);
--- a/libcaraway/caraway_calls.h
+++ b/libcaraway/caraway_calls.h
@@ -212,6 +212,18 @@
 /* Returns the end of the warm-up of the target, by the clock of cw_target_announce(). */
 int64_t cw_target_warmup_end_ms(const cw_target_t *target);
 
+/* ---- planned stop of a proxy --------------------------------------------------------------------------- */
+
+/* The latest end of each step of a planned stop, by the clock of cw_stop_plan(). */
+typedef struct {
+	int64_t propagated_ms;	 /* other proxies and callers have learnt of the stop */
+	int64_t accept_until_ms; /* new calls are accepted until then */
+	int64_t exit_by_ms;	 /* the process exits by then */
+} cw_stop_plan_t;
+
+/* Returns the schedule of a planned stop that begins now, of a process that is killed after the grace period. */
+cw_stop_plan_t cw_stop_plan(int64_t now_ms, uint32_t grace_ms);
+
 /* ---- time that callers have waited on earlier requests ----------------------------------------- */
 
 typedef struct cw_prior_wait cw_prior_wait_t;
