--- a/tests/unit/test_announcements.c
+++ b/tests/unit/test_announcements.c
@@ -94,6 +94,37 @@
 }
 END_TEST
 
+/* Returns whether a target that has announced itself as ready applies a deregistration. */
+static bool is_deregistered(const char *body)
+{
+	const cw_announcement_t ready = {.id = "i-1", .started_ms = 1000, .sequence = 1};
+	GByteArray *bytes = g_byte_array_new();
+	cw_target_t *target = cw_target_new("tabla", "10.0.0.1:80", 0);
+	codec_announcement_t decoded;
+	bool applied;
+
+	cw_target_announce(target, &ready, 1000);
+	g_byte_array_append(bytes, (const guint8 *)body, (guint)strlen(body));
+	applied = codec_decode_deregistration("i-1", bytes, &decoded) == CW_OK &&
+		  cw_target_announce(target, &decoded.announcement, 1000) == CW_TARGET_APPLIED;
+	codec_announcement_clear(&decoded);
+	cw_target_free(target);
+	g_byte_array_unref(bytes);
+	return applied;
+}
+
+/* DRAIN: a deregistration without its start time, or with one of another type, names no incarnation. */
+START_TEST(test_deregistration)
+{
+	ck_assert(is_deregistered("{\"born\":1000}"));
+	ck_assert(!is_deregistered("{}"));
+	ck_assert(!is_deregistered(""));
+	ck_assert(!is_deregistered("{\"born\":\"1000\"}"));
+	ck_assert(!is_deregistered("{\"born\":0}"));
+	ck_assert(!is_deregistered("{\"born\":1000.5}"));
+}
+END_TEST
+
 /* Runs the tests; returns the exit status of the program. */
 int main(void)
 {
@@ -104,6 +135,7 @@
 	tcase_add_test(tcase, test_nested);
 	tcase_add_test(tcase, test_numbers);
 	tcase_add_test(tcase, test_addresses);
+	tcase_add_test(tcase, test_deregistration);
 	suite_add_tcase(suite, tcase);
 	return script_run_suite(suite);
 }
