--- a/tests/unit/test_target_pool.c
+++ b/tests/unit/test_target_pool.c
@@ -1,6 +1,7 @@
 /* Tests of the pool of connections to a target, with a server that closes reused connections unanswered. */
 #include <arpa/inet.h>
 #include <check.h>
+#include <errno.h>
 #include <pthread.h>
 #include <stdatomic.h>
 #include <string.h>
@@ -289,7 +290,7 @@
 	for (int i = 0; i < BACKLOG_CONNECTIONS; i++) {
 		int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
 
-		connect(fd, (struct sockaddr *)&address, sizeof(address));
+		ck_assert(!connect(fd, (struct sockaddr *)&address, sizeof(address)) || errno == EINPROGRESS);
 		g_array_append_val(connections, fd);
 	}
 	return connections;
