Go on with registrations where the last turn stopped

With eight in progress at most, endpoints whose registration is refused each time would have kept those behind them in the list from their turn. Found when the change was read again; not seen in a run.

--- a/daemon/control.h
+++ b/daemon/control.h
@@ -81,6 +81,7 @@
 	uint64_t snapshot_index;	   /* of the last log entry in the newest snapshot */
 	uint64_t last_cookie;		   /* of the newest pending request */
 	int64_t next_registration_ms;	   /* when endpoints are next compared with the registered VMs */
+	guint next_registration; /* place in the list of endpoints at which that comparison begins */
 	/* Feed index, term, leader and role as last passed to the relay. */
 	uint64_t notified_feed_index;
 	uint64_t notified_term;
--- a/daemon/control_relay.c
+++ b/daemon/control_relay.c
@@ -56,7 +56,8 @@
 /*
  * Registers the known endpoints that still need it, a limited number at a time:
  * those announced, before this replica became leader too, and those whose
- * registration failed.
+ * registration failed.  It goes on where it stopped, so that those that are
+ * refused again and again do not keep the others from their turn.
  */
 static void register_endpoints(control_t *control)
 {
@@ -69,7 +70,8 @@
 	for (guint i = 0; i < endpoints->len &&
 			  g_hash_table_size(control->pending_registrations) < MAX_PENDING_REGISTRATIONS;
 	     i++)
-		register_vm(control, g_ptr_array_index(endpoints, i));
+		register_vm(control,
+			    g_ptr_array_index(endpoints, control->next_registration++ % endpoints->len));
 	g_ptr_array_free(endpoints, TRUE);
 }
 
