Tell in the logs why a call was revoked and how current a configuration is

Added: queued_ms in replies to revocations and, with age_ms, in call-failed; the counter revoke-queued; version and current_for_ms in call-refused; configuration-unconfirmed and configuration-confirmed on proxies, with the histogram unconfirmed_ms; version and index in replacement.

--- a/daemon/control_release.c
+++ b/daemon/control_release.c
@@ -94,11 +94,15 @@
 	control_confirm_leadership(control, gateway_request_new(PENDING_RELEASE, NULL, callback, data));
 }
 
-/* Logs the outcome of a replacement. */
-static void log_replacement(const control_replacement_t *replacement, cw_status_t status, const char *message)
+/* Logs the outcome of a replacement, with the version and feed index by which proxies name the configuration. */
+static void log_replacement(const control_t *control, const control_replacement_t *replacement,
+			    cw_status_t status, const char *message)
 {
+	const cw_feed_t *feed = cw_ledger_feed(control->ledger);
+
 	log_info("replacement", LOG_UINT("release", replacement->release),
 		 LOG_UINT("base", replacement->base_release), LOG_STR("outcome", cw_status_name(status)),
+		 LOG_UINT("version", cw_feed_version(feed)), LOG_UINT("index", cw_feed_index(feed)),
 		 LOG_STR("reason", message), LOG_END);
 }
 
@@ -114,7 +118,7 @@
 					      request->callback, request->data);
 		return;
 	}
-	log_replacement(request->replacement, status,
+	log_replacement(control, request->replacement, status,
 			status == CW_OK ? "accepted before" : cw_last_error_message());
 	request->callback(request->data, status, cw_last_error_message());
 }
@@ -130,6 +134,6 @@
 		return;
 	}
 	if (request->replacement)
-		log_replacement(request->replacement, status, message);
+		log_replacement(control, request->replacement, status, message);
 	request->callback(request->data, status, message);
 }
--- a/daemon/counters.h
+++ b/daemon/counters.h
@@ -107,7 +107,9 @@
 	/* revocations sent; and received, by whether the call had started */                                \
 	X(REVOKE_SENT, "revoke-sent")                                                                        \
 	X(REVOKE_NEVER_STARTED, "revoke-never-started")                                                      \
-	X(REVOKE_STARTED, "revoke-started")
+	X(REVOKE_STARTED, "revoke-started")                                                                  \
+	/* calls that a revocation took from the queue, among those that never started */                    \
+	X(REVOKE_QUEUED, "revoke-queued")
 
 typedef enum {
 #define X(id, name) COUNTER_##id,
--- a/daemon/endpoints.c
+++ b/daemon/endpoints.c
@@ -49,7 +49,7 @@
 
 	int64_t current_until_ms = published_view_current_until_ms(published_view);
 
-	*endpoints = (endpoints_t){.refusal = CW_REASON_NONE};
+	*endpoints = (endpoints_t){.refusal = CW_REASON_NONE, .current_until_ms = current_until_ms};
 	urcu_memb_read_lock();
 	view = published_view_read(published_view);
 	endpoints->view = view ? view_ref(view) : NULL;
--- a/daemon/endpoints.h
+++ b/daemon/endpoints.h
@@ -19,8 +19,9 @@
 
 /* What a call reads from the view; the reference to the view keeps it at one version to its end. */
 typedef struct {
-	cw_reason_t refusal; /* why there is no route, or CW_REASON_NONE */
-	const view_t *view;  /* a reference; NULL when none is published */
+	cw_reason_t refusal;	  /* why there is no route, or CW_REASON_NONE */
+	int64_t current_until_ms; /* until when the view counts as the newest; 0: it does not */
+	const view_t *view;	  /* a reference; NULL when none is published */
 	const view_route_t *route;
 	const char *service; /* that the call goes to */
 	uint32_t timeout_ms; /* 0: the proxy's default */
--- a/daemon/forward.c
+++ b/daemon/forward.c
@@ -98,7 +98,8 @@
 		 LOG_STR("last_vm", last ? last->endpoint->vm : NULL),
 		 LOG_UINT("version", call->endpoints.view->version), LOG_UINT("wait_ms", call->wait_ms),
 		 LOG_UINT("service_ms", call->service_ms), LOG_UINT("load", call->receiver_load),
-		 LOG_UINT("slots", call->receiver_slots),
+		 LOG_UINT("slots", call->receiver_slots), LOG_UINT("queued_ms", call->queued_ms),
+		 LOG_INT("age_ms", clock_now_ms() - call->state.start_ms),
 		 LOG_INT("left_ms", call->state.deadline_ms - clock_now_ms()),
 		 LOG_UINT("retry_after_ms", outcome->retry_after_ms), LOG_END);
 }
@@ -213,16 +214,20 @@
 
 /* Refuses a call without making an attempt. */
 static void refuse_without_attempt(forward_t *forward, Caraway__CallRequest *request, void *cookie,
-				   cw_reason_t reason)
+				   const endpoints_t *endpoints)
 {
+	cw_reason_t reason = endpoints->refusal;
 	forward_outcome_t outcome = {.outcome = CARAWAY__CALL_OUTCOME__OUTCOME_NOT_RUN, .reason = reason};
+	int64_t now_ms = clock_now_ms();
 
 	if (reason == CW_REASON_NO_CONFIG || reason == CW_REASON_CONFIG_STALE)
-		outcome.retry_after_ms = cw_retry_after_unconfigured_ms(clock_now_ms() - forward->started_ms,
+		outcome.retry_after_ms = cw_retry_after_unconfigured_ms(now_ms - forward->started_ms,
 									g_rand_double(forward->random));
 	call_count_outcome(reason);
 	log_info("call-refused", LOG_STR("request", request_id(forward, request)),
-		 LOG_STR("path", request->path), LOG_STR("reason", cw_reason_name(reason)), LOG_END);
+		 LOG_STR("path", request->path), LOG_STR("reason", cw_reason_name(reason)),
+		 LOG_UINT("version", endpoints->view ? endpoints->view->version : 0),
+		 LOG_INT("current_for_ms", endpoints->current_until_ms - now_ms), LOG_END);
 	cw_message_free(request);
 	forward->callbacks.done(forward->callbacks.data, cookie, &outcome);
 }
@@ -242,7 +247,7 @@
 	if (request->depth > MAX_CALL_DEPTH)
 		endpoints.refusal = CW_REASON_TOO_DEEP;
 	if (endpoints.refusal != CW_REASON_NONE) {
-		refuse_without_attempt(forward, request, cookie, endpoints.refusal);
+		refuse_without_attempt(forward, request, cookie, &endpoints);
 		endpoints_clear(&endpoints);
 		return;
 	}
@@ -375,6 +380,7 @@
 	if (!call)
 		return;
 	event.sequence = reply->id->sequence;
+	call->queued_ms = reply->queued_ms;
 	if (reply->never_started)
 		forward_end_attempt(forward, attempt, CW_PICK_REFUSED, NULL);
 	step_call(forward, call, event, NULL);
--- a/daemon/forward_internal.h
+++ b/daemon/forward_internal.h
@@ -26,8 +26,10 @@
 	Caraway__CallReply *error_reply; /* a target's error, saved while another target is tried; or NULL */
 	uint32_t receiver_load;		 /* calls running or queued at that receiver */
 	uint32_t receiver_slots;	 /* of that receiver */
-	void *cookie;			 /* the owner's, for callbacks.done */
-	forward_call_t **handle;	 /* the owner's, set to NULL when the call has completed */
+	uint32_t
+		queued_ms; /* time in a receiver's queue of the attempt revoked last, plus 1; 0: none was queued */
+	void *cookie;	   /* the owner's, for callbacks.done */
+	forward_call_t **handle; /* the owner's, set to NULL when the call has completed */
 	forward_attempt_t attempts[CW_CALL_MAX_ATTEMPTS];
 	uint32_t attempt_count;
 	guint index; /* index in forward_t.calls */
--- a/daemon/histogram.h
+++ b/daemon/histogram.h
@@ -9,7 +9,9 @@
 #define HISTOGRAMS(X)                                                                                        \
 	X(CALL, "call_ms", "from a caller's request to its outcome")                                         \
 	X(QUEUE, "queue_ms", "that a call waited for a slot of the target")                                  \
-	X(TARGET, "target_ms", "that the target took to answer")
+	X(TARGET, "target_ms", "that the target took to answer")                                             \
+	X(UNCONFIRMED, "unconfirmed_ms",                                                                     \
+	  "that a proxy could not tell whether its configuration is the newest")
 
 typedef enum {
 #define X(id, name, help) HISTOGRAM_##id,
--- a/daemon/proxy.c
+++ b/daemon/proxy.c
@@ -4,6 +4,7 @@
  */
 #include "clock.h"
 #include "counters.h"
+#include "histogram.h"
 #include "log.h"
 #include "proxy_internal.h"
 #include "reload.h"
@@ -141,13 +142,38 @@
 		 LOG_UINT("index", cw_feed_index(proxy->feed)), LOG_END);
 }
 
+/* Logs when the published configuration ceases to count as the newest and when it counts so again. */
+static void log_currency(proxy_t *proxy, bool current)
+{
+	const cw_relay_t *relay = proxy->relay_io.relay;
+	int64_t now_ms = clock_now_ms();
+
+	if (!proxy->published_version || current == !proxy->unconfirmed_since_ms)
+		return;
+	if (!current) {
+		proxy->unconfirmed_since_ms = now_ms;
+		log_info("configuration-unconfirmed", LOG_UINT("version", proxy->published_version),
+			 LOG_UINT("index", cw_feed_index(proxy->feed)),
+			 LOG_UINT("confirmed_index", cw_relay_stamp(relay)->feed_index),
+			 LOG_STR("parent", cw_relay_parent(relay)), LOG_END);
+		return;
+	}
+	histogram_add(HISTOGRAM_UNCONFIRMED, now_ms - proxy->unconfirmed_since_ms);
+	log_info("configuration-confirmed", LOG_UINT("version", proxy->published_version),
+		 LOG_UINT("index", cw_feed_index(proxy->feed)),
+		 LOG_INT("unconfirmed_ms", now_ms - proxy->unconfirmed_since_ms),
+		 LOG_STR("parent", cw_relay_parent(relay)), LOG_END);
+	proxy->unconfirmed_since_ms = 0;
+}
+
 /* Tells the traffic thread until when the published view counts as the newest. */
-static void publish_currency(const proxy_t *proxy)
+static void publish_currency(proxy_t *proxy)
 {
 	bool published = cw_catalog_version(cw_feed_catalog(proxy->feed)) == proxy->published_version;
+	int64_t current_until_ms = published ? cw_relay_current_until_ms(proxy->relay_io.relay) : 0;
 
-	published_view_set_current_until(proxy->published_view,
-					 published ? cw_relay_current_until_ms(proxy->relay_io.relay) : 0);
+	published_view_set_current_until(proxy->published_view, current_until_ms);
+	log_currency(proxy, clock_now_ms() < current_until_ms);
 }
 
 /* Runs one iteration of the event loop: waits for messages or the next timer, then handles both. */
--- a/daemon/proxy_internal.h
+++ b/daemon/proxy_internal.h
@@ -22,8 +22,9 @@
 	relay_io_t relay_io;
 	published_view_t *published_view;
 	traffic_t *traffic;
-	int64_t view_deadline_ms;	 /* when to publish the next view; INT64_MAX: nothing has changed */
-	uint64_t published_version;	 /* of the published configuration; 0: none */
+	int64_t view_deadline_ms;   /* when to publish the next view; INT64_MAX: nothing has changed */
+	uint64_t published_version; /* of the published configuration; 0: none */
+	int64_t unconfirmed_since_ms; /* since when it does not count as the newest; 0: it does, or there is none */
 	uint64_t endpoint_sequence;	 /* of the last announcement of the endpoint */
 	bool announced_ready;		 /* state of the target in the last announcement */
 	int64_t next_target_announce_ms; /* earliest time to announce the target's state again */
--- a/daemon/receiver.c
+++ b/daemon/receiver.c
@@ -303,6 +303,7 @@
 	cw_call_id_t id = call_id(revoke->id);
 	Caraway__Message *message = g_new(Caraway__Message, 1);
 	Caraway__RevokeReply *reply = g_new(Caraway__RevokeReply, 1);
+	target_job_t *job;
 	uint64_t cookie = 0;
 
 	caraway__message__init(message);
@@ -312,11 +313,16 @@
 	reply->id = cw_message_copy(&revoke->id->base);
 	if (revoke->receiver == receiver->incarnation)
 		reply->never_started = cw_admit_revoke(receiver->admit, &id, clock_now_ms(), &cookie);
-	if (cookie)
-		target_job_free(remove_queued(receiver, cookie));
+	if (cookie) {
+		job = remove_queued(receiver, cookie);
+		reply->queued_ms = (uint32_t)(clock_now_ms() - job->received_ms) + 1;
+		target_job_free(job);
+	}
 	if (revoke->stop && !reply->never_started)
 		stop_running(receiver, &id);
 	counter_add(reply->never_started ? COUNTER_REVOKE_NEVER_STARTED : COUNTER_REVOKE_STARTED, 1);
+	if (cookie)
+		counter_add(COUNTER_REVOKE_QUEUED, 1);
 	receiver->send(receiver->data, peer, message);
 }
 
--- a/libcaraway/gen/caraway.pb-c.c
+++ b/libcaraway/gen/caraway.pb-c.c
@@ -7958,7 +7958,7 @@
   (ProtobufCMessageInit) caraway__revoke__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor caraway__revoke_reply__field_descriptors[2] =
+static const ProtobufCFieldDescriptor caraway__revoke_reply__field_descriptors[3] =
 {
   {
     "id",
@@ -7984,15 +7984,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "queued_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Caraway__RevokeReply, queued_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned caraway__revoke_reply__field_indices_by_name[] = {
   0,   /* field[0] = id */
   1,   /* field[1] = never_started */
+  2,   /* field[2] = queued_ms */
 };
 static const ProtobufCIntRange caraway__revoke_reply__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor caraway__revoke_reply__descriptor =
 {
@@ -8002,7 +8015,7 @@
   "Caraway__RevokeReply",
   "caraway",
   sizeof(Caraway__RevokeReply),
-  2,
+  3,
   caraway__revoke_reply__field_descriptors,
   caraway__revoke_reply__field_indices_by_name,
   1,  caraway__revoke_reply__number_ranges,
--- a/libcaraway/gen/caraway.pb-c.h
+++ b/libcaraway/gen/caraway.pb-c.h
@@ -1374,10 +1374,14 @@
   ProtobufCMessage base;
   Caraway__CallId *id;
   protobuf_c_boolean never_started;
+  /*
+   * time that the revoked call was in the queue, plus 1; 0: it was not in the queue
+   */
+  uint32_t queued_ms;
 };
 #define CARAWAY__REVOKE_REPLY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&caraway__revoke_reply__descriptor) \
-    , NULL, 0 }
+    , NULL, 0, 0 }
 
 
 struct  Caraway__ChangesQuery
