--- a/tests/unit/mesh_origin.c
+++ b/tests/unit/mesh_origin.c
@@ -2,7 +2,7 @@
 #include "mesh_internal.h"
 
 enum {
-	MAX_SENDS = 2,		   /* of a caller's request: the first and one retry */
+	DEFAULT_SENDS = 2,	   /* of a caller's request: the first and one retry */
 	MAX_RETRY_WAIT_DIVISOR = 3 /* callers wait at most 1/3 of their time left before a retry */
 };
 
@@ -35,6 +35,24 @@
 	schedule_send(sim, request, 0);
 }
 
+/* Returns within which time of its first sending a request of a kind is answered in time. */
+static int64_t objective_ms(const mesh_kind_t *kind)
+{
+	return kind->target_ms ? kind->target_ms : kind->timeout_ms;
+}
+
+/* Returns the end of a request's latency objective, as the origin estimates it. */
+static int64_t estimate_useful_until_ms(const mesh_sim_t *sim, const mesh_request_t *request)
+{
+	const mesh_kind_t *kind = mesh_kind(sim, request);
+
+	if (!kind->target_ms)
+		return request->deadline_ms;
+	return sim->now_ms + kind->target_ms -
+	       cw_prior_wait_estimate_ms(sim->proxies[request->origin].prior_wait,
+					 (uint64_t)request->kind + 1, request->deadline_ms - sim->now_ms);
+}
+
 /* Ends a request with an answer. */
 static void end_answered(mesh_sim_t *sim, mesh_request_t *request)
 {
@@ -44,12 +62,18 @@
 	request->open = false;
 	if (request->parent)
 		mesh_call_ended(sim, request->parent, true);
-	else if (took_ms <= mesh_kind(sim, request)->target_ms)
+	else if (took_ms <= objective_ms(mesh_kind(sim, request)))
 		counts->in_time++;
 	else
 		counts->late++;
 }
 
+/* Returns how often a caller sends a request of a kind, at most. */
+static unsigned max_sends(const mesh_kind_t *kind)
+{
+	return kind->sends ? kind->sends : DEFAULT_SENDS;
+}
+
 /* Ends a send without an answer: the caller sends it again after a wait, or gives up. */
 static void end_failed(mesh_sim_t *sim, mesh_request_t *request, bool not_run, int64_t wait_ms)
 {
@@ -59,7 +83,7 @@
 	request->open = false;
 	if (request->parent)
 		mesh_call_ended(sim, request->parent, false);
-	else if (request->sends < MAX_SENDS && left_ms > 0 &&
+	else if (request->sends < max_sends(mesh_kind(sim, request)) && left_ms > 0 &&
 		 (not_run || mesh_kind(sim, request)->idempotent))
 		schedule_send(sim, request, MIN(wait_ms, left_ms / MAX_RETRY_WAIT_DIVISOR));
 	else
@@ -202,7 +226,6 @@
 {
 	const mesh_kind_t *kind = mesh_kind(sim, request);
 	int64_t left_ms = request->deadline_ms - sim->now_ms;
-	cw_prior_wait_t *prior_wait = sim->proxies[request->origin].prior_wait;
 
 	if (left_ms <= 0) {
 		end_failed(sim, request, true, 0);
@@ -212,9 +235,7 @@
 	request->open = true;
 	request->refused_call = (cw_refused_call_t){0};
 	memset(request->tried, 0, sizeof(request->tried));
-	request->useful_until_ms =
-		sim->now_ms + kind->target_ms -
-		cw_prior_wait_estimate_ms(prior_wait, (uint64_t)request->kind + 1, left_ms);
+	request->useful_until_ms = estimate_useful_until_ms(sim, request);
 	cw_call_init(&request->state, kind->idempotent, true, sim->now_ms, request->deadline_ms);
 	request->state.max_arrivals = 2;
 	step_call(sim, request, (cw_call_event_t){.type = CW_CALL_EV_START});
--- a/tests/unit/mesh_sim.c
+++ b/tests/unit/mesh_sim.c
@@ -208,6 +208,13 @@
 	return (double)sim->counts[kind].in_time / MAX(sim->counts[kind].total, 1);
 }
 
+double mesh_sim_answered_share(const mesh_sim_t *sim, int kind)
+{
+	const mesh_counts_t *counts = &sim->counts[kind];
+
+	return (double)(counts->in_time + counts->late) / MAX(counts->total, 1);
+}
+
 double mesh_sim_wasted_share(const mesh_sim_t *sim)
 {
 	return sim->wasted_ms / MAX(sim->run_ms, 1);
--- a/tests/unit/mesh_sim.h
+++ b/tests/unit/mesh_sim.h
@@ -25,7 +25,7 @@
 	double per_s;	    /* requests of callers per second, in all zones together */
 	double mean_ms;	    /* work at a target of speed 1, without the calls that it makes */
 	double spread;	    /* standard deviation of the work over its mean */
-	int64_t target_ms;  /* latency objective */
+	int64_t target_ms;  /* latency objective; 0: none, an answer within timeout_ms is in time */
 	int64_t timeout_ms; /* of a caller, from its first request */
 	double value;	    /* of an answer within target_ms */
 	double late_value;  /* of an answer after target_ms */
@@ -36,6 +36,7 @@
 	int calls; /* kind of the call that a target makes halfway through the work, or MESH_NO_KIND */
 	double call_share; /* of the runs that make it */
 	int call_times;	   /* one after the other */
+	unsigned sends;	   /* of a caller's request that is refused, at most; 0: two */
 } mesh_kind_t;
 
 /* A service and its targets. */
@@ -73,6 +74,8 @@
 double mesh_sim_value_share(const mesh_sim_t *sim);
 /* Returns the share of callers' requests of a kind that were answered within target_ms. */
 double mesh_sim_in_time_share(const mesh_sim_t *sim, int kind);
+/* Returns the share of callers' requests of a kind that were answered at all. */
+double mesh_sim_answered_share(const mesh_sim_t *sim, int kind);
 /* Returns the share of the targets' running time spent on calls that failed or that nobody waited for any more. */
 double mesh_sim_wasted_share(const mesh_sim_t *sim);
 void mesh_sim_free(mesh_sim_t *sim);
