Leave a queued call in its place when its origin asks about it

Cause: a receiver orders its queue by when calls are due, as far as their deadlines; the origin asked a receiver without a reply after half of the time left by a revocation, which took a sound receiver's call out of its queue. So what had its turn in the second half of its time never had it. One message was both a question whether the receiver is there and a withdrawal.

Change: the question spares a queued call that is expected to be answered by its deadline, by the work ahead of it. The origin asks again after half of what is left then, and revokes at the deadline. What is not expected any more is revoked as before, so that it can be tried elsewhere or refused. Older peers ignore the new field and revoke as before.

Weighed: asking at the deadline only, which finds a receiver that is gone too late.

--- a/daemon/counters.h
+++ b/daemon/counters.h
@@ -104,8 +104,9 @@
 	X(REPLY_LATE, "reply-late")                                                                          \
 	X(REPLY_LOST, "reply-lost")                                                                          \
 	X(REPLY_MISMATCHED, "reply-mismatched")                                                              \
-	/* revocations sent; and received, by whether the call had started */                                \
+	/* revocations sent; and received, by whether the call stays queued, never starts or had started */  \
 	X(REVOKE_SENT, "revoke-sent")                                                                        \
+	X(REVOKE_KEPT, "revoke-kept")                                                                        \
 	X(REVOKE_NEVER_STARTED, "revoke-never-started")                                                      \
 	X(REVOKE_STARTED, "revoke-started")                                                                  \
 	/* calls that a revocation took from the queue, among those that never started */                    \
--- a/daemon/forward.c
+++ b/daemon/forward.c
@@ -185,7 +185,8 @@
 			event = forward_start_attempt(forward, call);
 			break;
 		case CW_CALL_AC_REVOKE:
-			forward_revoke(forward, call, action.sequence, false);
+			forward_revoke(forward, call, action.sequence,
+				       action.keep_queued ? FORWARD_REVOKE_UNLESS_QUEUED : FORWARD_REVOKE);
 			event = (cw_call_event_t){.type = CW_CALL_EV_TICK};
 			break;
 		case CW_CALL_AC_ANSWER:
@@ -275,7 +276,7 @@
 	counter_add(COUNTER_CALL_CANCELLED, 1);
 	for (uint32_t i = 0; i < call->attempt_count; i++)
 		if (!call->attempts[i].ended)
-			forward_revoke(forward, call, call->attempts[i].sequence, true);
+			forward_revoke(forward, call, call->attempts[i].sequence, FORWARD_REVOKE_AND_STOP);
 	remove_call(forward, call, CW_PICK_REVOKED);
 }
 
@@ -373,7 +374,8 @@
 /* Handles the reply to a revocation. */
 static void handle_revoke_reply(forward_t *forward, const Caraway__RevokeReply *reply, const char *address)
 {
-	cw_call_event_t event = {.type = CW_CALL_EV_REVOKED, .never_started = reply->never_started};
+	cw_call_event_t event = {
+		.type = CW_CALL_EV_REVOKED, .never_started = reply->never_started, .kept = reply->kept};
 	forward_attempt_t *attempt;
 	forward_call_t *call = match_reply(forward, reply->id, address, &attempt);
 
--- a/daemon/forward_attempt.c
+++ b/daemon/forward_attempt.c
@@ -114,8 +114,8 @@
 	return NULL;
 }
 
-/* Revokes an attempt at its receiver; with stop, one that already runs is aborted too. */
-void forward_revoke(forward_t *forward, forward_call_t *call, uint64_t sequence, bool stop)
+/* Revokes an attempt at its receiver. */
+void forward_revoke(forward_t *forward, forward_call_t *call, uint64_t sequence, forward_revoke_kind_t kind)
 {
 	const forward_attempt_t *attempt = forward_find_attempt(call, sequence);
 	Caraway__Message message = CARAWAY__MESSAGE__INIT;
@@ -126,7 +126,8 @@
 	id.sequence = sequence;
 	revoke.id = &id;
 	revoke.receiver = attempt->endpoint->incarnation;
-	revoke.stop = stop;
+	revoke.stop = kind == FORWARD_REVOKE_AND_STOP;
+	revoke.keep_queued = kind == FORWARD_REVOKE_UNLESS_QUEUED;
 	message.body_case = CARAWAY__MESSAGE__BODY_REVOKE;
 	message.revoke = &revoke;
 	counter_add(COUNTER_REVOKE_SENT, 1);
--- a/daemon/forward_internal.h
+++ b/daemon/forward_internal.h
@@ -65,8 +65,14 @@
 cw_call_event_t forward_start_attempt(forward_t *forward, forward_call_t *call);
 /* Finds an attempt of a call by its sequence; NULL when the call has none with it. */
 forward_attempt_t *forward_find_attempt(forward_call_t *call, uint64_t sequence);
-/* Revokes an attempt at its receiver; with stop, one that already runs is aborted too. */
-void forward_revoke(forward_t *forward, forward_call_t *call, uint64_t sequence, bool stop);
+typedef enum {
+	FORWARD_REVOKE,
+	FORWARD_REVOKE_UNLESS_QUEUED, /* not if it is queued and expected to be answered in time */
+	FORWARD_REVOKE_AND_STOP	      /* one that runs already is aborted too */
+} forward_revoke_kind_t;
+
+/* Revokes an attempt at its receiver. */
+void forward_revoke(forward_t *forward, forward_call_t *call, uint64_t sequence, forward_revoke_kind_t kind);
 
 /* forward_limits.c: timeouts and idempotence of a call */
 
--- a/daemon/receiver.c
+++ b/daemon/receiver.c
@@ -295,8 +295,8 @@
 }
 
 /*
- * Handles a revocation.  For one addressed to an earlier incarnation,
- * never_started stays false: this process cannot know whether the call ran.
+ * Handles a revocation.  For one addressed to an earlier incarnation, never_started
+ * and kept stay false: this process cannot know whether the call ran.
  */
 static void handle_revoke(receiver_t *receiver, const Caraway__Revoke *revoke, GBytes *peer)
 {
@@ -311,8 +311,12 @@
 	message->body_case = CARAWAY__MESSAGE__BODY_REVOKE_REPLY;
 	message->revoke_reply = reply;
 	reply->id = cw_message_copy(&revoke->id->base);
-	if (revoke->receiver == receiver->incarnation)
-		reply->never_started = cw_admit_revoke(receiver->admit, &id, clock_now_ms(), &cookie);
+	if (revoke->receiver == receiver->incarnation) {
+		reply->kept =
+			revoke->keep_queued && cw_admit_is_expected(receiver->admit, &id, clock_now_ms());
+		if (!reply->kept)
+			reply->never_started = cw_admit_revoke(receiver->admit, &id, clock_now_ms(), &cookie);
+	}
 	if (cookie) {
 		job = remove_queued(receiver, cookie);
 		reply->queued_ms = (uint32_t)(clock_now_ms() - job->received_ms) + 1;
@@ -320,7 +324,10 @@
 	}
 	if (revoke->stop && !reply->never_started)
 		stop_running(receiver, &id);
-	counter_add(reply->never_started ? COUNTER_REVOKE_NEVER_STARTED : COUNTER_REVOKE_STARTED, 1);
+	counter_add(reply->kept		   ? COUNTER_REVOKE_KEPT
+		    : reply->never_started ? COUNTER_REVOKE_NEVER_STARTED
+					   : COUNTER_REVOKE_STARTED,
+		    1);
 	if (cookie)
 		counter_add(COUNTER_REVOKE_QUEUED, 1);
 	receiver->send(receiver->data, peer, message);
--- a/libcaraway/admit.c
+++ b/libcaraway/admit.c
@@ -448,19 +448,45 @@
 	}
 }
 
+/* Returns the position of a call in the queue; the length of the queue when it is not queued. */
+static guint find_queued(const cw_admit_t *admit, const cw_call_id_t *id)
+{
+	guint position;
+
+	for (position = 0; position < admit->queue->len; position++) {
+		const cw_call_id_t *queued = &((const queued_call_t *)admit->queue->pdata[position])->call.id;
+
+		if (queued->origin == id->origin && queued->sequence == id->sequence)
+			break;
+	}
+	return position;
+}
+
 /* Removes a call from the queue; returns its cookie, or 0 when it is not queued. */
 static uint64_t remove_queued(cw_admit_t *admit, const cw_call_id_t *id)
 {
-	for (guint i = 0; i < admit->queue->len; i++) {
-		const cw_admit_call_t *call = &((const queued_call_t *)admit->queue->pdata[i])->call;
-		uint64_t cookie = call->cookie;
+	guint position = find_queued(admit, id);
+	uint64_t cookie;
 
-		if (call->id.origin != id->origin || call->id.sequence != id->sequence)
-			continue;
-		g_ptr_array_remove_index(admit->queue, i);
-		return cookie;
-	}
-	return 0;
+	if (position == admit->queue->len)
+		return 0;
+	cookie = ((const queued_call_t *)admit->queue->pdata[position])->call.cookie;
+	g_ptr_array_remove_index(admit->queue, position);
+	return cookie;
+}
+
+/* Returns whether a call is queued and expected to be answered before its deadline, by the work ahead of it. */
+bool cw_admit_is_expected(const cw_admit_t *admit, const cw_call_id_t *id, int64_t now_ms)
+{
+	guint position = find_queued(admit, id);
+	const queued_call_t *queued;
+
+	if (position == admit->queue->len)
+		return false;
+	queued = admit->queue->pdata[position];
+	return (double)now_ms + queue_wait_ms(admit, position, queued->expected_ms, now_ms) +
+		       queued->expected_ms <=
+	       (double)queued->call.deadline_ms;
 }
 
 /*
--- a/libcaraway/call.c
+++ b/libcaraway/call.c
@@ -2,6 +2,9 @@
  * State machine of one call at its origin, the sending proxy: attempts,
  * revocation, retries and the outcome.
  *
+ * A receiver without a reply is asked whether it is there by a revocation that
+ * leaves a queued call in its place as long as that is expected to be answered in time.
+ *
  * The outcome "not run" is reported only when every attempt is known not to
  * have been run.  A call that is not idempotent has at most one attempt of
  * which this is not known.
@@ -15,7 +18,7 @@
 	MARGIN_MIN_MS = 5,
 	MARGIN_MAX_MS = 100,
 	RESPONSE_RETURN_MS = 40, /* for a response to pass two proxies with a tenth of a CPU each */
-	/* An attempt without a reply is revoked after the time left at its start divided by this. */
+	/* An attempt without a reply is asked about after the time left divided by this, and revoked at its end. */
 	REVOKE_DIVISOR = 2,
 	REVOKE_RETRY_MS = 100,	 /* until an unanswered revocation is repeated or the attempt is given up */
 	MAX_CROWDED_RETRIES = 2, /* per call; they need no budget: a refused attempt reaches no target */
@@ -162,15 +165,21 @@
 	return finish(call, reason);
 }
 
+/* Returns when an attempt that is waiting for its reply is revoked or asked about, REVOKE_RETRY_MS apart at least. */
+static int64_t next_revocation_ms(const cw_call_t *call, int64_t now_ms, int64_t min_ms)
+{
+	int64_t left_ms = MAX(cw_call_receiver_deadline_ms(call) - now_ms, 0);
+
+	return now_ms + MIN(MAX(left_ms / REVOKE_DIVISOR, min_ms), left_ms);
+}
+
 /* Adds the attempt whose request was sent. */
 static cw_call_action_t on_sent(cw_call_t *call, uint64_t sequence, int64_t now_ms)
 {
-	int64_t left_ms = cw_call_receiver_deadline_ms(call) - now_ms;
-
 	call->attempts[call->attempt_count++] =
 		(cw_attempt_t){.sequence = sequence,
 			       .state = CW_ATTEMPT_WAITING,
-			       .timer_ms = now_ms + MAX(left_ms / REVOKE_DIVISOR, 0)};
+			       .timer_ms = next_revocation_ms(call, now_ms, 0)};
 	return make_action(CW_CALL_AC_NONE);
 }
 
@@ -260,16 +269,23 @@
 	if (event->never_started)
 		return on_attempt_end(call, budget, event->sequence, CW_ATTEMPT_NOT_RUN,
 				      late ? CW_REASON_DEADLINE : CW_REASON_REVOKED, now_ms);
+	if (event->kept) {
+		attempt->state = CW_ATTEMPT_WAITING;
+		attempt->timer_ms = next_revocation_ms(call, now_ms, REVOKE_RETRY_MS);
+		return make_action(CW_CALL_AC_NONE);
+	}
 	attempt->state = CW_ATTEMPT_STARTED;
 	return make_action(CW_CALL_AC_NONE);
 }
 
 /* Marks an attempt as being revoked and returns the action that sends the revocation. */
-static cw_call_action_t revoke_attempt(cw_attempt_t *attempt, int64_t now_ms)
+static cw_call_action_t revoke_attempt(const cw_call_t *call, cw_attempt_t *attempt, int64_t now_ms)
 {
 	attempt->state = CW_ATTEMPT_REVOKING;
 	attempt->timer_ms = now_ms + REVOKE_RETRY_MS;
-	return (cw_call_action_t){.type = CW_CALL_AC_REVOKE, .sequence = attempt->sequence};
+	return (cw_call_action_t){.type = CW_CALL_AC_REVOKE,
+				  .sequence = attempt->sequence,
+				  .keep_queued = now_ms < cw_call_receiver_deadline_ms(call)};
 }
 
 /* Returns whether an idempotent call should give up an attempt whose revocation is not answered. */
@@ -296,7 +312,7 @@
 		if (is_unresponsive(call, attempt, now_ms))
 			return on_attempt_end(call, budget, attempt->sequence, CW_ATTEMPT_UNKNOWN,
 					      CW_REASON_NO_ANSWER, now_ms);
-		return revoke_attempt(attempt, now_ms);
+		return revoke_attempt(call, attempt, now_ms);
 	}
 	return make_action(CW_CALL_AC_NONE);
 }
--- a/libcaraway/caraway_calls.h
+++ b/libcaraway/caraway_calls.h
@@ -129,6 +129,8 @@
 		   int64_t started_ms, int64_t now_ms);
 /* Returns true when the call has not started and never will; *cookie is then the queued call, or 0. */
 bool cw_admit_revoke(cw_admit_t *admit, const cw_call_id_t *id, int64_t now_ms, uint64_t *cookie);
+/* Returns whether a call is queued and expected to be answered before its deadline. */
+bool cw_admit_is_expected(const cw_admit_t *admit, const cw_call_id_t *id, int64_t now_ms);
 /* While draining, new calls are refused; queued calls still start, until cw_admit_set_start_until(). */
 void cw_admit_set_draining(cw_admit_t *admit, bool draining);
 /* Sets until when queued calls start; later they are refused as draining.  INT64_MAX: without limit. */
@@ -379,7 +381,7 @@
 	CW_CALL_EV_ANSWERED,	/* the target answered; with sequence and error */
 	CW_CALL_EV_NOT_RUN,	/* the attempt was not run; with sequence, reason and arrived */
 	CW_CALL_EV_UNKNOWN,	/* the attempt may have been run; with sequence and reason */
-	CW_CALL_EV_REVOKED,	/* reply to a revocation; with sequence and never_started */
+	CW_CALL_EV_REVOKED,	/* reply to a revocation; with sequence, never_started and kept */
 	CW_CALL_EV_TICK		/* the time of cw_call_next_tick_ms() has come */
 } cw_call_event_type_t;
 
@@ -388,6 +390,7 @@
 	uint64_t sequence;
 	cw_reason_t reason; /* also of NO_ENDPOINT: CROWDED when links leave too little time */
 	bool never_started; /* REVOKED: the attempt has not started and never will */
+	bool kept;	    /* REVOKED: it stays in the queue, as keep_queued allowed */
 	bool arrived;	    /* NOT_RUN: it reached a target nevertheless */
 	bool error;	    /* ANSWERED: with an error that another target may not give */
 } cw_call_event_t;
@@ -407,7 +410,8 @@
 	cw_call_action_type_t type;
 	uint64_t sequence;
 	cw_reason_t reason;
-	bool retry; /* TRY: it is a retry, to be counted under the reason */
+	bool retry;	  /* TRY: it is a retry, to be counted under the reason */
+	bool keep_queued; /* REVOKE: unless it is queued and expected to be answered in time */
 } cw_call_action_t;
 
 /* Returns the origin of the calls that a proxy sends. */
--- a/libcaraway/gen/caraway.pb-c.c
+++ b/libcaraway/gen/caraway.pb-c.c
@@ -7894,7 +7894,7 @@
   (ProtobufCMessageInit) caraway__call_reply__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor caraway__revoke__field_descriptors[3] =
+static const ProtobufCFieldDescriptor caraway__revoke__field_descriptors[4] =
 {
   {
     "id",
@@ -7932,16 +7932,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "keep_queued",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Caraway__Revoke, keep_queued),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned caraway__revoke__field_indices_by_name[] = {
   0,   /* field[0] = id */
+  3,   /* field[3] = keep_queued */
   1,   /* field[1] = receiver */
   2,   /* field[2] = stop */
 };
 static const ProtobufCIntRange caraway__revoke__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor caraway__revoke__descriptor =
 {
@@ -7951,14 +7964,14 @@
   "Caraway__Revoke",
   "caraway",
   sizeof(Caraway__Revoke),
-  3,
+  4,
   caraway__revoke__field_descriptors,
   caraway__revoke__field_indices_by_name,
   1,  caraway__revoke__number_ranges,
   (ProtobufCMessageInit) caraway__revoke__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor caraway__revoke_reply__field_descriptors[3] =
+static const ProtobufCFieldDescriptor caraway__revoke_reply__field_descriptors[4] =
 {
   {
     "id",
@@ -7996,16 +8009,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "kept",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Caraway__RevokeReply, kept),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned caraway__revoke_reply__field_indices_by_name[] = {
   0,   /* field[0] = id */
+  3,   /* field[3] = kept */
   1,   /* field[1] = never_started */
   2,   /* field[2] = queued_ms */
 };
 static const ProtobufCIntRange caraway__revoke_reply__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor caraway__revoke_reply__descriptor =
 {
@@ -8015,7 +8041,7 @@
   "Caraway__RevokeReply",
   "caraway",
   sizeof(Caraway__RevokeReply),
-  3,
+  4,
   caraway__revoke_reply__field_descriptors,
   caraway__revoke_reply__field_indices_by_name,
   1,  caraway__revoke_reply__number_ranges,
--- a/libcaraway/gen/caraway.pb-c.h
+++ b/libcaraway/gen/caraway.pb-c.h
@@ -1363,10 +1363,14 @@
    * if it has started, abort it at the target: the answer is no longer needed
    */
   protobuf_c_boolean stop;
+  /*
+   * not if it is in the queue and expected to be answered before its deadline
+   */
+  protobuf_c_boolean keep_queued;
 };
 #define CARAWAY__REVOKE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&caraway__revoke__descriptor) \
-    , NULL, 0, 0 }
+    , NULL, 0, 0, 0 }
 
 
 struct  Caraway__RevokeReply
@@ -1375,13 +1379,17 @@
   Caraway__CallId *id;
   protobuf_c_boolean never_started;
   /*
-   * time that the revoked call was in the queue, plus 1; 0: it was not in the queue
+   * time that the call has been in the queue, plus 1; 0: it was not in the queue
    */
   uint32_t queued_ms;
+  /*
+   * it stays in the queue, as the revocation asked
+   */
+  protobuf_c_boolean kept;
 };
 #define CARAWAY__REVOKE_REPLY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&caraway__revoke_reply__descriptor) \
-    , NULL, 0, 0 }
+    , NULL, 0, 0, 0 }
 
 
 struct  Caraway__ChangesQuery
--- a/spin/call.pml
+++ b/spin/call.pml
@@ -27,6 +27,8 @@
  *   BROKEN_CONNECTION_AS_NOT_RUN
  *                          a connection to the target that breaks after the
  *                          request was sent counts as proof of "not run"
+ *   KEPT_AS_NEVER_STARTED  the reply that a queued call is kept counts as
+ *                          "never started"
  *   REPLAY                 the transport delivers a duplicate after a restart
  *                          of the receiver; ZeroMQ over TCP does not, and the
  *                          refusal reason "incarnation" relies on that
@@ -131,6 +133,13 @@
 	:: !restarted[a] && record[a] == STARTED -> send(never_started_replies[a])
 #endif
 	:: !restarted[a] && (record[a] == STARTED || record[a] == FORGOTTEN) -> send(started_replies[a])
+	/* it stays in the queue; the reply changes nothing at the origin, which may ask again */
+	:: !restarted[a] && record[a] == WAITING ->
+#ifdef KEPT_AS_NEVER_STARTED
+		send(never_started_replies[a])
+#else
+		skip
+#endif
 	:: !restarted[a] && (record[a] == WAITING || record[a] == REFUSED) ->
 		record[a] = REFUSED;
 		send(never_started_replies[a])
--- a/tests/unit/mesh_internal.h
+++ b/tests/unit/mesh_internal.h
@@ -80,7 +80,8 @@
 	unsigned generation; /* of the attempt, or the send of the request */
 	int proxy;
 	cw_reason_t reason;
-	bool flag; /* NOT_RUN: reached a target; REVOKED: never started */
+	bool flag; /* NOT_RUN: reached a target; REVOKED: never started; REVOKE: unless it is queued */
+	bool kept; /* REVOKED: it stays queued */
 	cw_pick_load_t load;
 	int64_t held_ms; /* time that the attempt was at its receiver */
 } mesh_event_t;
--- a/tests/unit/mesh_origin.c
+++ b/tests/unit/mesh_origin.c
@@ -201,6 +201,7 @@
 				sim, MESH_EV_REVOKE,
 				mesh_transfer(sim, request->origin, attempt->target, MESH_REFUSAL_BYTES));
 			next->attempt = attempt;
+			next->flag = action.keep_queued;
 			event = (cw_call_event_t){.type = CW_CALL_EV_TICK};
 			break;
 		case CW_CALL_AC_ANSWER:
@@ -305,7 +306,8 @@
 		step_call(sim, request,
 			  (cw_call_event_t){.type = CW_CALL_EV_REVOKED,
 					    .sequence = attempt->id.sequence,
-					    .never_started = event->flag});
+					    .never_started = event->flag,
+					    .kept = event->kept});
 }
 
 void mesh_origin_event(mesh_sim_t *sim, const mesh_event_t *event)
--- a/tests/unit/mesh_target.c
+++ b/tests/unit/mesh_target.c
@@ -211,8 +211,9 @@
 }
 
 /* Handles a revocation that reaches its receiver. */
-static void handle_revoke(mesh_sim_t *sim, mesh_attempt_t *attempt)
+static void handle_revoke(mesh_sim_t *sim, mesh_attempt_t *attempt, bool keep_queued)
 {
+	cw_admit_t *admit = sim->proxies[attempt->target].admit;
 	mesh_event_t *event = mesh_schedule(
 		sim, MESH_EV_REVOKED,
 		mesh_transfer(sim, attempt->target, attempt->request->origin, MESH_REFUSAL_BYTES));
@@ -221,9 +222,10 @@
 	event->attempt = attempt;
 	if (sim->policy == MESH_NO_ADMISSION)
 		event->flag = attempt->state == MESH_ATTEMPT_QUEUED;
+	else if (keep_queued && cw_admit_is_expected(admit, &attempt->id, sim->now_ms))
+		event->kept = true;
 	else
-		event->flag = cw_admit_revoke(sim->proxies[attempt->target].admit, &attempt->id, sim->now_ms,
-					      &cookie);
+		event->flag = cw_admit_revoke(admit, &attempt->id, sim->now_ms, &cookie);
 	if (event->flag)
 		attempt->state = MESH_ATTEMPT_ENDED;
 }
@@ -239,7 +241,7 @@
 			step_run(sim, event->attempt);
 		break;
 	case MESH_EV_REVOKE:
-		handle_revoke(sim, event->attempt);
+		handle_revoke(sim, event->attempt, event->flag);
 		break;
 	default:
 		serve_queue(sim, event->proxy);
--- a/tests/unit/test_admission.c
+++ b/tests/unit/test_admission.c
@@ -115,6 +115,15 @@
 	g_string_append_c(out, '\n');
 }
 
+/* "expected ID": prints whether a call is queued and expected to be answered before its deadline. */
+static void run_expected(const run_t *run, char **argv, GString *out)
+{
+	cw_call_id_t id = read_id(argv[1]);
+
+	g_string_append(out,
+			cw_admit_is_expected(run->admit, &id, run->now_ms) ? "expected\n" : "not expected\n");
+}
+
 /*
  * Runs one script command: one of the above, "new SLOTS QUEUE RAMP_MS", "at NOW_MS",
  * "mark-warm", "drain on|off", "start-until MS" or "load", which prints the calls in use and their limit.
@@ -147,6 +156,8 @@
 		run_done(run, argc, argv);
 	} else if (g_str_equal(command, "revoke")) {
 		run_revoke(run, argv, out);
+	} else if (g_str_equal(command, "expected")) {
+		run_expected(run, argv, out);
 	} else if (g_str_equal(command, "drain")) {
 		cw_admit_set_draining(run->admit, g_str_equal(argv[1], "on"));
 	} else if (g_str_equal(command, "start-until")) {
--- a/tests/unit/test_call.c
+++ b/tests/unit/test_call.c
@@ -28,6 +28,7 @@
 	{"unknown", CW_CALL_EV_UNKNOWN},
 	{"never-started", CW_CALL_EV_REVOKED},
 	{"has-started", CW_CALL_EV_REVOKED},
+	{"kept", CW_CALL_EV_REVOKED},
 	{"tick", CW_CALL_EV_TICK},
 };
 
@@ -44,7 +45,8 @@
 		g_string_append(out, "try all\n");
 		break;
 	case CW_CALL_AC_REVOKE:
-		g_string_append_printf(out, "revoke %" G_GUINT64_FORMAT "\n", action->sequence);
+		g_string_append_printf(out, "revoke %" G_GUINT64_FORMAT "%s\n", action->sequence,
+				       action->keep_queued ? "" : " also if queued");
 		break;
 	case CW_CALL_AC_ANSWER:
 		g_string_append(out, "answer\n");
@@ -71,7 +73,8 @@
 				 .sequence = argc > 1 ? strtoull(argv[1], NULL, 10) : 0,
 				 .reason = argc > 2 ? cw_reason_parse(argv[2]) : CW_REASON_NONE,
 				 .error = argc > 2 && g_str_equal(argv[2], "error"),
-				 .never_started = g_str_equal(event_name->name, "never-started")};
+				 .never_started = g_str_equal(event_name->name, "never-started"),
+				 .kept = g_str_equal(event_name->name, "kept")};
 	cw_call_action_t action = cw_call_step(&run->call, &run->budget, &event, run->now_ms);
 
 	print_action(&action, out);
--- a/tests/unit/test_peers.c
+++ b/tests/unit/test_peers.c
@@ -34,13 +34,18 @@
 	char *folder;
 } fixture_t;
 
-/* Starts a target and a proxy of incarnation PROXY_INCARNATION; the peer's address is the only endpoint. */
-static void start_fixture(fixture_t *fixture, const char *address)
+/*
+ * Starts a target of this service time and a proxy of incarnation PROXY_INCARNATION that lets so many calls run
+ * at once; the peer's address is the only endpoint.
+ */
+static void start_slow_fixture(fixture_t *fixture, const char *address, const char *service_ms,
+			       const char *slots)
 {
-	const char *target_arguments[] = {"--service-ms=5", NULL};
+	g_autofree char *service_time = g_strconcat("--service-ms=", service_ms, NULL);
+	const char *target_arguments[] = {service_time, NULL};
 	g_autofree char *line = NULL, *ports = NULL, *target = NULL, *view = NULL, *text = NULL;
-	const char *arguments[] = {"--vm", "x", "--incarnation", "500", "--target", NULL, "--view",
-				   NULL,   NULL};
+	const char *arguments[] = {"--vm",   "x",  "--incarnation", "500", "--target", NULL,
+				   "--view", NULL, "--slots",	    slots, NULL};
 
 	fixture->folder = g_dir_make_tmp("peers-XXXXXX", NULL);
 	view = g_build_filename(fixture->folder, "view.ini", NULL);
@@ -61,6 +66,12 @@
 			 2);
 }
 
+/* Starts the same with a fast target. */
+static void start_fixture(fixture_t *fixture, const char *address)
+{
+	start_slow_fixture(fixture, address, "5", "12");
+}
+
 /* Kills proxy and target and removes the folder. */
 static void stop_fixture(fixture_t *fixture)
 {
@@ -183,6 +194,23 @@
 		usleep(POLL_INTERVAL_US);
 }
 
+/* Sends a revocation of the test's call with this sequence number, unless it is queued, to the proxy. */
+static void send_revoke_unless_queued(link_clients_t *clients, const char *address, uint64_t sequence)
+{
+	Caraway__Message message = CARAWAY__MESSAGE__INIT;
+	Caraway__Revoke revoke = CARAWAY__REVOKE__INIT;
+	Caraway__CallId call = CARAWAY__CALL_ID__INIT;
+
+	call.origin = TEST_ORIGIN;
+	call.sequence = sequence;
+	revoke.id = &call;
+	revoke.receiver = PROXY_INCARNATION;
+	revoke.keep_queued = true;
+	message.body_case = CARAWAY__MESSAGE__BODY_REVOKE;
+	message.revoke = &revoke;
+	ck_assert_int_eq(link_clients_send(clients, address, &message), CW_OK);
+}
+
 /* Sends a revocation of the test's call with this sequence number to the proxy. */
 static void send_revoke(link_clients_t *clients, const char *address, uint64_t sequence, uint64_t receiver)
 {
@@ -290,6 +318,55 @@
 }
 END_TEST
 
+/* Checks that the next message answers a revocation of a call that is kept in the queue, or has started. */
+static void check_kept(link_clients_t *clients, bool kept)
+{
+	Caraway__Message *message = receive_message(clients);
+
+	ck_assert_int_eq(message->body_case, CARAWAY__MESSAGE__BODY_REVOKE_REPLY);
+	ck_assert_int_eq(message->revoke_reply->kept, kept);
+	ck_assert(!message->revoke_reply->never_started);
+	cw_message_free(message);
+}
+
+/* Checks that the next message is the target's answer to a call with this sequence number. */
+static void check_answered(link_clients_t *clients, uint64_t sequence)
+{
+	Caraway__Message *message = receive_message(clients);
+
+	ck_assert_int_eq(message->body_case, CARAWAY__MESSAGE__BODY_CALL_REPLY);
+	ck_assert_uint_eq(message->call_reply->id->sequence, sequence);
+	ck_assert_int_eq(message->call_reply->status, 200);
+	cw_message_free(message);
+}
+
+/* CONFIG, BUDGET: a call that waits for its turn is withdrawn by an origin that asks whether the receiver is there. */
+START_TEST(test_queued_call_stays_when_its_origin_asks)
+{
+	link_context_t *context = link_context_new();
+	link_clients_t *clients = link_clients_new(context);
+	fixture_t fixture;
+	char *address;
+
+	start_slow_fixture(&fixture, "127.0.0.1:1", "400", "1");
+	address = g_strdup_printf("127.0.0.1:%d", fixture.call_port);
+	send_request(clients, address, 1, PROXY_INCARNATION, "first");
+	send_request(clients, address, 2, PROXY_INCARNATION, "second");
+	send_revoke_unless_queued(clients, address, 1);
+	check_kept(clients, false);
+	send_revoke_unless_queued(clients, address, 2);
+	check_kept(clients, true);
+	check_answered(clients, 1);
+	check_answered(clients, 2);
+	ck_assert_int_eq(executions(&fixture, "first"), 1);
+	ck_assert_int_eq(executions(&fixture, "second"), 1);
+	g_free(address);
+	stop_fixture(&fixture);
+	link_clients_free(clients);
+	link_context_free(context);
+}
+END_TEST
+
 /* Adds a test as a separate test case, so that CK_RUN_CASE can select it. */
 static void add_test_case(Suite *suite, const TTest *test)
 {
@@ -307,5 +384,6 @@
 
 	add_test_case(suite, test_reordered_replies);
 	add_test_case(suite, test_repeated_requests);
+	add_test_case(suite, test_queued_call_stays_when_its_origin_asks);
 	return script_run_suite(suite);
 }
