Order the queue by the calls' own time where it ends before the objective

Cause: the queue of a target was ordered by the end of the latency objective alone. An objective may end after the call's own deadline; such a call followed all others, whose objectives end sooner, until it had expired.

Change: a call is due at the end of its objective, at its deadline at the latest. Only the order changes; who is refused on arrival does not.

--- a/libcaraway/admit.c
+++ b/libcaraway/admit.c
@@ -4,8 +4,8 @@
  *
  * It is built for overload that lasts seconds, where some of the calls are
  * nested: their callers hold a slot of another target while they wait.  Queued
- * calls are ordered by the time at which their latency objective expires
- * (useful_until_ms), which puts short nested calls first.  A call that would be
+ * calls are ordered by when they are due, the end of their latency objective or
+ * of their own time, which puts short nested calls first.  A call that would be
  * too late there overtakes calls of lower priority; one that would make a call of
  * higher priority late follows it.  A call that is expected to be answered too
  * late all the same is refused on arrival.  A queued call that has been overtaken
@@ -64,7 +64,7 @@
 struct cw_admit {
 	cw_admit_options_t options;
 	cw_records_t *records;
-	GPtrArray *queue;   /* of queued_call_t, earliest useful_until_ms first */
+	GPtrArray *queue;   /* of queued_call_t, the earliest due first */
 	GHashTable *routes; /* route -> route_stats_t */
 	uint32_t running;   /* calls that have started and not ended */
 	bool draining;
@@ -161,14 +161,19 @@
 	return expected_ms + deviations * service_deviation_ms(admit, call->route);
 }
 
-/* Returns the queue position for a new call: after all calls whose objective does not expire later. */
+/* Returns when a call is due: at the end of its latency objective, but not after its deadline. */
+static int64_t due_ms(const cw_admit_call_t *call)
+{
+	return MIN(call->useful_until_ms, call->deadline_ms);
+}
+
+/* Returns the queue position for a new call: after all calls that are not due later. */
 static guint insert_position(const cw_admit_t *admit, const cw_admit_call_t *call)
 {
 	guint position = admit->queue->len;
 
 	while (position > 0 &&
-	       call->useful_until_ms <
-		       ((const queued_call_t *)admit->queue->pdata[position - 1])->call.useful_until_ms)
+	       due_ms(call) < due_ms(&((const queued_call_t *)admit->queue->pdata[position - 1])->call))
 		position--;
 	return position;
 }
