Believe a target's refusal only where it can belong to the call

Cause: answers are told apart by request ids. An answer without an id was taken for the present call's unless the connection had carried a health check, and any answer for that of a call without an id. The refusal was then believed.

Change: calls without an id have connections of their own; a refusal is believed if it is the first answer of its connection or carries the call's id, else the outcome is unknown and the connection is closed.

Evidence: test_repeated_refusal_is_not_that_of_the_next_call fails in three of four cases before, and passes after. Weighed: to treat such a connection as one that has carried a health check, which leaves calls without ids open and skips the answers of targets that make up ids.

--- a/daemon/counters.h
+++ b/daemon/counters.h
@@ -89,6 +89,8 @@
 	X(ANSWER_CROSSED, "answer-crossed")                                                                  \
 	X(ANSWER_UNASKED, "answer-unasked")                                                                  \
 	X(ANSWER_UNREADABLE, "answer-unreadable")                                                            \
+	/* refusals of a target that may be second copies of an earlier one, and prove nothing */            \
+	X(REFUSAL_UNCERTAIN, "refusal-uncertain")                                                            \
 	/* announcements of a target that its health check has not confirmed since this process started */   \
 	X(ANNOUNCEMENT_UNCONFIRMED, "announcement-unconfirmed")                                              \
 	/* calls received from callers, and those of them that a target answered */                          \
--- a/daemon/target_connection.c
+++ b/daemon/target_connection.c
@@ -178,11 +178,27 @@
 		connection->reset = true;
 }
 
+/* Returns the request id of a call; NULL when its caller set none. */
+static const char *call_request_id(const target_pool_t *pool, const Caraway__CallRequest *call)
+{
+	for (size_t i = 0; i < call->n_headers; i++)
+		if (!g_ascii_strcasecmp(call->headers[i]->name, pool->header_names->request_id))
+			return call->headers[i]->value;
+	return NULL;
+}
+
+/* Returns whether a job is a call without a request id, whose answer cannot be told from those of other calls. */
+bool target_connection_is_unidentified(const target_pool_t *pool, const target_job_t *job)
+{
+	return !job->is_identity_probe && !call_request_id(pool, job->message->call_request);
+}
+
 /* Starts a job on an established connection. */
 void target_connection_begin(target_connection_t *connection, target_job_t *job)
 {
 	connection->job = job;
 	connection->probed |= job->is_identity_probe;
+	connection->unidentified = target_connection_is_unidentified(connection->pool, job);
 	connection->mismatched_responses = 0;
 	connection->reader.answers_head = !strcmp(job->message->call_request->method, "HEAD");
 	set_state(connection, CONNECTION_BUSY);
@@ -217,6 +233,12 @@
 	return MIN(MAX_IDLE_MS, target_timeout_ms / KEEP_ALIVE_DIVISOR);
 }
 
+/* Returns the request id that a response carries, or NULL. */
+static const char *response_request_id(const target_connection_t *connection, const http_message_t *response)
+{
+	return http_message_header(response, connection->pool->header_names->request_id);
+}
+
 /*
  * Returns whether a response belongs to another request than the present one: it
  * carries another request id, or an id where the present request is an identity probe,
@@ -224,18 +246,32 @@
  */
 static bool is_mismatched(const target_connection_t *connection, const http_message_t *response)
 {
-	const char *name = connection->pool->header_names->request_id;
-	const Caraway__CallRequest *call = connection->job->message->call_request;
-	const char *response_id = http_message_header(response, name);
+	const char *call_id = call_request_id(connection->pool, connection->job->message->call_request);
+	const char *response_id = response_request_id(connection, response);
 
 	if (connection->job->is_identity_probe)
 		return response_id != NULL;
-	if (!response_id && !connection->probed)
+	if (!call_id || (!response_id && !connection->probed))
 		return false;
-	for (size_t i = 0; i < call->n_headers; i++)
-		if (!g_ascii_strcasecmp(call->headers[i]->name, name))
-			return g_strcmp0(call->headers[i]->value, response_id) != 0;
-	return false;
+	return g_strcmp0(call_id, response_id) != 0;
+}
+
+/* Returns whether a response says that the call did not run. */
+static bool is_refusal(const target_connection_t *connection, const http_message_t *response)
+{
+	const char *name = connection->pool->header_names->not_executed;
+
+	return *name && http_message_header(response, name);
+}
+
+/*
+ * Returns whether a response is certainly no second copy of an earlier one: it is the first on its connection
+ * or carries the id of the present request.
+ */
+static bool is_certain(const target_connection_t *connection, const http_message_t *response)
+{
+	return !connection->reused ||
+	       (!connection->unidentified && response_request_id(connection, response));
 }
 
 /* Returns the reason of a response that says that the call did not run. */
@@ -244,19 +280,29 @@
 	return response->status == STATUS_MISDIRECTED ? CW_REASON_INCARNATION : CW_REASON_TARGET_FULL;
 }
 
+/* Ends the job of a connection with an unknown outcome, as its refusal may be that of an earlier request. */
+static void distrust_refusal(target_connection_t *connection)
+{
+	counter_add(COUNTER_REFUSAL_UNCERTAIN, 1);
+	log_warning("refusal-uncertain", LOG_UINT("status", connection->job->response->status), LOG_END);
+	finish_job(connection, CW_ADMIT_FAILED, CW_REASON_CUT);
+}
+
 /* Ends the job of a connection with its response. */
 static void handle_response(target_connection_t *connection, http_message_t *response, bool extra_bytes)
 {
-	const header_names_t *names = connection->pool->header_names;
 	target_job_t *job = connection->job;
 	bool request_sent = !send_buffer_pending(&connection->output);
-	bool reusable =
-		response->keep_alive && request_sent && !extra_bytes && !connection->mismatched_responses;
+	bool distrusted = is_refusal(connection, response) && !is_certain(connection, response);
+	bool reusable = response->keep_alive && request_sent && !extra_bytes && !distrusted &&
+			!connection->mismatched_responses;
 	int64_t max_idle_ms = idle_limit_ms(response);
 
 	job->target_draining = http_message_header(response, HEADER_DRAINING) != NULL;
 	job->response = response;
-	if (*names->not_executed && http_message_header(response, names->not_executed))
+	if (distrusted)
+		distrust_refusal(connection);
+	else if (is_refusal(connection, response))
 		finish_job(connection, CW_ADMIT_DECLINED, not_run_reason(response));
 	else
 		finish_job(connection,
@@ -276,9 +322,7 @@
 	}
 	if (is_mismatched(connection, response)) {
 		counter_add(COUNTER_ANSWER_CROSSED, 1);
-		log_warning("answer-crossed",
-			    LOG_STR("told", http_message_header(response,
-								connection->pool->header_names->request_id)),
+		log_warning("answer-crossed", LOG_STR("told", response_request_id(connection, response)),
 			    LOG_END);
 		http_message_free(response);
 		if (++connection->mismatched_responses <= MAX_MISMATCHED_RESPONSES)
--- a/daemon/target_connection.h
+++ b/daemon/target_connection.h
@@ -22,6 +22,7 @@
 	send_buffer_t output;
 	bool reused;		       /* it has carried an earlier job */
 	bool probed;		       /* it has carried an identity probe, whose answer has no request id */
+	bool unidentified;	       /* it carries calls without a request id, and nothing else */
 	bool reset;		       /* sending failed, and not because the target had closed regularly */
 	uint32_t mismatched_responses; /* responses to other requests, skipped during the present job */
 	int64_t idle_until_ms;	       /* when an idle connection is closed */
@@ -46,6 +47,8 @@
 
 /* Opens a connection for a job, or a probe (NULL) that checks whether the target accepts connections. */
 void target_connection_open(target_pool_t *pool, target_job_t *job);
+/* Returns whether a job is a call without a request id; such calls share connections with each other only. */
+bool target_connection_is_unidentified(const target_pool_t *pool, const target_job_t *job);
 /* Starts a job on an established connection. */
 void target_connection_begin(target_connection_t *connection, target_job_t *job);
 /* Ends the job of a connection without a response, for a reason, and closes the connection. */
--- a/daemon/target_pool.c
+++ b/daemon/target_pool.c
@@ -84,14 +84,29 @@
 	g_free(pool);
 }
 
-/* Returns the most recently used idle connection if a request may be sent on it, else NULL. */
-static target_connection_t *find_idle(target_pool_t *pool, bool idempotent, int64_t now_ms)
+/* Returns the most recently used idle connection for jobs like this one; NULL when there is none. */
+static target_connection_t *most_recent_idle(const target_pool_t *pool, const target_job_t *job)
 {
-	target_connection_t *connection = pool->idle.head ? pool->idle.head->data : NULL;
+	bool unidentified = target_connection_is_unidentified(pool, job);
+
+	for (const GList *link = pool->idle.head; link; link = link->next) {
+		target_connection_t *connection = link->data;
+
+		if (connection->unidentified == unidentified)
+			return connection;
+	}
+	return NULL;
+}
+
+/* Returns an idle connection if the request of a job may be sent on it, else NULL. */
+static target_connection_t *find_idle(const target_pool_t *pool, const target_job_t *job, int64_t now_ms)
+{
+	target_connection_t *connection = most_recent_idle(pool, job);
 
 	if (!connection || now_ms >= connection->idle_until_ms)
 		return NULL;
-	if (!idempotent && now_ms >= connection->idle_since_ms + MAX_IDLE_NOT_IDEMPOTENT_MS)
+	if (!job->message->call_request->idempotent &&
+	    now_ms >= connection->idle_since_ms + MAX_IDLE_NOT_IDEMPOTENT_MS)
 		return NULL;
 	return connection;
 }
@@ -99,8 +114,7 @@
 /* Starts a job on an idle connection, or else on a new one. */
 void target_pool_submit(target_pool_t *pool, target_job_t *job)
 {
-	target_connection_t *connection =
-		find_idle(pool, job->message->call_request->idempotent, clock_now_ms());
+	target_connection_t *connection = find_idle(pool, job, clock_now_ms());
 
 	if (connection)
 		target_connection_begin(connection, job);
--- a/tests/unit/test_target_pool.c
+++ b/tests/unit/test_target_pool.c
@@ -30,7 +30,7 @@
 					    .request_id = "X-Request-Id",
 					    .caller_service = "",
 					    .expected_target = "",
-					    .not_executed = "",
+					    .not_executed = "X-Not-Executed",
 					    .target_id = ""};
 
 /* An HTTP server that answers the first request of a connection and closes it after reading the second. */
@@ -365,21 +365,23 @@
 	return job;
 }
 
-/* Returns a call with a request id. */
-static target_job_t *new_identified_job(void)
+/* Returns a call with this request id; NULL: without one. */
+static target_job_t *new_identified_job(const char *id)
 {
 	target_job_t *job = new_job("POST", false);
 	Caraway__CallRequest *call = job->message->call_request;
 
+	if (!id)
+		return job;
 	call->headers = cw_message_array(1);
-	call->headers[call->n_headers++] = headers_new("X-Request-Id", "q1");
+	call->headers[call->n_headers++] = headers_new("X-Request-Id", id);
 	return job;
 }
 
 /* Runs a call and checks that it gets the answer to itself. */
 static void check_own_answer(fixture_t *fixture)
 {
-	target_job_t *job = run_job(fixture->poller, fixture->pool, new_identified_job());
+	target_job_t *job = run_job(fixture->poller, fixture->pool, new_identified_job("q1"));
 
 	ck_assert_int_eq(job->result, CW_ADMIT_ANSWERED);
 	ck_assert_int_eq(job->response->body->len, 2);
@@ -401,6 +403,81 @@
 }
 END_TEST
 
+/* A refusal of one request, which the target writes once more when the next one arrives. */
+typedef struct {
+	const char *name;
+	const char *first_id; /* request id of the refused call; NULL: it has none */
+	const char *next_id;  /* of the next call */
+	cw_admit_result_t next_result;
+} repeated_refusal_t;
+
+static const repeated_refusal_t repeated_refusals[] = {
+	{"both with an id", "q0", "q1", CW_ADMIT_ANSWERED},
+	{"refused call without an id", NULL, "q1", CW_ADMIT_ANSWERED},
+	{"next call without an id", "q0", NULL, CW_ADMIT_ANSWERED},
+	{"both without an id", NULL, NULL, CW_ADMIT_FAILED},
+};
+
+/* Appends the request id of the request in a text to an answer, if it has one. */
+static void append_request_id(GString *answer, const char *request)
+{
+	const char *header = strstr(request, "X-Request-Id:");
+
+	if (header)
+		g_string_append_len(answer, header, strcspn(header, "\r") + 2);
+}
+
+/* Serves one connection: refuses the server's first request, and writes that refusal before each later answer there. */
+static void *serve_repeated_refusal(void *data)
+{
+	g_autoptr(GString) refusal =
+		g_string_new("HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n");
+	server_connection_t *connection = data;
+	char text[4096];
+	bool refused_here = false;
+	ssize_t count;
+
+	while ((count = recv(connection->fd, text, sizeof(text) - 1, 0)) > 0) {
+		g_autoptr(GString) answer = g_string_new("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n");
+
+		text[count] = '\0';
+		append_request_id(answer, text);
+		g_string_append(answer, "\r\nok");
+		if (!atomic_fetch_add(&connection->server->requests, 1)) {
+			append_request_id(refusal, text);
+			g_string_append(refusal, "\r\n");
+			refused_here = true;
+			send(connection->fd, refusal->str, refusal->len, MSG_NOSIGNAL);
+			continue;
+		}
+		if (refused_here)
+			send(connection->fd, refusal->str, refusal->len, MSG_NOSIGNAL);
+		send(connection->fd, answer->str, answer->len, MSG_NOSIGNAL);
+	}
+	close(connection->fd);
+	g_free(connection);
+	return NULL;
+}
+
+/* REFUSED, TWICE: an earlier refusal, written once more on a kept connection, is told as that of the next call. */
+START_TEST(test_repeated_refusal_is_not_that_of_the_next_call)
+{
+	const repeated_refusal_t *test_case = &repeated_refusals[_i];
+	fixture_t fixture = {.server = {.serve = serve_repeated_refusal}};
+	target_job_t *first, *next;
+
+	set_up(&fixture);
+	first = run_job(fixture.poller, fixture.pool, new_identified_job(test_case->first_id));
+	ck_assert_int_eq(first->result, CW_ADMIT_DECLINED);
+	next = run_job(fixture.poller, fixture.pool, new_identified_job(test_case->next_id));
+	ck_assert_msg(next->result == test_case->next_result, "%s: result %d, expected %d", test_case->name,
+		      next->result, test_case->next_result);
+	target_job_free(first);
+	target_job_free(next);
+	tear_down(&fixture);
+}
+END_TEST
+
 /* When connections are refused, the call was certainly not started, and the target is unreachable. */
 START_TEST(test_unreachable)
 {
@@ -429,6 +506,17 @@
 	suite_add_tcase(suite, tcase);
 }
 
+/* Adds the cases of a repeated refusal. */
+static void add_refusal_cases(Suite *suite)
+{
+	TCase *tcase = tcase_create("test_repeated_refusal");
+
+	tcase_set_timeout(tcase, TIMEOUT_S);
+	tcase_add_loop_test(tcase, test_repeated_refusal_is_not_that_of_the_next_call, 0,
+			    G_N_ELEMENTS(repeated_refusals));
+	suite_add_tcase(suite, tcase);
+}
+
 /* Runs the tests; returns the exit status of the program. */
 int main(void)
 {
@@ -441,5 +529,6 @@
 	add_test_case(suite, test_connection_after_leaving);
 	add_test_case(suite, test_second_answer_to_probe);
 	add_test_case(suite, test_unreachable);
+	add_refusal_cases(suite);
 	return script_run_suite(suite);
 }
