Refuse a queued call at its deadline wherever it is in the queue

What callers would see: 'not run' later than known, for a call that expires behind one with more time. Cause: the next check was due at the earliest deadline in the queue, but only the head was looked at; until it left, the traffic thread would not wait (read, not measured). Change: a call that has expired is refused first, wherever it is.

Evidence: admission/expired.script fails at line 22 before.

--- a/libcaraway/admit.c
+++ b/libcaraway/admit.c
@@ -343,39 +343,53 @@
 	return false;
 }
 
-/* Returns the reason to refuse the call at the head of the queue, or CW_REASON_NONE. */
-static cw_reason_t head_refusal(const cw_admit_t *admit, const queued_call_t *first, int64_t now_ms)
+/* Returns the reason to refuse the call at the head of the queue, or one that has expired, or CW_REASON_NONE. */
+static cw_reason_t queued_refusal(const cw_admit_t *admit, const queued_call_t *queued, int64_t now_ms)
 {
-	if (now_ms >= first->call.deadline_ms)
+	if (now_ms >= queued->call.deadline_ms)
 		return CW_REASON_DEADLINE;
 	if (now_ms >= admit->start_until_ms)
 		return CW_REASON_DRAINING;
-	if (!meets_objective(admit, first, now_ms) && delays_useful_calls(admit, now_ms))
+	if (!meets_objective(admit, queued, now_ms) && delays_useful_calls(admit, now_ms))
 		return CW_REASON_CROWDED;
 	return CW_REASON_NONE;
 }
 
-/* Removes the call at the head of the queue if it can start now or has to be refused. */
+/* Returns the position of a queued call whose deadline has passed; the length of the queue if there is none. */
+static guint find_expired(const cw_admit_t *admit, int64_t now_ms)
+{
+	guint position = 0;
+
+	while (position < admit->queue->len &&
+	       now_ms < ((const queued_call_t *)admit->queue->pdata[position])->call.deadline_ms)
+		position++;
+	return position;
+}
+
+/* Removes the call at the head of the queue if it can start now or has to be refused, or one that has expired. */
 bool cw_admit_next(cw_admit_t *admit, int64_t now_ms, uint64_t *cookie, cw_admit_verdict_t *verdict,
 		   cw_reason_t *reason)
 {
-	const queued_call_t *first;
+	guint position = find_expired(admit, now_ms);
+	const queued_call_t *queued;
 
 	if (!admit->queue->len)
 		return false;
-	first = admit->queue->pdata[0];
-	*reason = head_refusal(admit, first, now_ms);
+	if (position == admit->queue->len)
+		position = 0;
+	queued = admit->queue->pdata[position];
+	*reason = queued_refusal(admit, queued, now_ms);
 	if (*reason != CW_REASON_NONE) {
-		*verdict = refuse(admit, &first->call.id, now_ms, *reason, reason);
+		*verdict = refuse(admit, &queued->call.id, now_ms, *reason, reason);
 	} else if (admit->running < cw_admit_limit(admit, now_ms)) {
 		admit->running++;
-		cw_records_set(admit->records, &first->call.id, CW_RECORD_STARTED, now_ms);
+		cw_records_set(admit->records, &queued->call.id, CW_RECORD_STARTED, now_ms);
 		*verdict = CW_ADMIT_START;
 	} else {
 		return false;
 	}
-	*cookie = first->call.cookie;
-	g_ptr_array_remove_index(admit->queue, 0);
+	*cookie = queued->call.cookie;
+	g_ptr_array_remove_index(admit->queue, position);
 	return true;
 }
 
