Keep no queued call at a target that starts none

What callers would see: calls that wait for a frozen target are kept there until their deadline when their origin asks, as the mean service times of before the freeze promise an answer; before the origin took them back and tried another target.

Change: a queued call is not expected while no call has started for more than two mean service times, so its origin's question takes it back.

Weighed: counting starts between two questions, which gives up calls that wait for one long call of a target with one slot.

--- a/libcaraway/admit.c
+++ b/libcaraway/admit.c
@@ -18,10 +18,11 @@
 #include <math.h>
 
 enum {
-	MAX_ORIGINS = 16384,	     /* with call records */
-	MAX_ROUTES = 4096,	     /* with service time statistics */
-	COLD_SLOTS_DIVISOR = 4,	     /* a cold target starts with its slots divided by this, rounded up */
-	MAX_DEFAULT_SERVICE_MS = 250 /* limit of the service time assumed before the first measurement */
+	MAX_ORIGINS = 16384,	      /* with call records */
+	MAX_ROUTES = 4096,	      /* with service time statistics */
+	COLD_SLOTS_DIVISOR = 4,	      /* a cold target starts with its slots divided by this, rounded up */
+	MAX_DEFAULT_SERVICE_MS = 250, /* limit of the service time assumed before the first measurement */
+	STALLED_FACTOR = 2 /* a full target that starts no call for this many mean service times is stalled */
 };
 
 /* Weight of a new service time in the moving averages. */
@@ -67,6 +68,7 @@
 	GPtrArray *queue;   /* of queued_call_t, the earliest due first */
 	GHashTable *routes; /* route -> route_stats_t */
 	uint32_t running;   /* calls that have started and not ended */
+	int64_t started_ms; /* when the last one started */
 	bool draining;
 	int64_t start_until_ms; /* queued calls that have not started by then are refused; INT64_MAX: never */
 	bool warm;		/* the target has answered since it was last unreachable */
@@ -274,6 +276,14 @@
 	return fits(admit, added, wait_ms, now_ms) ? CW_REASON_NONE : CW_REASON_CROWDED;
 }
 
+/* Marks a call as started. */
+static void start_call(cw_admit_t *admit, const cw_call_id_t *id, int64_t now_ms)
+{
+	admit->running++;
+	admit->started_ms = now_ms;
+	cw_records_set(admit->records, id, CW_RECORD_STARTED, now_ms);
+}
+
 /* Queues a call, or refuses it. */
 static cw_admit_verdict_t enqueue(cw_admit_t *admit, const cw_admit_call_t *call, int64_t now_ms,
 				  cw_reason_t *reason)
@@ -320,8 +330,7 @@
 	if (call->lacks_memory)
 		return refuse(admit, &call->id, now_ms, CW_REASON_QUEUE_FULL, reason);
 	if (admit->running < cw_admit_limit(admit, now_ms) && !admit->queue->len) {
-		admit->running++;
-		cw_records_set(admit->records, &call->id, CW_RECORD_STARTED, now_ms);
+		start_call(admit, &call->id, now_ms);
 		return CW_ADMIT_START;
 	}
 	return enqueue(admit, call, now_ms, reason);
@@ -382,8 +391,7 @@
 	if (*reason != CW_REASON_NONE) {
 		*verdict = refuse(admit, &queued->call.id, now_ms, *reason, reason);
 	} else if (admit->running < cw_admit_limit(admit, now_ms)) {
-		admit->running++;
-		cw_records_set(admit->records, &queued->call.id, CW_RECORD_STARTED, now_ms);
+		start_call(admit, &queued->call.id, now_ms);
 		*verdict = CW_ADMIT_START;
 	} else {
 		return false;
@@ -494,18 +502,33 @@
 	return cookie;
 }
 
-/* Returns whether a call is queued and expected to be answered before its deadline, by the work ahead of it. */
+/*
+ * Returns whether no call has started for so long that the target may be frozen, which the means of earlier
+ * calls do not tell.  For a queued call, whose expected service time stands in before the first measurement.
+ */
+static bool is_stalled(const cw_admit_t *admit, const queued_call_t *queued, int64_t now_ms)
+{
+	double service_ms = admit->service_ms > 0 ? admit->service_ms : queued->expected_ms;
+
+	return (double)(now_ms - admit->started_ms) > STALLED_FACTOR * service_ms;
+}
+
+/*
+ * Returns whether a call is queued and expected to be answered before its deadline, by the work ahead of it,
+ * at a target that is not stalled.
+ */
 bool cw_admit_is_expected(const cw_admit_t *admit, const cw_call_id_t *id, int64_t now_ms)
 {
 	guint position = find_queued(admit, id);
 	const queued_call_t *queued;
+	double end_ms;
 
 	if (position == admit->queue->len)
 		return false;
 	queued = admit->queue->pdata[position];
-	return (double)now_ms + queue_wait_ms(admit, position, queued->expected_ms, now_ms) +
-		       queued->expected_ms <=
-	       (double)queued->call.deadline_ms;
+	end_ms = (double)now_ms + queue_wait_ms(admit, position, queued->expected_ms, now_ms) +
+		 queued->expected_ms;
+	return end_ms <= (double)queued->call.deadline_ms && !is_stalled(admit, queued, now_ms);
 }
 
 /*
--- a/libcaraway/caraway_calls.h
+++ b/libcaraway/caraway_calls.h
@@ -129,7 +129,10 @@
 		   int64_t started_ms, int64_t now_ms);
 /* Returns true when the call has not started and never will; *cookie is then the queued call, or 0. */
 bool cw_admit_revoke(cw_admit_t *admit, const cw_call_id_t *id, int64_t now_ms, uint64_t *cookie);
-/* Returns whether a call is queued and expected to be answered before its deadline. */
+/*
+ * Returns whether a call is queued and expected to be answered before its deadline; false also while the
+ * target seems to be frozen.
+ */
 bool cw_admit_is_expected(const cw_admit_t *admit, const cw_call_id_t *id, int64_t now_ms);
 /* While draining, new calls are refused; queued calls still start, until cw_admit_set_start_until(). */
 void cw_admit_set_draining(cw_admit_t *admit, bool draining);
--- a/tests/unit/test_peers.c
+++ b/tests/unit/test_peers.c
@@ -184,6 +184,7 @@
 	request.id = &call;
 	request.receiver = receiver;
 	request.left_ms = UINT32_MAX / 2;
+	request.useful_ms = INT32_MAX / 2;
 	request.method = (char *)"POST";
 	request.path = (char *)"/";
 	request.headers = headers;
