Ask for a check after a target has left whose start is not known

What callers would see: calls go to a target that has deregistered, and end with it. Order of events: a proxy restarts and finds its target by the health check, the target deregisters without its start time, acknowledged, and a heartbeat sent before arrives late.

Cause: the start of an incarnation is known from its announcements only; the late heartbeat passed for a successor's, and the check before was still in force.

Change: after such a target has left, the next announcement needs a health check, or ten seconds, by which all that were sent before have arrived.

--- a/libcaraway/target.c
+++ b/libcaraway/target.c
@@ -18,14 +18,15 @@
 struct cw_target {
 	char *service;
 	char *address;
-	char *id;	       /* of the current incarnation; NULL while it is not known */
-	int64_t started_ms;    /* start of the current incarnation, UTC; 0: not announced */
-	uint64_t sequence;     /* of the last announcement applied */
-	uint32_t slots;	       /* 0: not announced */
+	char *id;	    /* of the current incarnation; NULL while it is not known */
+	int64_t started_ms; /* start of the current incarnation, UTC, or of an earlier one; 0: not announced */
+	bool has_start;	    /* started_ms is that of the current incarnation */
+	uint64_t sequence;  /* of the last announcement applied */
+	uint32_t slots;	    /* 0: not announced */
 	int64_t warmup_end_ms; /* by the clock of cw_target_announce() */
 	bool leaving;
 	bool confirmed; /* this incarnation, or an earlier one, is known to have been up since the start */
-	int64_t settled_ms; /* from then on every announcement sent before the start has arrived */
+	int64_t settled_ms; /* from then on every announcement that has to be confirmed has arrived */
 };
 
 /* Creates the state of a target without announcements. */
@@ -79,6 +80,16 @@
 	target->id = copy;
 }
 
+/*
+ * Requires a health check, or time, for the next announcement: it may be a late one of the incarnation that
+ * leaves, which cannot be told from one of a successor, as the start time is not known.
+ */
+static void await_confirmation(cw_target_t *target, int64_t now_ms)
+{
+	target->confirmed = false;
+	target->settled_ms = MAX(target->settled_ms, now_ms + MAX_ANNOUNCEMENT_DELAY_MS);
+}
+
 /* Applies an announcement unless it is incomplete, meant for another target, or stale. */
 cw_target_verdict_t cw_target_announce(cw_target_t *target, const cw_announcement_t *announcement,
 				       int64_t now_ms)
@@ -96,10 +107,14 @@
 	if (!announcement->leaving && now_ms >= target->settled_ms)
 		target->confirmed = true;
 	replace_id(target, announcement->id);
-	if (announcement->started_ms)
+	if (announcement->started_ms) {
 		target->started_ms = announcement->started_ms;
+		target->has_start = true;
+	}
 	target->sequence = announcement->sequence;
 	target->leaving = announcement->leaving;
+	if (target->leaving && !target->has_start)
+		await_confirmation(target, now_ms);
 	target->warmup_end_ms = now_ms + announcement->warmup_ms;
 	if (announcement->slots)
 		target->slots = announcement->slots;
@@ -116,6 +131,8 @@
 {
 	if (!*id || !cw_target_awaits_check(target))
 		return false;
+	if (g_strcmp0(target->id, id) != 0)
+		target->has_start = false;
 	replace_id(target, id);
 	target->confirmed = true;
 	return true;
