Take announcements of the incarnation before the one that was found as stale

What callers would see: refusals for up to a heartbeat's interval, as calls are meant for an incarnation that has ended and its successor answers 421. Order of events: a late heartbeat of an ended target reaches a restarted proxy, the health check finds the successor, a second late heartbeat arrives.

Cause: after the check the start that is known is only a lower bound, but an announcement with just that start and a higher number was applied.

Evidence: target/found.script fails at line 8 before; test_target_life, which asks that no incarnation that has left is in use, with LIFE_DEPTH=10: an order of 10 events before, 38,430,492 orders hold after.

--- a/libcaraway/target.c
+++ b/libcaraway/target.c
@@ -54,7 +54,7 @@
 {
 	if (!target->id || !announcement->started_ms || announcement->started_ms > target->started_ms)
 		return false;
-	if (announcement->started_ms < target->started_ms)
+	if (announcement->started_ms < target->started_ms || !target->has_start)
 		return true;
 	/* Leaving is final for an incarnation: it cannot announce itself as up again. */
 	return announcement->sequence <= target->sequence || (target->leaving && !announcement->leaving);
