--- a/daemon/forward_internal.h
+++ b/daemon/forward_internal.h
@@ -26,10 +26,9 @@
 	Caraway__CallReply *error_reply; /* a target's error, saved while another target is tried; or NULL */
 	uint32_t receiver_load;		 /* calls running or queued at that receiver */
 	uint32_t receiver_slots;	 /* of that receiver */
-	uint32_t
-		queued_ms; /* time in a receiver's queue of the attempt revoked last, plus 1; 0: none was queued */
-	void *cookie;	   /* the owner's, for callbacks.done */
-	forward_call_t **handle; /* the owner's, set to NULL when the call has completed */
+	uint32_t queued_ms;		 /* queue time of the attempt revoked last, plus 1; 0: not queued */
+	void *cookie;			 /* the owner's, for callbacks.done */
+	forward_call_t **handle;	 /* the owner's, set to NULL when the call has completed */
 	forward_attempt_t attempts[CW_CALL_MAX_ATTEMPTS];
 	uint32_t attempt_count;
 	guint index; /* index in forward_t.calls */
@@ -65,8 +64,9 @@
 cw_call_event_t forward_start_attempt(forward_t *forward, forward_call_t *call);
 /* Finds an attempt of a call by its sequence; NULL when the call has none with it. */
 forward_attempt_t *forward_find_attempt(forward_call_t *call, uint64_t sequence);
+/* What a revocation does to an attempt that is queued or runs already. */
 typedef enum {
-	FORWARD_REVOKE,
+	FORWARD_REVOKE,		      /* taken from the queue; one that runs goes on */
 	FORWARD_REVOKE_UNLESS_QUEUED, /* not if it is queued and expected to be answered in time */
 	FORWARD_REVOKE_AND_STOP	      /* one that runs already is aborted too */
 } forward_revoke_kind_t;
--- a/libcaraway/gen/caraway.pb-c.h
+++ b/libcaraway/gen/caraway.pb-c.h
@@ -1379,7 +1379,7 @@
   Caraway__CallId *id;
   protobuf_c_boolean never_started;
   /*
-   * time that the call has been in the queue, plus 1; 0: it was not in the queue
+   * time that the revoked call was in the queue, plus 1; 0: it was not in the queue
    */
   uint32_t queued_ms;
   /*
