--- a/tests/unit/test_target_life.c
+++ b/tests/unit/test_target_life.c
@@ -170,13 +170,11 @@
 /* Returns whether an incarnation is in use that was acknowledged as leaving, or one before that. */
 static bool uses_left_target(const world_t *world)
 {
-	int incarnation = MAX_INCARNATIONS;
-
-	if (!cw_target_is_up(world->proxy))
-		return false;
-	while (!g_str_equal(cw_target_id(world->proxy), id_of(incarnation)))
-		incarnation--;
-	return incarnation <= world->left;
+	for (int incarnation = 1; incarnation <= world->left; incarnation++)
+		if (cw_target_is_up(world->proxy) &&
+		    g_str_equal(cw_target_id(world->proxy), id_of(incarnation)))
+			return true;
+	return false;
 }
 
 /* Returns whether a sound target is not in use after its next announcement and the health check. */
