--- a/tests/unit/cluster.c
+++ b/tests/unit/cluster.c
@@ -646,3 +646,13 @@
 	}
 	return versions;
 }
+
+bool cluster_has_logged(const cluster_t *cluster, const char *process, const char *event)
+{
+	g_autofree char *path = cluster_path(cluster, process, ".log");
+	g_autofree char *quoted = g_strdup_printf("\"event\":\"%s\"", event);
+	g_autofree char *text = NULL;
+
+	g_assert_true(g_file_get_contents(path, &text, NULL, NULL));
+	return strstr(text, quoted) != NULL;
+}
--- a/tests/unit/cluster.h
+++ b/tests/unit/cluster.h
@@ -93,5 +93,7 @@
 char *cluster_http_get(cluster_t *cluster, const char *proxy, const char *path);
 /* Returns the configuration versions that a proxy has logged since it was first started (uint64_t). */
 GArray *cluster_logged_versions(const cluster_t *cluster, const char *proxy);
+/* Returns whether a process has logged an event since it was first started. */
+bool cluster_has_logged(const cluster_t *cluster, const char *process, const char *event);
 
 #endif
--- a/tests/unit/test_control.c
+++ b/tests/unit/test_control.c
@@ -115,6 +115,14 @@
 	return matching_rows == CLUSTER_REPLICAS;
 }
 
+/* Returns whether a process has logged an event; the argument is PROCESS/EVENT. */
+static bool has_logged(run_t *run, const char *argument)
+{
+	g_auto(GStrv) parts = g_strsplit(argument, "/", 2);
+
+	return cluster_has_logged(run->cluster, parts[0], parts[1]);
+}
+
 /* Waits until a condition is met and prints "yes", or "no" at the timeout. */
 static void wait_for(run_t *run, condition_t condition, const char *argument, GString *out)
 {
@@ -141,6 +149,8 @@
 		wait_for(run, status_contains, argument, out);
 	else if (!strcmp(argv[1], "shows"))
 		wait_for(run, listing_matches, argument, out);
+	else if (!strcmp(argv[1], "logged"))
+		wait_for(run, has_logged, argument, out);
 	else if (!strcmp(argv[1], "all-vote"))
 		wait_for(run, all_replicas_vote, argument, out);
 	else
--- a/tests/unit/test_peers.c
+++ b/tests/unit/test_peers.c
@@ -368,6 +368,42 @@
 }
 END_TEST
 
+/* Checks that the next message tells that a call was revoked, and whether it had been in the queue. */
+static void check_revoked(link_clients_t *clients, bool was_queued)
+{
+	Caraway__Message *message = receive_message(clients);
+
+	ck_assert_int_eq(message->body_case, CARAWAY__MESSAGE__BODY_REVOKE_REPLY);
+	ck_assert(message->revoke_reply->never_started);
+	ck_assert_int_eq(message->revoke_reply->queued_ms > 0, was_queued);
+	cw_message_free(message);
+}
+
+/* The reply to a revocation tells whether the call had waited in the queue: logged for calls that fail so. */
+START_TEST(test_revoked_call_tells_whether_it_was_queued)
+{
+	link_context_t *context = link_context_new();
+	link_clients_t *clients = link_clients_new(context);
+	fixture_t fixture;
+	char *address;
+
+	start_slow_fixture(&fixture, "127.0.0.1:1", "400", "1");
+	address = g_strdup_printf("127.0.0.1:%d", fixture.call_port);
+	send_request(clients, address, 1, PROXY_INCARNATION, "first");
+	send_request(clients, address, 2, PROXY_INCARNATION, "queued");
+	send_revoke(clients, address, 2, PROXY_INCARNATION);
+	check_revoked(clients, true);
+	send_revoke(clients, address, 3, PROXY_INCARNATION);
+	check_revoked(clients, false);
+	check_answered(clients, 1);
+	ck_assert_int_eq(executions(&fixture, "queued"), 0);
+	g_free(address);
+	stop_fixture(&fixture);
+	link_clients_free(clients);
+	link_context_free(context);
+}
+END_TEST
+
 /* Adds a test as a separate test case, so that CK_RUN_CASE can select it. */
 static void add_test_case(Suite *suite, const TTest *test)
 {
@@ -386,5 +422,6 @@
 	add_test_case(suite, test_reordered_replies);
 	add_test_case(suite, test_repeated_requests);
 	add_test_case(suite, test_queued_call_stays_when_its_origin_asks);
+	add_test_case(suite, test_revoked_call_tells_whether_it_was_queued);
 	return script_run_suite(suite);
 }
