--- a/tests/unit/test_target_life.c
+++ b/tests/unit/test_target_life.c
@@ -182,7 +182,6 @@
 {
 	if (!world->running || world->leaving)
 		return false;
-	world->message_count = MIN(world->message_count, MAX_MESSAGES);
 	send_message(world, false, true);
 	deliver(world, world->message_count - 1);
 	if (cw_target_awaits_check(world->proxy))
