--- a/bench/bench_release.c
+++ b/bench/bench_release.c
@@ -40,10 +40,11 @@
 /* Appends a service in the platform's format. */
 static void append_service(GString *body, unsigned number)
 {
-	g_string_append_printf(body,
-			       "{\"resource_kind\":\"services\",\"metadata\":{\"name\":\"service-%u\"},"
-			       "\"spec\":{\"health_path\":\"/health\",\"max_connections\":100,\"tls\":false}},",
-			       number);
+	g_string_append_printf(
+		body,
+		"{\"resource_kind\":\"services\",\"metadata\":{\"name\":\"service-%u\"},"
+		"\"spec\":{\"health_path\":\"/health\",\"max_connections\":100,\"tls\":false}},",
+		number);
 }
 
 /* Appends a route in the platform's format. */
--- a/daemon/control.c
+++ b/daemon/control.c
@@ -1,6 +1,8 @@
 /* The event loop of a control replica: one thread, a server socket, a connection to each other replica. */
 #include "control.h"
 
+#include <string.h>
+
 #include "clock.h"
 #include "counters.h"
 #include "log.h"
@@ -86,8 +88,14 @@
 	link_wait(control->server, control->clients, control->poller, -1, CLAMP(wait_ms, 0, MAX_WAIT_MS));
 }
 
-/* Logs an iteration that has held the thread for long. */
-static void log_long_turn(int64_t start_ms, int64_t received_ms, unsigned messages)
+/* Adds the time since start_ms to the work of the present iteration. */
+void control_add_work(control_t *control, work_kind_t kind, int64_t start_ms)
+{
+	control->work_ms[kind] += clock_now_ms() - start_ms;
+}
+
+/* Logs an iteration that has held the thread for long, with what its time was spent on. */
+static void log_long_turn(const control_t *control, int64_t start_ms, int64_t received_ms, unsigned messages)
 {
 	int64_t end_ms = clock_now_ms();
 
@@ -95,7 +103,13 @@
 		return;
 	counter_add(COUNTER_LONG_TURN, 1);
 	log_warning("long-turn", LOG_INT("took_ms", end_ms - start_ms),
-		    LOG_INT("messages_ms", received_ms - start_ms), LOG_UINT("messages", messages), LOG_END);
+		    LOG_INT("messages_ms", received_ms - start_ms), LOG_UINT("messages", messages),
+		    LOG_INT("decode_ms", control->work_ms[WORK_DECODE]),
+		    LOG_INT("difference_ms", control->work_ms[WORK_DIFFERENCE]),
+		    LOG_INT("apply_ms", control->work_ms[WORK_APPLY]),
+		    LOG_INT("encode_ms", control->work_ms[WORK_ENCODE]),
+		    LOG_INT("snapshot_ms", control->work_ms[WORK_SNAPSHOT]),
+		    LOG_INT("relay_ms", control->work_ms[WORK_RELAY]), LOG_END);
 }
 
 /* Runs one iteration of the event loop: messages first, then timers. */
@@ -107,6 +121,7 @@
 
 	wait_for_events(control);
 	start_ms = clock_now_ms();
+	memset(control->work_ms, 0, sizeof(control->work_ms));
 	messages = receive_messages(control);
 	receive_answers(control);
 	now_ms = clock_now_ms();
@@ -114,11 +129,12 @@
 		control_raft_step(control, &tick);
 	control_expire_pending(control, now_ms);
 	control_relay_tick(control);
+	control_add_work(control, WORK_RELAY, now_ms);
 	poller_run_ready(control->poller);
 	metrics_tick(control->metrics, now_ms);
 	if (control->gateway_state)
 		control->gateway->tick_control(control->gateway_state, now_ms);
-	log_long_turn(start_ms, now_ms, messages);
+	log_long_turn(control, start_ms, now_ms, messages);
 }
 
 /*
--- a/daemon/control.h
+++ b/daemon/control.h
@@ -54,6 +54,17 @@
 	};
 } pending_request_t;
 
+/* What an iteration of the event loop spends its time on, as it is logged for a long one. */
+typedef enum {
+	WORK_DECODE,	 /* reading a configuration that was submitted */
+	WORK_DIFFERENCE, /* between the release in force and a submitted one */
+	WORK_APPLY,	 /* applying entries of the log */
+	WORK_ENCODE,	 /* writing the release in force for a reader */
+	WORK_SNAPSHOT,	 /* saving the ledger */
+	WORK_RELAY,	 /* timers of the feed, of registrations and of due activations */
+	WORK_KINDS
+} work_kind_t;
+
 enum {
 	LATE_ACTIVATION_MS = 1000, /* an activation delayed by more than this counts as late */
 	FIRST_INCARNATION = 1
@@ -89,11 +100,15 @@
 	uint64_t notified_term;
 	uint32_t notified_leader_id;
 	bool notified_is_leader;
-	bool activation_pending;  /* an activation was proposed and has no outcome yet */
+	int64_t work_ms[WORK_KINDS]; /* time spent in the present iteration */
+	bool activation_pending;     /* an activation was proposed and has no outcome yet */
 	bool storage_failed;	  /* this replica takes no part in Raft until the data folder is reopened */
 	int64_t next_recovery_ms; /* when to reopen the data folder after a storage failure */
 };
 
+/* control.c: adds the time since start_ms to the work of the present iteration. */
+void control_add_work(control_t *control, work_kind_t kind, int64_t start_ms);
+
 /* control_replica.c: the replicated log and the ledger that its entries are applied to. */
 cw_status_t control_replica_open(control_t *control, const settings_t *settings);
 void control_replica_close(control_t *control);
--- a/daemon/control_release.c
+++ b/daemon/control_release.c
@@ -44,6 +44,7 @@
 	const control_replacement_t *replacement = pending->gateway_request.replacement;
 	Caraway__Command command = CARAWAY__COMMAND__INIT;
 	Caraway__Replace replace = CARAWAY__REPLACE__INIT;
+	int64_t start_ms = clock_now_ms();
 
 	replace.operator_name = control->settings->operator_name;
 	replace.approval = control->settings->approval;
@@ -53,6 +54,7 @@
 	replace.content = cw_ledger_release_difference(control->ledger, replacement->content);
 	command.body_case = CARAWAY__COMMAND__BODY_REPLACE;
 	command.replace = &replace;
+	control_add_work(control, WORK_DIFFERENCE, start_ms);
 	control_propose(control, pending, &command);
 	cw_message_free(replace.content);
 }
@@ -94,15 +96,33 @@
 	control_confirm_leadership(control, gateway_request_new(PENDING_RELEASE, NULL, callback, data));
 }
 
+/* Returns how long a gateway request has waited since its last step. */
+static int64_t waited_ms(const pending_request_t *pending)
+{
+	return clock_now_ms() + GATEWAY_TIMEOUT_MS - pending->deadline_ms;
+}
+
 /* Logs the outcome of a replacement, with the version and feed index by which proxies name the configuration. */
-static void log_replacement(const control_t *control, const control_replacement_t *replacement,
-			    cw_status_t status, const char *message)
+static void log_replacement(const control_t *control, const pending_request_t *pending, cw_status_t status,
+			    const char *message)
 {
+	const control_replacement_t *replacement = pending->gateway_request.replacement;
 	const cw_feed_t *feed = cw_ledger_feed(control->ledger);
 
 	log_info("replacement", LOG_UINT("release", replacement->release),
 		 LOG_UINT("base", replacement->base_release), LOG_STR("outcome", cw_status_name(status)),
 		 LOG_UINT("version", cw_feed_version(feed)), LOG_UINT("index", cw_feed_index(feed)),
+		 LOG_UINT("term", cw_raft_term(control->raft)), LOG_INT("waited_ms", waited_ms(pending)),
+		 LOG_STR("reason", message), LOG_END);
+}
+
+/* Logs the outcome of a reading; after "ok" the reader is sent this release. */
+static void log_reading(const control_t *control, const pending_request_t *pending, cw_status_t status,
+			const char *message)
+{
+	log_info("reading", LOG_UINT("release", cw_ledger_release_in_force(control->ledger)),
+		 LOG_STR("outcome", cw_status_name(status)), LOG_UINT("applied", control->applied_index),
+		 LOG_UINT("term", cw_raft_term(control->raft)), LOG_INT("waited_ms", waited_ms(pending)),
 		 LOG_STR("reason", message), LOG_END);
 }
 
@@ -118,7 +138,7 @@
 					      request->callback, request->data);
 		return;
 	}
-	log_replacement(control, request->replacement, status,
+	log_replacement(control, pending, status,
 			status == CW_OK ? "accepted before" : cw_last_error_message());
 	request->callback(request->data, status, cw_last_error_message());
 }
@@ -134,6 +154,8 @@
 		return;
 	}
 	if (request->replacement)
-		log_replacement(control, request->replacement, status, message);
+		log_replacement(control, pending, status, message);
+	else
+		log_reading(control, pending, status, message);
 	request->callback(request->data, status, message);
 }
--- a/daemon/control_replica.c
+++ b/daemon/control_replica.c
@@ -31,6 +31,7 @@
 static void take_snapshot_if_due(control_t *control)
 {
 	cw_raft_event_t event = {.type = CW_RAFT_EV_SNAPSHOT_TAKEN};
+	int64_t start_ms = clock_now_ms();
 	GBytes *state;
 	cw_status_t status;
 
@@ -50,6 +51,7 @@
 		fail_storage(control);
 	}
 	g_bytes_unref(state);
+	control_add_work(control, WORK_SNAPSHOT, start_ms);
 }
 
 /*
@@ -76,6 +78,7 @@
 /* Applies a command from the log to the ledger. */
 static void apply_command(control_t *control, const Caraway__Entry *entry)
 {
+	int64_t start_ms = clock_now_ms();
 	Caraway__Command *command = caraway__command__unpack(NULL, entry->data.len, entry->data.data);
 	Caraway__Change *change = NULL;
 	cw_status_t status = CW_ERR_DECODE;
@@ -84,6 +87,7 @@
 		status = cw_ledger_apply(control->ledger, command, &change);
 	else
 		cw_fail(CW_ERR_DECODE, "log entry %" PRIu64 " cannot be decoded", entry->index);
+	control_add_work(control, WORK_APPLY, start_ms);
 	finish_entry(control, entry, status, change);
 	cw_message_free(change);
 	cw_message_free(command);
