--- a/daemon/control.c
+++ b/daemon/control.c
@@ -113,7 +113,7 @@
 }
 
 /* Runs one iteration of the event loop: messages first, then timers. */
-static void run_iteration(control_t *control)
+void control_run_iteration(control_t *control)
 {
 	cw_raft_event_t tick = {.type = CW_RAFT_EV_TICK};
 	int64_t start_ms, now_ms;
@@ -151,9 +151,9 @@
 		return;
 	control_raft_step(control, &event);
 	while (cw_raft_role(control->raft) == CW_RAFT_LEADER && clock_now_ms() < deadline_ms)
-		run_iteration(control);
+		control_run_iteration(control);
 	for (deadline_ms = clock_now_ms() + FLUSH_MS; clock_now_ms() < deadline_ms;)
-		run_iteration(control);
+		control_run_iteration(control);
 }
 
 /* Connects to the other replicas before the first message is sent. */
@@ -169,7 +169,7 @@
 }
 
 /* Frees everything that control_open() created. */
-static void control_close(control_t *control, link_context_t *context)
+void control_close(control_t *control, link_context_t *context)
 {
 	if (control->gateway_state)
 		control->gateway->close_control(control->gateway_state);
@@ -213,8 +213,8 @@
 }
 
 /* Opens the metrics port, the data folder and the other ports. */
-static cw_status_t control_open(control_t *control, const settings_t *settings, link_context_t *context,
-				const run_signals_t *signals)
+cw_status_t control_open(control_t *control, const settings_t *settings, link_context_t *context,
+			 const run_signals_t *signals)
 {
 	cw_status_t status;
 
@@ -271,7 +271,7 @@
 	else if (status == CW_OK) {
 		reload_init(&reload, signals);
 		while (!*signals->stop) {
-			run_iteration(&control);
+			control_run_iteration(&control);
 			control_replica_retry_storage(&control, settings);
 			apply_changed_settings(&control, &reload);
 		}
--- a/daemon/control.h
+++ b/daemon/control.h
@@ -5,6 +5,7 @@
 #include "gateway.h"
 #include "metrics.h"
 #include "relay_io.h"
+#include "run.h"
 #include "settings.h"
 #include "store.h"
 
@@ -106,7 +107,12 @@
 	int64_t next_recovery_ms; /* when to reopen the data folder after a storage failure */
 };
 
-/* control.c: adds the time since start_ms to the work of the present iteration. */
+/* control.c: the parts of control_run(); *control is zero but for the gateway before control_open(). */
+cw_status_t control_open(control_t *control, const settings_t *settings, link_context_t *context,
+			 const run_signals_t *signals);
+void control_run_iteration(control_t *control);
+void control_close(control_t *control, link_context_t *context);
+/* Adds the time since start_ms to the work of the present iteration. */
 void control_add_work(control_t *control, work_kind_t kind, int64_t start_ms);
 
 /* control_replica.c: the replicated log and the ledger that its entries are applied to. */
