Apply a change in proportion to the change, not to the configuration

What callers saw: each change of a large configuration held every replica, so that acknowledgements came late. Cause: a change was checked on a copy of the catalog, which copied the table of all entries, and each alteration of a layer discarded the index of referrers, which was then built again from all entries, twice for a change. Now a copy of a layer holds what differs from the layer it was made of, and the index is kept up to date.

--- a/libcaraway/catalog.h
+++ b/libcaraway/catalog.h
@@ -51,16 +51,29 @@
 	uint64_t number;   /* of the change that set it */
 } entry_t;
 
-/* The entries of all changes with one selector text; shared between catalogs, copied on write. */
-typedef struct {
+/*
+ * The entries of all changes with one selector text; shared between catalogs, copied
+ * on write.  A copy holds what differs from its base, the layer that it was made of.
+ */
+typedef struct layer {
 	gatomicrefcount ref_count;
 	char *text; /* of the selector */
 	cw_selector_t *selector;
-	GHashTable *entries[SECTION_KINDS]; /* name -> entry_t */
-	/* name -> GPtrArray of the entry_t that refer to it; NULL until first used */
-	GHashTable *referrers[SECTION_KINDS];
+	struct layer *base; /* not altered while it is shared; NULL: none */
+	/* name -> entry_t, in place of the base's; NULL for an entry of the base that was removed */
+	GHashTable *entries[SECTION_KINDS];
+	size_t count[SECTION_KINDS];	      /* entries, those of the base included */
+	GHashTable *referrers[SECTION_KINDS]; /* name -> set of the entry_t of this layer that refer to it */
 } layer_t;
 
+/* Iterates over the entries of one kind of a layer. */
+typedef struct {
+	const layer_t *top;   /* the layer iterated over */
+	const layer_t *layer; /* it or one of its bases */
+	section_kind_t kind;
+	GHashTableIter iter;
+} layer_iter_t;
+
 /* A VM of the catalog; immutable, shared between copies of the table. */
 typedef struct {
 	gatomicrefcount ref_count;
@@ -99,13 +112,16 @@
 void entry_unref(void *data);
 void entries_sort(GPtrArray *entries);
 layer_t *layer_new(const char *text, cw_selector_t *selector);
-layer_t *layer_copy(const layer_t *layer);
+layer_t *layer_copy(layer_t *layer);
 layer_t *layer_ref(layer_t *layer);
 void layer_unref(void *data);
 const entry_t *layer_entry(const layer_t *layer, section_kind_t kind, const char *name);
 void layer_put(layer_t *layer, entry_t *entry);
 bool layer_remove(layer_t *layer, section_kind_t kind, const char *name);
-const GPtrArray *layer_referrers(layer_t *layer, section_kind_t kind, const char *name);
+GPtrArray *layer_referrers(const layer_t *layer, section_kind_t kind, const char *name);
+layer_t *layer_settle(layer_t *layer);
+void layer_iter_init(layer_iter_t *iter, const layer_t *layer, section_kind_t kind);
+const entry_t *layer_iter_next(layer_iter_t *iter);
 
 /* ---- catalog.c ---- */
 
--- a/libcaraway/catalog_check.c
+++ b/libcaraway/catalog_check.c
@@ -105,9 +105,9 @@
 			    reference_error_t **first)
 {
 	for (size_t i = 0; i < set->count; i++) {
-		const GPtrArray *referrers = layer_referrers(set->layers[i], kind, name);
+		g_autoptr(GPtrArray) referrers = layer_referrers(set->layers[i], kind, name);
 
-		for (size_t j = 0; referrers && j < referrers->len; j++) {
+		for (size_t j = 0; j < referrers->len; j++) {
 			const entry_t *referrer = referrers->pdata[j];
 			const char *referrer_name = section_name(referrer->section);
 
@@ -147,16 +147,13 @@
 {
 	for (size_t i = 0; i < set->count; i++)
 		for (int kind = SECTION_ROUTE; kind < SECTION_KINDS; kind++) {
-			GHashTableIter iter;
-			gpointer value;
-
-			g_hash_table_iter_init(&iter, set->layers[i]->entries[kind]);
-			while (g_hash_table_iter_next(&iter, NULL, &value)) {
-				const entry_t *entry = value;
+			layer_iter_t iter;
+			const entry_t *entry;
 
+			layer_iter_init(&iter, set->layers[i], kind);
+			while ((entry = layer_iter_next(&iter)))
 				if (effective_entry(set, kind, section_name(entry->section)) == entry)
 					check_section(set, entry->section, first);
-			}
 		}
 }
 
--- a/libcaraway/catalog_resolve.c
+++ b/libcaraway/catalog_resolve.c
@@ -4,16 +4,16 @@
 /* Adds the entries of a layer to a table by name, in place of older ones. */
 static void merge_layer(GHashTable *by_name, const layer_t *layer, section_kind_t kind)
 {
-	GHashTableIter iter;
-	gpointer name;
-	gpointer value;
+	layer_iter_t iter;
+	const entry_t *entry;
 
-	g_hash_table_iter_init(&iter, layer->entries[kind]);
-	while (g_hash_table_iter_next(&iter, &name, &value)) {
+	layer_iter_init(&iter, layer, kind);
+	while ((entry = layer_iter_next(&iter))) {
+		const char *name = section_name(entry->section);
 		const entry_t *newest = g_hash_table_lookup(by_name, name);
 
-		if (!newest || newest->version < ((const entry_t *)value)->version)
-			g_hash_table_insert(by_name, name, value);
+		if (!newest || newest->version < entry->version)
+			g_hash_table_insert(by_name, (gpointer)name, (gpointer)entry);
 	}
 }
 
--- a/libcaraway/catalog_save.c
+++ b/libcaraway/catalog_save.c
@@ -5,12 +5,12 @@
 static GPtrArray *sorted_entries(const layer_t *layer, section_kind_t kind)
 {
 	GPtrArray *entries = g_ptr_array_new();
-	GHashTableIter iter;
-	gpointer value;
+	layer_iter_t iter;
+	const entry_t *entry;
 
-	g_hash_table_iter_init(&iter, layer->entries[kind]);
-	while (g_hash_table_iter_next(&iter, NULL, &value))
-		g_ptr_array_add(entries, value);
+	layer_iter_init(&iter, layer, kind);
+	while ((entry = layer_iter_next(&iter)))
+		g_ptr_array_add(entries, (gpointer)entry);
 	entries_sort(entries);
 	return entries;
 }
--- a/libcaraway/difference.c
+++ b/libcaraway/difference.c
@@ -127,16 +127,13 @@
 static GPtrArray *entries_from_number(const layer_t *layer, section_kind_t kind, uint64_t least_number)
 {
 	GPtrArray *entries = g_ptr_array_new();
-	GHashTableIter iter;
-	gpointer value;
-
-	g_hash_table_iter_init(&iter, layer->entries[kind]);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const entry_t *entry = value;
+	layer_iter_t iter;
+	const entry_t *entry;
 
+	layer_iter_init(&iter, layer, kind);
+	while ((entry = layer_iter_next(&iter)))
 		if (entry->number >= least_number && !section_is_removed(entry->section))
-			g_ptr_array_add(entries, value);
-	}
+			g_ptr_array_add(entries, (gpointer)entry);
 	entries_sort(entries);
 	return entries;
 }
--- a/libcaraway/layer.c
+++ b/libcaraway/layer.c
@@ -1,6 +1,8 @@
 /* Entries, each a section as set by a change, and layers, each with the entries of one selector text. */
 #include "catalog.h"
 
+#include <string.h>
+
 /* Returns a new entry that owns a copy of a section. */
 entry_t *entry_new(section_t section, uint64_t version, uint64_t number)
 {
@@ -32,6 +34,13 @@
 	g_free(entry);
 }
 
+/* Drops the reference of a layer to an entry; NULL marks a removed one. */
+static void drop_entry(void *entry)
+{
+	if (entry)
+		entry_unref(entry);
+}
+
 /* Returns a new layer without entries; takes ownership of the selector. */
 layer_t *layer_new(const char *text, cw_selector_t *selector)
 {
@@ -40,19 +49,12 @@
 	g_atomic_ref_count_init(&layer->ref_count);
 	layer->text = g_strdup(text);
 	layer->selector = selector;
-	for (int kind = 0; kind < SECTION_KINDS; kind++)
-		layer->entries[kind] = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, entry_unref);
-	return layer;
-}
-
-/* Discards the index of referrers, which layer_referrers() builds again. */
-static void layer_clear_referrers(layer_t *layer)
-{
 	for (int kind = 0; kind < SECTION_KINDS; kind++) {
-		if (layer->referrers[kind])
-			g_hash_table_destroy(layer->referrers[kind]);
-		layer->referrers[kind] = NULL;
+		layer->entries[kind] = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, drop_entry);
+		layer->referrers[kind] = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+							       (GDestroyNotify)g_hash_table_unref);
 	}
+	return layer;
 }
 
 /* Takes a reference to a layer. */
@@ -69,102 +71,205 @@
 
 	if (!layer || !g_atomic_ref_count_dec(&layer->ref_count))
 		return;
-	layer_clear_referrers(layer);
-	for (int kind = 0; kind < SECTION_KINDS; kind++)
+	for (int kind = 0; kind < SECTION_KINDS; kind++) {
+		g_hash_table_destroy(layer->referrers[kind]);
 		g_hash_table_destroy(layer->entries[kind]);
+	}
+	layer_unref(layer->base);
 	cw_selector_free(layer->selector);
 	g_free(layer->text);
 	g_free(layer);
 }
 
-/* Returns a new layer that shares the entries of another. */
-layer_t *layer_copy(const layer_t *layer)
+/* Returns a copy of a layer, which refers to it as its base. */
+layer_t *layer_copy(layer_t *layer)
 {
 	cw_selector_t *selector;
 	layer_t *copy;
 
 	cw_selector_parse(layer->text, &selector);
 	copy = layer_new(layer->text, selector);
-	for (int kind = 0; kind < SECTION_KINDS; kind++) {
-		GHashTableIter iter;
-		gpointer name;
-		gpointer entry;
-
-		g_hash_table_iter_init(&iter, layer->entries[kind]);
-		while (g_hash_table_iter_next(&iter, &name, &entry))
-			g_hash_table_insert(copy->entries[kind], name, entry_ref(entry));
-	}
+	copy->base = layer_ref(layer);
+	memcpy(copy->count, layer->count, sizeof(copy->count));
 	return copy;
 }
 
 /* Returns a layer's entry of a name; NULL when it has none. */
 const entry_t *layer_entry(const layer_t *layer, section_kind_t kind, const char *name)
 {
-	return g_hash_table_lookup(layer->entries[kind], name);
+	gpointer entry;
+
+	for (; layer; layer = layer->base)
+		if (g_hash_table_lookup_extended(layer->entries[kind], name, NULL, &entry))
+			return entry;
+	return NULL;
+}
+
+/* Adds an entry to the referrers of a name. */
+static void add_referrer(layer_t *layer, section_kind_t kind, const char *name, entry_t *entry)
+{
+	GHashTable *referrers = g_hash_table_lookup(layer->referrers[kind], name);
+
+	if (!referrers) {
+		referrers = g_hash_table_new(NULL, NULL);
+		g_hash_table_insert(layer->referrers[kind], g_strdup(name), referrers);
+	}
+	g_hash_table_add(referrers, entry);
+}
+
+/* Removes an entry from the referrers of a name. */
+static void remove_referrer(layer_t *layer, section_kind_t kind, const char *name, entry_t *entry)
+{
+	GHashTable *referrers = g_hash_table_lookup(layer->referrers[kind], name);
+
+	if (!referrers)
+		return;
+	g_hash_table_remove(referrers, entry);
+	if (!g_hash_table_size(referrers))
+		g_hash_table_remove(layer->referrers[kind], name);
+}
+
+/* add_referrer() or remove_referrer(). */
+typedef void (*referrer_update_t)(layer_t *layer, section_kind_t kind, const char *name, entry_t *entry);
+
+/* Adds an entry to the referrers of each name that it refers to, or removes it from them. */
+static void update_referrers(layer_t *layer, entry_t *entry, referrer_update_t update)
+{
+	section_t section = entry->section;
+
+	if (section_is_removed(section))
+		return;
+	for (size_t i = 0; section_service(section, i); i++)
+		update(layer, SECTION_SERVICE, section_service(section, i), entry);
+	if (section_target(section))
+		update(layer, SECTION_TARGET, section_target(section), entry);
+}
+
+/* Removes a name from the entries of the layer itself. */
+static void forget_own(layer_t *layer, section_kind_t kind, const char *name)
+{
+	entry_t *entry = g_hash_table_lookup(layer->entries[kind], name);
+
+	if (entry)
+		update_referrers(layer, entry, remove_referrer);
+	g_hash_table_remove(layer->entries[kind], name);
 }
 
 /* Adds an entry, replacing the one of its name; takes ownership of the reference. */
 void layer_put(layer_t *layer, entry_t *entry)
 {
-	layer_clear_referrers(layer);
-	g_hash_table_replace(layer->entries[entry->section.kind], (gpointer)section_name(entry->section),
-			     entry);
+	section_kind_t kind = entry->section.kind;
+	const char *name = section_name(entry->section);
+
+	if (!layer_entry(layer, kind, name))
+		layer->count[kind]++;
+	forget_own(layer, kind, name);
+	g_hash_table_insert(layer->entries[kind], (gpointer)name, entry);
+	update_referrers(layer, entry, add_referrer);
 }
 
 /* Removes the entry of a name; returns whether the layer is empty now. */
 bool layer_remove(layer_t *layer, section_kind_t kind, const char *name)
 {
+	const entry_t *of_base = layer->base ? layer_entry(layer->base, kind, name) : NULL;
 	size_t remaining = 0;
 
-	layer_clear_referrers(layer);
-	g_hash_table_remove(layer->entries[kind], name);
+	if (layer_entry(layer, kind, name))
+		layer->count[kind]--;
+	forget_own(layer, kind, name);
+	if (of_base)
+		g_hash_table_insert(layer->entries[kind], (gpointer)section_name(of_base->section), NULL);
 	for (int i = 0; i < SECTION_KINDS; i++)
-		remaining += g_hash_table_size(layer->entries[i]);
+		remaining += layer->count[i];
 	return !remaining;
 }
 
-/* Adds an entry to the referrers of a name. */
-static void add_referrer(layer_t *layer, section_kind_t kind, const char *name, entry_t *entry)
+/* Returns the entries (entry_t *) of a layer that refer to a service or target, in no order; freed by the caller. */
+GPtrArray *layer_referrers(const layer_t *layer, section_kind_t kind, const char *name)
 {
-	GPtrArray *referrers = g_hash_table_lookup(layer->referrers[kind], name);
+	const layer_t *top = layer;
+	GPtrArray *found = g_ptr_array_new();
+	GHashTableIter iter;
+	gpointer entry;
 
-	if (!referrers) {
-		referrers = g_ptr_array_new();
-		g_hash_table_insert(layer->referrers[kind], g_strdup(name), referrers);
+	for (; layer; layer = layer->base) {
+		GHashTable *referrers = g_hash_table_lookup(layer->referrers[kind], name);
+
+		if (!referrers)
+			continue;
+		g_hash_table_iter_init(&iter, referrers);
+		while (g_hash_table_iter_next(&iter, &entry, NULL)) {
+			section_t section = ((entry_t *)entry)->section;
+
+			if (layer == top || layer_entry(top, section.kind, section_name(section)) == entry)
+				g_ptr_array_add(found, entry);
+		}
 	}
-	g_ptr_array_add(referrers, entry);
+	return found;
 }
 
-/* Builds the index of referrers: for each service and target, the entries that refer to it. */
-static void layer_index_referrers(layer_t *layer)
+/* Moves the entries of a layer, and its removals, to the base, which nothing else refers to. */
+static void move_to_base(layer_t *layer)
 {
-	for (int kind = 0; kind < SECTION_KINDS; kind++)
-		layer->referrers[kind] = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-							       (GDestroyNotify)g_ptr_array_unref);
 	for (int kind = 0; kind < SECTION_KINDS; kind++) {
 		GHashTableIter iter;
-		gpointer value;
+		gpointer name;
+		gpointer entry;
 
 		g_hash_table_iter_init(&iter, layer->entries[kind]);
-		while (g_hash_table_iter_next(&iter, NULL, &value)) {
-			section_t section = ((entry_t *)value)->section;
-
-			if (section_is_removed(section))
-				continue;
-			for (size_t i = 0; section_service(section, i); i++)
-				add_referrer(layer, SECTION_SERVICE, section_service(section, i), value);
-			if (section_target(section))
-				add_referrer(layer, SECTION_TARGET, section_target(section), value);
+		while (g_hash_table_iter_next(&iter, &name, &entry)) {
+			if (entry)
+				layer_put(layer->base, entry_ref(entry));
+			else
+				layer_remove(layer->base, kind, name);
 		}
 	}
 }
 
-/* Returns the entries (entry_t *) of a layer that refer to a service or target; NULL when none do. */
-const GPtrArray *layer_referrers(layer_t *layer, section_kind_t kind, const char *name)
+/*
+ * Returns a layer with the same entries and no base that could be altered in its
+ * place: the base itself, if only this layer refers to it.  Takes ownership of the
+ * reference.
+ */
+layer_t *layer_settle(layer_t *layer)
 {
-	if (!layer->referrers[SECTION_SERVICE])
-		layer_index_referrers(layer);
-	return g_hash_table_lookup(layer->referrers[kind], name);
+	layer_t *base = layer->base;
+
+	if (!base || !g_atomic_ref_count_compare(&layer->ref_count, 1) ||
+	    !g_atomic_ref_count_compare(&base->ref_count, 1))
+		return layer;
+	move_to_base(layer);
+	layer_ref(base);
+	layer_unref(layer);
+	return base;
+}
+
+/* Starts at the first entry of a kind. */
+void layer_iter_init(layer_iter_t *iter, const layer_t *layer, section_kind_t kind)
+{
+	*iter = (layer_iter_t){.top = layer, .layer = layer, .kind = kind};
+	g_hash_table_iter_init(&iter->iter, layer->entries[kind]);
+}
+
+/* Returns the next entry, in no order; NULL after the last. */
+const entry_t *layer_iter_next(layer_iter_t *iter)
+{
+	gpointer entry;
+
+	while (iter->layer) {
+		while (g_hash_table_iter_next(&iter->iter, NULL, &entry)) {
+			const entry_t *found = entry;
+
+			if (found &&
+			    (iter->layer == iter->top ||
+			     layer_entry(iter->top, iter->kind, section_name(found->section)) == found))
+				return found;
+		}
+		iter->layer = iter->layer->base;
+		if (iter->layer)
+			g_hash_table_iter_init(&iter->iter, iter->layer->entries[iter->kind]);
+	}
+	return NULL;
 }
 
 /* Orders entries by name. */
--- a/libcaraway/schedule_check.c
+++ b/libcaraway/schedule_check.c
@@ -65,13 +65,14 @@
 static void add_names_in_catalog(check_context_t *context, section_kind_t kind, const char *name)
 {
 	for (size_t i = 0; i < context->catalog->layers->len; i++) {
-		layer_t *layer = context->catalog->layers->pdata[i];
+		const layer_t *layer = context->catalog->layers->pdata[i];
 		const entry_t *entry = layer ? layer_entry(layer, kind, name) : NULL;
-		const GPtrArray *referrers = layer ? layer_referrers(layer, kind, name) : NULL;
+		g_autoptr(GPtrArray) referrers =
+			layer ? layer_referrers(layer, kind, name) : g_ptr_array_new();
 
 		if (entry)
 			add_references(context, entry->section);
-		for (size_t j = 0; referrers && j < referrers->len; j++) {
+		for (size_t j = 0; j < referrers->len; j++) {
 			section_t referrer = ((const entry_t *)referrers->pdata[j])->section;
 
 			add_name(context, referrer.kind, section_name(referrer));
