Apply a large configuration over several turns of the event loop

What callers saw: late acknowledgements and readings without an answer, as a replica that applied a large configuration was held for longer than an election and the leader lost its place. Cause: an entry of the log was checked three times and applied in one turn. Now it is checked once, on a copy of the catalog that then takes the place of the one in force, and a job handles 250 sections a turn; the ledger stays as it was until the last part, and what follows in the log, confirmed reads too, waits.

Ruled out: several entries for one configuration, which replicas of before could not read.

--- a/daemon/control.c
+++ b/daemon/control.c
@@ -11,6 +11,7 @@
 enum {
 	MAX_WAIT_MS = 50, /* bounds the delay of the timers that do not end the wait */
 	MAX_MESSAGES_PER_ITERATION = 1000,
+	APPLIED_SECTIONS_PER_ITERATION = 250,
 	LONG_TURN_MS = 200,	       /* a longer iteration is logged: timers and heartbeats were as late */
 	LEADERSHIP_TRANSFER_MS = 1000, /* longest wait for another leader on a planned stop */
 	FLUSH_MS = 100,		       /* lets the last messages be sent before the sockets close */
@@ -85,6 +86,8 @@
 {
 	int64_t wait_ms = cw_raft_next_tick_ms(control->raft) - clock_now_ms();
 
+	if (control->apply_items.length)
+		wait_ms = 0;
 	link_wait(control->server, control->clients, control->poller, -1, CLAMP(wait_ms, 0, MAX_WAIT_MS));
 }
 
@@ -122,11 +125,15 @@
 	wait_for_events(control);
 	start_ms = clock_now_ms();
 	memset(control->work_ms, 0, sizeof(control->work_ms));
+	control->apply_budget = APPLIED_SECTIONS_PER_ITERATION;
 	messages = receive_messages(control);
 	receive_answers(control);
 	now_ms = clock_now_ms();
 	if (cw_raft_next_tick_ms(control->raft) <= now_ms)
 		control_raft_step(control, &tick);
+	control_apply_continue(control);
+	if (!control->storage_failed)
+		control_take_snapshot_if_due(control);
 	control_expire_pending(control, now_ms);
 	control_relay_tick(control);
 	control_add_work(control, WORK_RELAY, now_ms);
--- a/daemon/control.h
+++ b/daemon/control.h
@@ -91,7 +91,12 @@
 	GHashTable *pending_registrations; /* set of names of VMs whose registration is pending */
 	GArray *confirmed_cookies;	   /* uint64_t, of relay actions: leadership was confirmed */
 	GArray *unconfirmed_cookies;	   /* uint64_t, of relay actions: leadership was not confirmed */
+	GQueue apply_items;		   /* what waits to be applied, in order; see control_apply.c */
+	cw_ledger_job_t *apply_job;	   /* of the first of them; NULL: not begun */
+	size_t apply_budget;		   /* sections that may still be applied in this iteration */
+	bool applying;			   /* items are being carried out: further ones wait */
 	uint64_t applied_index;		   /* of the last log entry applied to the ledger */
+	uint64_t delivered_index;	   /* of the last log entry that Raft has given out to be applied */
 	uint64_t snapshot_index;	   /* of the last log entry in the newest snapshot */
 	uint64_t last_cookie;		   /* of the newest pending request */
 	int64_t next_registration_ms;	   /* when endpoints are next compared with the registered VMs */
@@ -137,6 +142,17 @@
 const char *control_voter_address(const control_t *control, uint32_t id);
 const char *control_role_name(cw_raft_role_t role);
 
+/* Writes a snapshot of the ledger when it is due; not called while the actions of a step are executed. */
+void control_take_snapshot_if_due(control_t *control);
+/* Completes a read that a quorum has confirmed. */
+void control_finish_read(control_t *control, uint64_t cookie);
+
+/* control_apply.c: applies the committed entries, each iteration as many as its budget allows. */
+void control_apply_entry(control_t *control, const Caraway__Entry *entry);
+void control_apply_read(control_t *control, uint64_t cookie);
+void control_apply_continue(control_t *control);
+void control_apply_reset(control_t *control, uint64_t index);
+
 /* control_pending.c: requests that wait for the replicated log. */
 pending_request_t *pending_request_new(pending_request_type_t type, int64_t deadline_ms);
 void pending_request_free(gpointer pending);
--- a/daemon/control_replica.c
+++ b/daemon/control_replica.c
@@ -28,7 +28,7 @@
 }
 
 /* Writes a snapshot of the ledger once enough entries have been applied, and removes them from the log. */
-static void take_snapshot_if_due(control_t *control)
+void control_take_snapshot_if_due(control_t *control)
 {
 	cw_raft_event_t event = {.type = CW_RAFT_EV_SNAPSHOT_TAKEN};
 	int64_t start_ms = clock_now_ms();
@@ -54,61 +54,6 @@
 	control_add_work(control, WORK_SNAPSHOT, start_ms);
 }
 
-/*
- * Completes the pending request at this log index: with the outcome, or with
- * an error when the entry of another leader has replaced its entry.
- */
-static void finish_entry(control_t *control, const Caraway__Entry *entry, cw_status_t status,
-			 const Caraway__Change *change)
-{
-	pending_request_t *pending = g_hash_table_lookup(control->pending_by_index, &entry->index);
-
-	if (!pending)
-		return;
-	if (pending->term != entry->term) {
-		control_finish_pending(control, pending, CW_ERR_NOT_LEADER,
-				       "another replica became leader; the command was not executed", NULL);
-		return;
-	}
-	counter_add(status == CW_OK ? COUNTER_COMMAND_ACCEPTED : COUNTER_COMMAND_REFUSED, 1);
-	control_finish_pending(control, pending, status, status == CW_OK ? "" : cw_last_error_message(),
-			       change);
-}
-
-/* Applies a command from the log to the ledger. */
-static void apply_command(control_t *control, const Caraway__Entry *entry)
-{
-	int64_t start_ms = clock_now_ms();
-	Caraway__Command *command = caraway__command__unpack(NULL, entry->data.len, entry->data.data);
-	Caraway__Change *change = NULL;
-	cw_status_t status = CW_ERR_DECODE;
-
-	if (command)
-		status = cw_ledger_apply(control->ledger, command, &change);
-	else
-		cw_fail(CW_ERR_DECODE, "log entry %" PRIu64 " cannot be decoded", entry->index);
-	control_add_work(control, WORK_APPLY, start_ms);
-	finish_entry(control, entry, status, change);
-	cw_message_free(change);
-	cw_message_free(command);
-}
-
-/*
- * Applies a committed entry; Raft itself handles membership entries.  After a
- * storage failure, such as a full disk, the recreated Raft state machine delivers
- * entries again that the ledger has applied already.
- */
-static void apply_entry(control_t *control, const Caraway__Entry *entry)
-{
-	if (entry->index <= control->applied_index)
-		return;
-	control->applied_index = entry->index;
-	if (entry->kind == CARAWAY__ENTRY_KIND__ENTRY_COMMAND)
-		apply_command(control, entry);
-	else
-		finish_entry(control, entry, CW_OK, NULL);
-}
-
 /* Replaces the ledger and the log by a snapshot from the leader. */
 static cw_status_t install_snapshot(control_t *control, const cw_raft_action_t *action)
 {
@@ -117,11 +62,13 @@
 	cw_status_t status = store_save_snapshot(control->store, action->index, action->term,
 						 action->membership, data, length, false);
 
-	if (status == CW_OK)
-		status = cw_ledger_load(control->ledger, data, length);
 	if (status != CW_OK)
 		return status;
-	control->applied_index = action->index;
+	g_clear_pointer(&control->apply_job, cw_ledger_job_free); /* of the ledger that is replaced */
+	status = cw_ledger_load(control->ledger, data, length);
+	if (status != CW_OK)
+		return status;
+	control_apply_reset(control, action->index);
 	control->snapshot_index = action->index;
 	return CW_OK;
 }
@@ -157,6 +104,12 @@
 		control_finish_pending(control, pending, status, message, NULL);
 }
 
+/* Completes a read that a quorum has confirmed. */
+void control_finish_read(control_t *control, uint64_t cookie)
+{
+	finish_by_cookie(control, cookie, CW_OK, "");
+}
+
 /* Returns the error message for a refusal by Raft. */
 static const char *refusal_message(cw_status_t status)
 {
@@ -207,13 +160,13 @@
 		send_raft(control, action);
 		break;
 	case CW_RAFT_AC_APPLY:
-		apply_entry(control, action->entry);
+		control_apply_entry(control, action->entry);
 		break;
 	case CW_RAFT_AC_PROPOSED:
 		record_log_position(control, action);
 		break;
 	case CW_RAFT_AC_READ_READY:
-		finish_by_cookie(control, action->cookie, CW_OK, "");
+		control_apply_read(control, action->cookie);
 		break;
 	case CW_RAFT_AC_REFUSED:
 		finish_refused(control, action);
@@ -248,7 +201,7 @@
 	if (status != CW_OK)
 		fail_storage(control);
 	else if (!control->storage_failed)
-		take_snapshot_if_due(control);
+		control_take_snapshot_if_due(control);
 }
 
 /* Passes the queued proposals and reads to Raft, also those that their own actions lead to. */
@@ -446,8 +399,9 @@
 		g_bytes_unref(snapshot);
 	}
 	if (status == CW_OK) {
-		control->applied_index = stored.snapshot_index;
+		control_apply_reset(control, stored.snapshot_index);
 		control->snapshot_index = stored.snapshot_index;
+		control->apply_budget = SIZE_MAX;
 		create_raft(control, settings, &stored);
 		/* Applies the entries known to be committed, while a replica that just started refuses votes. */
 		control_raft_step(control, &tick);
@@ -502,6 +456,7 @@
 {
 	if (control->raft)
 		cw_raft_free(control->raft);
+	control_apply_reset(control, 0);
 	if (control->ledger)
 		cw_ledger_free(control->ledger);
 	if (control->store)
--- a/libcaraway/caraway_changes.h
+++ b/libcaraway/caraway_changes.h
@@ -78,6 +78,8 @@
 /* Source side: each makes a record, gives it the next index and chain value, and applies it. */
 void cw_feed_stage(cw_feed_t *feed, uint64_t number, const Caraway__Content *content);
 cw_status_t cw_feed_activate(cw_feed_t *feed, uint64_t number, int64_t due_ms, int64_t at_ms);
+void cw_feed_activate_checked(cw_feed_t *feed, uint64_t number, int64_t due_ms, int64_t at_ms,
+			      cw_catalog_t *catalog);
 void cw_feed_drop(cw_feed_t *feed, uint64_t number);
 void cw_feed_set_vm(cw_feed_t *feed, const Caraway__Vm *vm);
 /* Returns a copy of a change's staged content, freed with cw_message_free(); NULL when there is none. */
@@ -103,6 +105,17 @@
  * is a copy of the change concerned, or NULL.
  */
 cw_status_t cw_ledger_apply(cw_ledger_t *ledger, const Caraway__Command *command, Caraway__Change **change);
+/*
+ * The same in parts, for a thread that must not be held by a large command; takes ownership
+ * of the command.  The ledger stays as it was until cw_ledger_job_finish(), before
+ * which no other command is applied.
+ */
+typedef struct cw_ledger_job cw_ledger_job_t;
+
+cw_ledger_job_t *cw_ledger_job_new(cw_ledger_t *ledger, Caraway__Command *command);
+bool cw_ledger_job_continue(cw_ledger_job_t *job, size_t *budget);
+cw_status_t cw_ledger_job_finish(cw_ledger_job_t *job, Caraway__Change **change);
+void cw_ledger_job_free(cw_ledger_job_t *job);
 cw_feed_t *cw_ledger_feed(cw_ledger_t *ledger);
 const Caraway__Change *cw_ledger_change(const cw_ledger_t *ledger, uint64_t number);
 Caraway__Change *cw_ledger_copy_change(const cw_ledger_t *ledger, uint64_t number);
--- a/libcaraway/catalog.c
+++ b/libcaraway/catalog.c
@@ -236,19 +236,35 @@
 	return slot;
 }
 
+/* Applies one validated section of the change of a number; the version must not be lower than the catalog's. */
+void catalog_apply_section(cw_catalog_t *catalog, const char *selector, section_t section, uint64_t number,
+			   uint64_t version)
+{
+	size_t slot = ensure_layer(catalog, selector);
+
+	catalog->version = version;
+	layer_put(writable_layer(catalog, slot), entry_new(section, version, number));
+	prune_name(catalog, section.kind, section_name(section));
+}
+
 /* Applies the validated content of the change of a number; the version must be higher than the catalog's. */
 void cw_catalog_apply(cw_catalog_t *catalog, const Caraway__Content *content, uint64_t number,
 		      uint64_t version)
 {
+	section_cursor_t cursor = {0};
+	section_t section;
+
 	catalog->version = version;
-	for (int kind = 0; kind < SECTION_KINDS; kind++)
-		for (size_t i = 0; i < content_count(content, kind); i++) {
-			section_t section = content_section(content, kind, i);
-			size_t slot = ensure_layer(catalog, content->selector);
-
-			layer_put(writable_layer(catalog, slot), entry_new(section, version, number));
-			prune_name(catalog, kind, section_name(section));
-		}
+	while ((section = section_cursor_next(&cursor, content)).message)
+		catalog_apply_section(catalog, content->selector, section, number, version);
+}
+
+/* Ends the sharing of layers with a catalog that this one was copied from and that has been freed. */
+void catalog_settle(cw_catalog_t *catalog)
+{
+	for (size_t i = 0; i < catalog->layers->len; i++)
+		if (catalog->layers->pdata[i])
+			catalog->layers->pdata[i] = layer_settle(catalog->layers->pdata[i]);
 }
 
 /* Adds a VM or replaces the one of its name; the version must not be lower than the catalog's. */
--- a/libcaraway/catalog.h
+++ b/libcaraway/catalog.h
@@ -30,6 +30,26 @@
 bool section_is_removed(section_t section);
 cw_status_t section_check(section_t section);
 
+/* A place in the sections of a content, by kind; zero before the first. */
+typedef struct {
+	section_kind_t kind;
+	size_t next; /* section of this kind */
+} section_cursor_t;
+
+section_t section_cursor_next(section_cursor_t *cursor, const Caraway__Content *content);
+
+/* The validation of a content in parts. */
+typedef struct {
+	const Caraway__Content *content;
+	section_cursor_t cursor;
+	GHashTable *names[SECTION_KINDS]; /* sets of the names seen, borrowed */
+	cw_status_t status;		  /* of the sections seen */
+} content_check_t;
+
+void content_check_init(content_check_t *check, const Caraway__Content *content);
+bool content_check_continue(content_check_t *check, size_t *budget);
+void content_check_clear(content_check_t *check);
+
 /* ---- selector.c ---- */
 
 bool selector_key_is_builtin(const char *key);
@@ -105,6 +125,19 @@
 	grouping_t *grouping;
 };
 
+/* The layers that select one group of VMs; layers are borrowed. */
+typedef struct {
+	size_t count;
+	layer_t **layers;
+} layer_set_t;
+
+/* A section that refers to a missing service or target, or to a target of another service. */
+typedef struct {
+	section_kind_t kind; /* of the section */
+	char *name;	     /* of the section */
+	char *message;
+} reference_error_t;
+
 /* ---- layer.c ---- */
 
 entry_t *entry_new(section_t section, uint64_t version, uint64_t number);
@@ -139,8 +172,29 @@
 void catalog_update_layer_groups(cw_catalog_t *catalog, uint32_t slot, bool added);
 void catalog_update_vm_group(cw_catalog_t *catalog, const Caraway__Vm *from, const Caraway__Vm *to);
 
+void catalog_apply_section(cw_catalog_t *catalog, const char *selector, section_t section, uint64_t number,
+			   uint64_t version);
+void catalog_settle(cw_catalog_t *catalog);
+
 /* ---- catalog_check.c ---- */
 
+/* The check of the references from and to the sections of a content, in parts. */
+typedef struct {
+	const cw_catalog_t *catalog;
+	const Caraway__Content *content;
+	GPtrArray *keys; /* of the groups to check, borrowed */
+	guint next;	 /* group */
+	section_cursor_t cursor;
+	layer_set_t set;	  /* of the present group */
+	reference_error_t *error; /* the first of the present group */
+	GHashTable *errors;	  /* key of a group -> its first reference_error_t */
+} reference_check_t;
+
+void reference_check_init(reference_check_t *check, const cw_catalog_t *catalog,
+			  const Caraway__Content *content);
+bool reference_check_continue(reference_check_t *check, size_t *budget);
+cw_status_t reference_check_finish(reference_check_t *check);
+
 cw_status_t catalog_check_content_vm(const cw_catalog_t *catalog, const Caraway__Content *content,
 				     const Caraway__Vm *vm);
 
--- a/libcaraway/catalog_check.c
+++ b/libcaraway/catalog_check.c
@@ -3,19 +3,6 @@
 
 #include <string.h>
 
-/* The layers that select one group of VMs; layers are borrowed. */
-typedef struct {
-	size_t count;
-	layer_t **layers;
-} layer_set_t;
-
-/* A section that refers to a missing service or target, or to a target of another service. */
-typedef struct {
-	section_kind_t kind; /* of the section */
-	char *name;	     /* of the section */
-	char *message;
-} reference_error_t;
-
 /* Frees a reference error; NULL is allowed. */
 static void reference_error_free(void *data)
 {
@@ -43,7 +30,7 @@
 /* Frees the array of a layer set. */
 static void layer_set_clear(layer_set_t *set)
 {
-	g_free(set->layers);
+	g_clear_pointer(&set->layers, g_free);
 }
 
 /* Returns the newest entry of a name in a layer set; NULL when there is none or it is a removal. */
@@ -137,9 +124,11 @@
 static void check_content_sections(const layer_set_t *set, const Caraway__Content *content,
 				   reference_error_t **first)
 {
-	for (int kind = 0; kind < SECTION_KINDS; kind++)
-		for (size_t i = 0; i < content_count(content, kind); i++)
-			check_name(set, kind, section_name(content_section(content, kind, i)), first);
+	section_cursor_t cursor = {0};
+	section_t section;
+
+	while ((section = section_cursor_next(&cursor, content)).message)
+		check_name(set, section.kind, section_name(section), first);
 }
 
 /* Checks every section in use by a group, apart from services, which refer to nothing. */
@@ -204,29 +193,94 @@
 	return false;
 }
 
+/* Returns the keys of the groups with a layer's slot, or of all groups; borrowed. */
+static GPtrArray *group_keys(const cw_catalog_t *catalog, bool all, size_t slot)
+{
+	GPtrArray *keys = g_ptr_array_new();
+	GHashTableIter iter;
+	gpointer key;
+
+	g_hash_table_iter_init(&iter, catalog_groups(catalog));
+	while (g_hash_table_iter_next(&iter, &key, NULL))
+		if (all || key_has_slot(key, slot))
+			g_ptr_array_add(keys, key);
+	return keys;
+}
+
 /*
- * Checks each group that a content may affect, or (NULL) every group.  A content
- * affects the groups of its selector's layer; every group is checked when there is
- * none, as after pruning.
+ * Begins to check each group that a content may affect: the groups of its
+ * selector's layer, or every group when there is none, as after pruning.  The catalog
+ * and the content must outlast the check unaltered.
  */
-static cw_status_t check_groups(const cw_catalog_t *catalog, const Caraway__Content *content)
+void reference_check_init(reference_check_t *check, const cw_catalog_t *catalog,
+			  const Caraway__Content *content)
+{
+	size_t slot = 0;
+	bool all = !catalog_find_layer(catalog, content->selector, &slot);
+
+	*check = (reference_check_t){.catalog = catalog, .content = content};
+	check->keys = group_keys(catalog, all, slot);
+	check->errors = g_hash_table_new_full(g_bytes_hash, g_bytes_equal, NULL, reference_error_free);
+}
+
+/* Checks further sections of the present group; returns whether all were checked. */
+static bool check_present_group(reference_check_t *check, size_t *budget)
+{
+	while (*budget) {
+		section_t section = section_cursor_next(&check->cursor, check->content);
+
+		if (!section.message)
+			return true;
+		--*budget;
+		check_name(&check->set, section.kind, section_name(section), &check->error);
+	}
+	return false;
+}
+
+/* Checks further sections of further groups while *budget lasts; returns whether all were checked. */
+bool reference_check_continue(reference_check_t *check, size_t *budget)
+{
+	for (; check->next < check->keys->len; check->next++) {
+		GBytes *key = check->keys->pdata[check->next];
+
+		if (!check->set.layers)
+			layer_set_init(&check->set, check->catalog, key);
+		if (!check_present_group(check, budget))
+			return false;
+		layer_set_clear(&check->set);
+		if (check->error)
+			g_hash_table_insert(check->errors, key, g_steal_pointer(&check->error));
+		check->cursor = (section_cursor_t){0};
+	}
+	return true;
+}
+
+/* Returns the outcome of a check that has ended, or gives up one that has not; frees what it refers to. */
+cw_status_t reference_check_finish(reference_check_t *check)
+{
+	cw_status_t status = CW_OK;
+
+	if (g_hash_table_size(check->errors))
+		status = fail_for_first_vm(check->catalog, check->errors);
+	layer_set_clear(&check->set);
+	reference_error_free(check->error);
+	g_hash_table_destroy(check->errors);
+	g_ptr_array_unref(check->keys);
+	return status;
+}
+
+/* Checks every group. */
+static cw_status_t check_all_groups(const cw_catalog_t *catalog)
 {
 	GHashTable *errors = g_hash_table_new_full(g_bytes_hash, g_bytes_equal, NULL, reference_error_free);
+	g_autoptr(GPtrArray) keys = group_keys(catalog, true, 0);
 	cw_status_t status = CW_OK;
-	size_t slot = 0;
-	bool one_layer = content && catalog_find_layer(catalog, content->selector, &slot);
-	GHashTableIter iter;
-	gpointer key;
 
-	g_hash_table_iter_init(&iter, catalog_groups(catalog));
-	while (g_hash_table_iter_next(&iter, &key, NULL)) {
-		reference_error_t *error;
+	for (guint i = 0; i < keys->len; i++) {
+		reference_error_t *error = check_group(catalog, keys->pdata[i], NULL);
 
-		if (one_layer && !key_has_slot(key, slot))
-			continue;
-		error = check_group(catalog, key, content);
 		if (error)
-			g_hash_table_insert(errors, key, error);
+			g_hash_table_insert(errors, keys->pdata[i], error);
 	}
 	if (g_hash_table_size(errors))
 		status = fail_for_first_vm(catalog, errors);
@@ -240,7 +294,7 @@
  */
 cw_status_t cw_catalog_check(const cw_catalog_t *catalog)
 {
-	return check_groups(catalog, NULL);
+	return check_all_groups(catalog);
 }
 
 /*
@@ -251,7 +305,12 @@
  */
 cw_status_t cw_catalog_check_content(const cw_catalog_t *catalog, const Caraway__Content *content)
 {
-	return check_groups(catalog, content);
+	size_t budget = SIZE_MAX;
+	reference_check_t check;
+
+	reference_check_init(&check, catalog, content);
+	reference_check_continue(&check, &budget);
+	return reference_check_finish(&check);
 }
 
 /* Checks one VM, which need not be in the catalog, for the sections of a content or (NULL) all of it. */
--- a/libcaraway/content.c
+++ b/libcaraway/content.c
@@ -297,24 +297,6 @@
 	}
 }
 
-/* Validates the sections of a kind, and checks that no name appears twice. */
-static cw_status_t check_kind(const Caraway__Content *content, section_kind_t kind)
-{
-	GHashTable *names = g_hash_table_new(g_str_hash, g_str_equal);
-	cw_status_t status = CW_OK;
-
-	for (size_t i = 0; i < content_count(content, kind) && !status; i++) {
-		section_t section = content_section(content, kind, i);
-
-		status = section_check(section);
-		if (!status && !g_hash_table_add(names, (char *)section_name(section)))
-			status = cw_fail(CW_ERR_CHANGE_FILE, "%s %s appears twice",
-					 section_kind_keyword(kind), section_name(section));
-	}
-	g_hash_table_destroy(names);
-	return status;
-}
-
 /* Checks the title, the size and the number of sections. */
 static cw_status_t check_title_and_size(const Caraway__Content *content)
 {
@@ -333,23 +315,71 @@
 	return CW_OK;
 }
 
+/* Returns the next section of a content; one without a message after the last. */
+section_t section_cursor_next(section_cursor_t *cursor, const Caraway__Content *content)
+{
+	while (cursor->kind < SECTION_KINDS && cursor->next >= content_count(content, cursor->kind)) {
+		cursor->kind++;
+		cursor->next = 0;
+	}
+	if (cursor->kind == SECTION_KINDS)
+		return (section_t){.kind = SECTION_KINDS};
+	return content_section(content, cursor->kind, cursor->next++);
+}
+
+/* Begins to validate a content, which must outlast the check. */
+void content_check_init(content_check_t *check, const Caraway__Content *content)
+{
+	cw_selector_t *selector;
+
+	*check = (content_check_t){.content = content};
+	for (int kind = 0; kind < SECTION_KINDS; kind++)
+		check->names[kind] = g_hash_table_new(g_str_hash, g_str_equal);
+	check->status = check_title_and_size(content);
+	if (!check->status)
+		check->status = cw_selector_parse(content->selector, &selector);
+	if (!check->status)
+		cw_selector_free(selector);
+}
+
+/* Frees what a check refers to. */
+void content_check_clear(content_check_t *check)
+{
+	for (int kind = 0; kind < SECTION_KINDS; kind++)
+		g_clear_pointer(&check->names[kind], g_hash_table_destroy);
+}
+
+/* Validates further sections, and that no name appears twice, while *budget lasts; returns whether it has ended. */
+bool content_check_continue(content_check_t *check, size_t *budget)
+{
+	while (!check->status && *budget) {
+		section_t section = section_cursor_next(&check->cursor, check->content);
+
+		if (!section.message)
+			return true;
+		--*budget;
+		check->status = section_check(section);
+		if (!check->status &&
+		    !g_hash_table_add(check->names[section.kind], (char *)section_name(section)))
+			check->status = cw_fail(CW_ERR_CHANGE_FILE, "%s %s appears twice",
+						section_kind_keyword(section.kind), section_name(section));
+	}
+	return check->status != CW_OK;
+}
+
 /*
  * Validates a content by itself, without regard to the active configuration.
  * Fails with CW_ERR_CHANGE_FILE or CW_ERR_SELECTOR.
  */
 cw_status_t cw_content_check(const Caraway__Content *content)
 {
-	cw_selector_t *selector;
-	cw_status_t status = check_title_and_size(content);
+	size_t budget = SIZE_MAX;
+	content_check_t check;
 
-	if (!status)
-		status = cw_selector_parse(content->selector, &selector);
-	if (status)
-		return status;
-	cw_selector_free(selector);
-	for (int kind = 0; kind < SECTION_KINDS && !status; kind++)
-		status = check_kind(content, kind);
-	return status;
+	content_check_init(&check, content);
+	content_check_continue(&check, &budget);
+	content_check_clear(&check);
+	return check.status;
 }
 
 /* Checks that a route of a complete configuration has a host and a timeout. */
--- a/libcaraway/feed.c
+++ b/libcaraway/feed.c
@@ -5,6 +5,8 @@
  */
 #include "feed_internal.h"
 
+#include "catalog.h"
+
 void cw_feed_drop_caches(const cw_feed_t *feed)
 {
 	if (feed->snapshot_cache->bytes)
@@ -161,13 +163,26 @@
 	g_array_remove_range(feed->chains, 0, excess);
 }
 
+/* Replaces the catalog by the one that was made of it for the record that is applied. */
+static void take_checked_catalog(cw_feed_t *feed)
+{
+	cw_catalog_free(feed->catalog);
+	feed->catalog = g_steal_pointer(&feed->checked_catalog);
+	catalog_settle(feed->catalog);
+}
+
 /* Applies staged content to the catalog and removes it from the staged table. */
 static void apply_activate(cw_feed_t *feed, uint64_t number, uint64_t version)
 {
-	Caraway__Content *content = cw_feed_staged_content(g_hash_table_lookup(feed->staged, &number));
-
-	cw_catalog_apply(feed->catalog, content, number, version);
-	cw_message_free(content);
+	if (feed->checked_catalog) {
+		take_checked_catalog(feed);
+	} else {
+		Caraway__Content *content =
+			cw_feed_staged_content(g_hash_table_lookup(feed->staged, &number));
+
+		cw_catalog_apply(feed->catalog, content, number, version);
+		cw_message_free(content);
+	}
 	g_hash_table_remove(feed->staged, &number);
 }
 
@@ -239,6 +254,19 @@
 	return CW_OK;
 }
 
+/*
+ * Activates a staged change like cw_feed_activate(), given the catalog in force with
+ * its content applied as of the next version; takes ownership of that catalog.
+ */
+void cw_feed_activate_checked(cw_feed_t *feed, uint64_t number, int64_t due_ms, int64_t at_ms,
+			      cw_catalog_t *catalog)
+{
+	g_assert(cw_catalog_version(catalog) == feed->version + 1);
+	feed->checked_catalog = catalog;
+	if (cw_feed_activate(feed, number, due_ms, at_ms))
+		g_error("change %" G_GUINT64_FORMAT " is not staged", number);
+}
+
 /* Appends a record that drops a staged change without activating it; does nothing when it is not staged. */
 void cw_feed_drop(cw_feed_t *feed, uint64_t number)
 {
--- a/libcaraway/layer.c
+++ b/libcaraway/layer.c
@@ -226,10 +226,49 @@
 	}
 }
 
+/* Returns whether a value of a table of entries marks a removed entry. */
+static gboolean is_removal(gpointer name, gpointer entry, gpointer unused)
+{
+	(void)name;
+	(void)unused;
+	return !entry;
+}
+
+/* Takes over the entries of the base that are still in use, and drops it; the base has none itself. */
+static void take_from_base(layer_t *layer)
+{
+	layer_t *base = g_steal_pointer(&layer->base);
+
+	for (int kind = 0; kind < SECTION_KINDS; kind++) {
+		GHashTableIter iter;
+		gpointer name;
+		gpointer entry;
+
+		g_hash_table_iter_init(&iter, base->entries[kind]);
+		while (g_hash_table_iter_next(&iter, &name, &entry))
+			if (!g_hash_table_contains(layer->entries[kind], name)) {
+				g_hash_table_insert(layer->entries[kind], name, entry_ref(entry));
+				update_referrers(layer, entry, add_referrer);
+			}
+		g_hash_table_foreach_remove(layer->entries[kind], is_removal, NULL);
+	}
+	layer_unref(base);
+}
+
+/* Returns how many names a layer sets or removes itself. */
+static size_t own_count(const layer_t *layer)
+{
+	size_t count = 0;
+
+	for (int kind = 0; kind < SECTION_KINDS; kind++)
+		count += g_hash_table_size(layer->entries[kind]);
+	return count;
+}
+
 /*
- * Returns a layer with the same entries and no base that could be altered in its
- * place: the base itself, if only this layer refers to it.  Takes ownership of the
- * reference.
+ * Returns a layer with the same entries as one whose base nothing else refers to,
+ * and without that base: the smaller of the two is moved to the other.  Takes ownership
+ * of the reference.
  */
 layer_t *layer_settle(layer_t *layer)
 {
@@ -238,6 +277,10 @@
 	if (!base || !g_atomic_ref_count_compare(&layer->ref_count, 1) ||
 	    !g_atomic_ref_count_compare(&base->ref_count, 1))
 		return layer;
+	if (!base->base && own_count(base) < own_count(layer)) {
+		take_from_base(layer);
+		return layer;
+	}
 	move_to_base(layer);
 	layer_ref(base);
 	layer_unref(layer);
--- a/libcaraway/ledger.c
+++ b/libcaraway/ledger.c
@@ -175,8 +175,8 @@
 	return first ? first->effective_due_ms : INT64_MAX;
 }
 
-/* Applies the body of a command; *number is that of the change concerned, 0 when there is none. */
-static cw_status_t apply_body(cw_ledger_t *ledger, const Caraway__Command *command, uint64_t *number)
+/* Applies the body of a command in one part; *number is that of the change concerned, 0 when there is none. */
+cw_status_t ledger_apply_body(cw_ledger_t *ledger, const Caraway__Command *command, uint64_t *number)
 {
 	int64_t at_ms = command->proposed_ms;
 
@@ -199,26 +199,8 @@
 	case CARAWAY__COMMAND__BODY_REGISTER_VM:
 		return ledger_register_vm(ledger, command->register_vm);
 	case CARAWAY__COMMAND__BODY_REPLACE:
-		return ledger_replace(ledger, command->replace, at_ms);
+		return ledger_replace_without_content(ledger, command->replace);
 	default:
 		return cw_fail(CW_ERR_DECODE, "the command is empty or of an unknown kind");
 	}
 }
-
-/*
- * Applies a committed command.  Uses the command's time and never a clock, so
- * that every replica reaches the same state and result.  Unless change is
- * NULL, *change is a copy of the change concerned in its state after the
- * command, or NULL.  Fails with CW_ERR_USAGE, CW_ERR_CHANGE_FILE, CW_ERR_SELECTOR,
- * CW_ERR_NOT_FOUND, CW_ERR_CONFLICT, CW_ERR_STALE, CW_ERR_STATE,
- * CW_ERR_SAME_OPERATOR, CW_ERR_CHECK, CW_ERR_FULL or CW_ERR_DECODE.
- */
-cw_status_t cw_ledger_apply(cw_ledger_t *ledger, const Caraway__Command *command, Caraway__Change **change)
-{
-	uint64_t number;
-	cw_status_t status = apply_body(ledger, command, &number);
-
-	if (change)
-		*change = number ? cw_ledger_copy_change(ledger, number) : NULL;
-	return status;
-}
--- a/libcaraway/ledger.h
+++ b/libcaraway/ledger.h
@@ -62,6 +62,7 @@
 char *schedule_key(section_kind_t kind, const char *name);
 int schedule_item_compare(const schedule_item_t *left, const schedule_item_t *right);
 const schedule_item_t *schedule_first(const schedule_t *schedule);
+void schedule_forget_valid_vms(schedule_t *schedule);
 
 /* ---- schedule_check.c ---- */
 
@@ -77,6 +78,7 @@
 void ledger_reset(cw_ledger_t *ledger);
 void ledger_add(cw_ledger_t *ledger, Caraway__Change *change);
 void ledger_finish(cw_ledger_t *ledger, Caraway__Change *change, Caraway__ChangeState state);
+cw_status_t ledger_apply_body(cw_ledger_t *ledger, const Caraway__Command *command, uint64_t *number);
 
 /* ---- archive.c ---- */
 
@@ -96,14 +98,16 @@
 cw_status_t ledger_check_operator(const char *name);
 cw_status_t ledger_book(cw_ledger_t *ledger, const Caraway__Book *book, int64_t at_ms);
 cw_status_t ledger_review(cw_ledger_t *ledger, const Caraway__Review *review, int64_t at_ms);
-cw_status_t ledger_put_in_force(cw_ledger_t *ledger, const Caraway__Replace *replace, uint64_t number,
-				int64_t at_ms);
+cw_status_t ledger_put_in_force(cw_ledger_t *ledger, Caraway__Command *command, cw_catalog_t *catalog);
 cw_status_t ledger_withdraw(cw_ledger_t *ledger, const Caraway__Withdraw *withdraw);
 cw_status_t ledger_activate(cw_ledger_t *ledger, const Caraway__Activate *activate, int64_t at_ms);
 
 /* ---- ledger_replace.c ---- */
 
-cw_status_t ledger_replace(cw_ledger_t *ledger, const Caraway__Replace *replace, int64_t at_ms);
+cw_status_t ledger_check_replacement(const cw_ledger_t *ledger, const Caraway__Replace *replace,
+				     bool *needed);
+cw_status_t ledger_replace_without_content(cw_ledger_t *ledger, const Caraway__Replace *replace);
+void ledger_record_release(cw_ledger_t *ledger, const Caraway__Replace *replace);
 
 /* ---- ledger_vm.c ---- */
 
--- a/libcaraway/ledger_change.c
+++ b/libcaraway/ledger_change.c
@@ -289,28 +289,51 @@
 	return CW_OK;
 }
 
-/* Books, accepts and activates a complete configuration's difference in one step, or changes nothing. */
-cw_status_t ledger_put_in_force(cw_ledger_t *ledger, const Caraway__Replace *replace, uint64_t number,
-				int64_t at_ms)
+/* Returns the change that a replacement is recorded as; takes its content. */
+static Caraway__Change *change_of_replacement(Caraway__Replace *replace, int64_t at_ms)
 {
-	Caraway__Change *change;
-	cw_status_t status = cw_content_check(replace->content);
+	Caraway__Change *change = malloc(sizeof(*change));
 
-	if (status)
-		return status;
-	change = change_new(number, replace->operator_name, replace->content, at_ms, at_ms);
+	caraway__change__init(change);
+	change->number = FIRST_RELEASE_NUMBER + replace->release;
+	set_text(&change->booked_by, replace->operator_name);
+	change->booked_ms = at_ms;
+	change->due_ms = at_ms;
 	set_text(&change->reviewed_by, replace->approval);
 	change->reviewed_ms = at_ms;
-	status = check_against_catalog(cw_feed_catalog(ledger->feed), change);
-	if (!status)
-		status = schedule_check_add(ledger->schedule, ledger->feed, change, change->content);
-	if (status) {
+	change->accepted = true;
+	change->state = CARAWAY__CHANGE_STATE__CHANGE_ACCEPTED;
+	change->content = g_steal_pointer(&replace->content);
+	change->digest = change_digest(change->content, change->due_ms);
+	return change;
+}
+
+/*
+ * Books, accepts and activates a complete configuration's difference in one step, or changes
+ * nothing when an accepted change would fail after it; CW_ERR_CHECK.  The catalog
+ * is that in force with the difference applied and checked; takes ownership of it
+ * and of the content of the command.
+ */
+cw_status_t ledger_put_in_force(cw_ledger_t *ledger, Caraway__Command *command, cw_catalog_t *catalog)
+{
+	int64_t at_ms = command->proposed_ms;
+	Caraway__Change *change = change_of_replacement(command->replace, at_ms);
+
+	if (schedule_first(ledger->schedule) &&
+	    schedule_check_add(ledger->schedule, ledger->feed, change, change->content)) {
 		cw_message_free(change);
-		return status;
+		cw_catalog_free(catalog);
+		return CW_ERR_CHECK;
 	}
 	ledger_add(ledger, change);
-	accept_change(ledger, change);
-	return activate_first(ledger, change, at_ms);
+	cw_feed_stage(ledger->feed, change->number, change->content);
+	cw_feed_activate_checked(ledger->feed, change->number, change->due_ms, at_ms, catalog);
+	schedule_forget_valid_vms(ledger->schedule);
+	change->in_force_ms = at_ms;
+	change->version = cw_feed_version(ledger->feed);
+	ledger_finish(ledger, change, CARAWAY__CHANGE_STATE__CHANGE_IN_FORCE);
+	ledger_record_release(ledger, command->replace);
+	return CW_OK;
 }
 
 /* Puts an accepted change in force when it is due and the first of the schedule. */
--- a/libcaraway/ledger_replace.c
+++ b/libcaraway/ledger_replace.c
@@ -87,12 +87,14 @@
 	return !content->n_services && !content->n_routes && !content->n_targets && !content->n_limits;
 }
 
-/* Puts a complete configuration in force; the command carries the difference from its base. */
-cw_status_t ledger_replace(cw_ledger_t *ledger, const Caraway__Replace *replace, int64_t at_ms)
+/*
+ * Checks a committed replacement before its content.  *needed: its content has to be
+ * applied, as it sets or removes something and was not accepted before.
+ */
+cw_status_t ledger_check_replacement(const cw_ledger_t *ledger, const Caraway__Replace *replace, bool *needed)
 {
-	release_t accepted = {replace->release, replace->digest};
-	cw_status_t status = ledger_check_operator(replace->operator_name);
 	bool already_accepted = false;
+	cw_status_t status = ledger_check_operator(replace->operator_name);
 
 	if (!status && (!*replace->approval || !replace->content))
 		status = cw_fail(CW_ERR_USAGE,
@@ -100,11 +102,25 @@
 	if (!status)
 		status = cw_ledger_check_release(ledger, replace->release, replace->base_release,
 						 replace->digest, &already_accepted);
-	if (status || already_accepted || !replace->content)
-		return status;
-	if (!is_empty(replace->content))
-		status = ledger_put_in_force(ledger, replace, FIRST_RELEASE_NUMBER + replace->release, at_ms);
-	if (!status)
-		g_array_append_val(ledger->releases, accepted);
+	*needed = !status && !already_accepted && !is_empty(replace->content);
+	return status;
+}
+
+/* Records a release as the one in force. */
+void ledger_record_release(cw_ledger_t *ledger, const Caraway__Replace *replace)
+{
+	release_t accepted = {replace->release, replace->digest};
+
+	g_array_append_val(ledger->releases, accepted);
+}
+
+/* Carries out a committed replacement that has no content to apply: one accepted before, or equal to its base. */
+cw_status_t ledger_replace_without_content(cw_ledger_t *ledger, const Caraway__Replace *replace)
+{
+	bool needed;
+	cw_status_t status = ledger_check_replacement(ledger, replace, &needed);
+
+	if (!status && !was_accepted(ledger, replace->release, replace->digest))
+		ledger_record_release(ledger, replace);
 	return status;
 }
--- a/libcaraway/schedule.c
+++ b/libcaraway/schedule.c
@@ -178,3 +178,9 @@
 {
 	return schedule->items->len ? schedule->items->pdata[0] : NULL;
 }
+
+/* Discards which VMs were found valid; for a change that comes into force without having been in the schedule. */
+void schedule_forget_valid_vms(schedule_t *schedule)
+{
+	g_hash_table_remove_all(schedule->valid_vms);
+}
--- a/tests/unit/test_control_replica.c
+++ b/tests/unit/test_control_replica.c
@@ -1,6 +1,6 @@
 /*
  * Tests of the replicated log of a control replica with two peers that the test plays: requests that arrive
- * while the actions of a Raft event are carried out.
+ * while the actions of a Raft event are carried out, or while an entry is being applied.
  */
 #include <check.h>
 #include <glib/gstdio.h>
@@ -15,6 +15,8 @@
 	POLL_US = 2000,
 	ELECTION_TIMEOUT_MS = 5000,
 	TIMEOUT_S = 30,
+	ROUTES = 40,
+	PART = 7, /* sections that are applied at a time */
 	FOLLOWER = 2,
 	LOST = 3, /* a replica that has lost its data folder and comes back under another incarnation */
 	LOST_INCARNATION = 99
@@ -28,6 +30,7 @@
 	control_t control;
 	int outcomes; /* callbacks that were called */
 	cw_status_t last_status;
+	uint64_t release_read;	       /* in force when a read was answered */
 	pending_request_t *pending[2]; /* not ended yet, or NULL */
 } fixture_t;
 
@@ -205,6 +208,65 @@
 }
 END_TEST
 
+/* Returns a configuration of a few routes. */
+static Caraway__Content *content_new(void)
+{
+	Caraway__Content *content = g_new(Caraway__Content, 1);
+
+	caraway__content__init(content);
+	content->title = g_strdup("routes");
+	content->routes = cw_message_array(ROUTES);
+	for (int i = 0; i < ROUTES; i++) {
+		Caraway__Route *route = g_new(Caraway__Route, 1);
+
+		caraway__route__init(route);
+		route->name = g_strdup_printf("r%d", i);
+		route->path = g_strdup_printf("/%d", i);
+		route->service = g_strdup("s");
+		content->routes[content->n_routes++] = route;
+	}
+	return content;
+}
+
+/* Records the release in force when a read is answered. */
+static void record_release(void *data, cw_status_t status, const char *message)
+{
+	fixture_t *fixture = data;
+
+	record_outcome(data, status, message);
+	fixture->release_read = cw_ledger_release_in_force(fixture->control.ledger);
+}
+
+/* CONFIG: a read that is confirmed while a configuration is being applied must not be answered with the one before. */
+START_TEST(test_read_waits_for_application)
+{
+	fixture_t fixture;
+	control_t *control = &fixture.control;
+	int parts = 0;
+
+	set_up(&fixture);
+	control->apply_budget = PART;
+	control_replace_configuration(control, control_replacement_new(1, 0, content_new()), record_outcome,
+				      &fixture);
+	acknowledge(&fixture, FOLLOWER, FIRST_INCARNATION, cw_raft_last_index(control->raft));
+	control_confirm_release(control, record_release, &fixture);
+	acknowledge(&fixture, FOLLOWER, FIRST_INCARNATION, cw_raft_last_index(control->raft));
+	acknowledge(&fixture, FOLLOWER, FIRST_INCARNATION, cw_raft_last_index(control->raft));
+	while (fixture.outcomes < 2 && parts < 2 * ROUTES) {
+		ck_assert_uint_eq(cw_ledger_release_in_force(control->ledger), fixture.outcomes);
+		control->apply_budget = PART;
+		control_apply_continue(control);
+		parts++;
+	}
+	ck_assert_int_gt(parts, ROUTES / PART);
+	ck_assert_int_eq(fixture.outcomes, 2);
+	ck_assert_int_eq(fixture.last_status, CW_OK);
+	ck_assert_uint_eq(fixture.release_read, 1);
+	ck_assert_uint_eq(control->applied_index, cw_raft_last_index(control->raft));
+	tear_down(&fixture);
+}
+END_TEST
+
 /* Ends the other request too, as a step that this one's answer leads to may do. */
 static void end_other(void *data, cw_status_t status, const char *message)
 {
@@ -247,6 +309,7 @@
 
 	tcase_set_timeout(tcase, TIMEOUT_S);
 	tcase_add_test(tcase, test_request_within_step);
+	tcase_add_test(tcase, test_read_waits_for_application);
 	tcase_add_test(tcase, test_expired_together);
 	suite_add_tcase(suite, tcase);
 	return script_run_suite(suite);
--- a/tests/unit/test_release_cost.c
+++ b/tests/unit/test_release_cost.c
@@ -1,4 +1,4 @@
-/* Tests that a change of a configuration costs what the change is, not what the configuration is. */
+/* Tests of what it costs to apply a change, and that one applied in parts has an effect at its end alone. */
 #include <check.h>
 #include <string.h>
 #include <time.h>
@@ -6,7 +6,7 @@
 #include "libcaraway.h"
 #include "script.h"
 
-enum { SMALL = 500, LARGE = 8000, RATIO = 4, CHANGES = 30 };
+enum { SMALL = 500, LARGE = 8000, RATIO = 4, CHANGES = 30, FEW = 20 };
 
 /* Returns the processor time of this thread in microseconds. */
 static double cpu_us(void)
@@ -106,6 +106,79 @@
 }
 END_TEST
 
+/* Applies a command a section at a time; the ledger must stay as it is until the end. */
+static cw_status_t apply_in_parts(cw_ledger_t *ledger, Caraway__Command *command, unsigned *parts)
+{
+	g_autoptr(GBytes) before = cw_ledger_save(ledger);
+	cw_ledger_job_t *job = cw_ledger_job_new(ledger, command);
+	size_t budget = 1;
+
+	for (*parts = 1; !cw_ledger_job_continue(job, &budget); ++*parts, budget = 1) {
+		g_autoptr(GBytes) meanwhile = cw_ledger_save(ledger);
+
+		ck_assert(g_bytes_equal(before, meanwhile));
+	}
+	return cw_ledger_job_finish(job, NULL);
+}
+
+/* A command in parts has the outcome of one at once, and no effect before its end. */
+START_TEST(test_parts_add_up)
+{
+	cw_ledger_t *at_once = cw_ledger_new(100);
+	cw_ledger_t *in_parts = cw_ledger_new(100);
+	Caraway__Vm vm = CARAWAY__VM__INIT;
+	unsigned parts;
+
+	vm.name = (char *)"v1";
+	vm.zone = (char *)"eger";
+	cw_feed_set_vm(cw_ledger_feed(at_once), &vm);
+	cw_feed_set_vm(cw_ledger_feed(in_parts), &vm);
+	for (unsigned release = 1; release <= 3; release++) {
+		g_autoptr(GBytes) left = NULL;
+		g_autoptr(GBytes) right = NULL;
+
+		apply(at_once, release, FEW * release);
+		ck_assert_int_eq(apply_in_parts(in_parts, command_new(release, FEW * release), &parts),
+				 CW_OK);
+		ck_assert_uint_gt(parts, FEW * release);
+		left = cw_ledger_save(at_once);
+		right = cw_ledger_save(in_parts);
+		ck_assert(g_bytes_equal(left, right));
+	}
+	cw_ledger_free(at_once);
+	cw_ledger_free(in_parts);
+}
+END_TEST
+
+/* A command that fails in its last part, or is given up, leaves the ledger as it was. */
+START_TEST(test_failed_parts_have_no_effect)
+{
+	cw_ledger_t *ledger = cw_ledger_new(100);
+	Caraway__Vm vm = CARAWAY__VM__INIT;
+	Caraway__Command *command = command_new(2, FEW);
+	g_autoptr(GBytes) before = NULL;
+	g_autoptr(GBytes) after = NULL;
+	size_t budget = FEW + 1;
+	cw_ledger_job_t *given_up;
+	unsigned parts;
+
+	vm.name = (char *)"v1";
+	cw_feed_set_vm(cw_ledger_feed(ledger), &vm);
+	apply(ledger, 1, FEW);
+	before = cw_ledger_save(ledger);
+	free(command->replace->content->routes[FEW - 1]->service);
+	command->replace->content->routes[FEW - 1]->service = strdup("missing");
+	ck_assert_int_eq(apply_in_parts(ledger, command, &parts), CW_ERR_CHECK);
+	ck_assert_str_eq(cw_last_error_message(), "proxy v1: route r-19 would lack service missing");
+	given_up = cw_ledger_job_new(ledger, command_new(2, FEW));
+	ck_assert(!cw_ledger_job_continue(given_up, &budget));
+	cw_ledger_job_free(given_up);
+	after = cw_ledger_save(ledger);
+	ck_assert(g_bytes_equal(before, after));
+	cw_ledger_free(ledger);
+}
+END_TEST
+
 /* Runs the tests; returns the exit status of the program. */
 int main(void)
 {
@@ -113,6 +186,8 @@
 	TCase *tcase = tcase_create("release_cost");
 
 	tcase_add_test(tcase, test_change_costs_the_same_in_a_large_configuration);
+	tcase_add_test(tcase, test_parts_add_up);
+	tcase_add_test(tcase, test_failed_parts_have_no_effect);
 	suite_add_tcase(suite, tcase);
 	return script_run_suite(suite);
 }
