Read and write configurations in parts, and only what has changed of them

What callers saw: late acknowledgements and readings without an answer for as long as a configuration was large, as each change of it and each reading held the leader's thread for longer than an election. Cause: the body of each configuration was read as a whole, compared with a copy of the one in force that was made and sorted for it, and a reading was encoded anew, each in one turn. Now a reader and a writer handle a bounded part in each turn; a resource whose text was in the body before is not read again, a section that has not been replaced is not encoded again; the difference looks its sections up in the catalog and borrows them.

--- a/bench/bench_release.c
+++ b/bench/bench_release.c
@@ -85,31 +85,54 @@
 	*start_ms = now_ms;
 }
 
+/* What is kept from one replacement to the next. */
+typedef struct {
+	release_reader_cache_t *reader;
+	release_writer_cache_t *writer;
+} caches_t;
+
 /* Decodes a body; ends the program when that fails. */
-static control_replacement_t *decode(const GByteArray *body)
+static control_replacement_t *decode(const GByteArray *body, release_reader_cache_t *cache)
 {
+	release_reader_t *reader = release_reader_new(g_memdup2(body->data, body->len), body->len, cache);
 	control_replacement_t *replacement;
+	size_t budget = SIZE_MAX;
 
-	if (codec_decode_replacement(body, &replacement) != CW_OK)
+	while (!release_reader_continue(reader, &budget))
+		;
+	if (release_reader_finish(reader, &replacement) != CW_OK)
 		g_error("%s", cw_last_error_message());
 	return replacement;
 }
 
+/* Returns the body of a reading. */
+static char *encode(cw_ledger_t *ledger, release_writer_cache_t *cache)
+{
+	release_writer_t *writer = release_writer_new(cw_ledger_release_in_force(ledger),
+						      cw_ledger_release_config(ledger), cache);
+	size_t budget = SIZE_MAX;
+
+	while (!release_writer_continue(writer, &budget))
+		;
+	return release_writer_finish(writer);
+}
+
 /* Puts a body in force in the ledger by the stages of a replacement, and adds their times. */
-static void replace(cw_ledger_t *ledger, const GByteArray *body, double *stages)
+static void replace(cw_ledger_t *ledger, const GByteArray *body, const caches_t *caches, double *stages)
 {
 	Caraway__Command command = CARAWAY__COMMAND__INIT;
 	Caraway__Replace fields = CARAWAY__REPLACE__INIT;
 	double start_ms = cpu_ms();
-	control_replacement_t *replacement = decode(body);
-	Caraway__Content *content;
+	control_replacement_t *replacement = decode(body, caches->reader);
+	cw_difference_t *difference;
 	Caraway__Command *unpacked;
 	GBytes *packed;
 	gsize length;
 	const uint8_t *data;
 
 	add_stage(stages, STAGE_DECODE, &start_ms);
-	fields.content = cw_ledger_release_difference(ledger, replacement->content);
+	difference = cw_ledger_release_difference(ledger, replacement->content);
+	fields.content = difference->content;
 	add_stage(stages, STAGE_DIFFERENCE, &start_ms);
 	fields.operator_name = (char *)"operator";
 	fields.approval = (char *)"standing";
@@ -126,13 +149,11 @@
 	if (cw_ledger_apply(ledger, unpacked, NULL) != CW_OK)
 		g_error("%s", cw_last_error_message());
 	add_stage(stages, STAGE_APPLY, &start_ms);
-	content = cw_ledger_release_content(ledger);
-	free(codec_encode_release(replacement->release, content));
+	g_free(encode(ledger, caches->writer));
 	add_stage(stages, STAGE_ENCODE, &start_ms);
 	g_bytes_unref(cw_ledger_save(ledger));
 	add_stage(stages, STAGE_SAVE, &start_ms);
-	cw_message_free(content);
-	cw_message_free(fields.content);
+	cw_difference_free(difference);
 	cw_message_free(unpacked);
 	g_bytes_unref(packed);
 	control_replacement_free(replacement);
@@ -150,6 +171,7 @@
 /* Measures a configuration with a number of routes, then changes of one route of it. */
 static void measure(unsigned routes)
 {
+	const caches_t caches = {release_reader_cache_new(), release_writer_cache_new()};
 	cw_ledger_t *ledger = cw_ledger_new(1000);
 	double first[STAGE_COUNT] = {0};
 	double change[STAGE_COUNT] = {0};
@@ -163,11 +185,13 @@
 	for (unsigned release = 1; release <= 1 + CHANGES; release++) {
 		g_autoptr(GByteArray) body = body_new(release, routes);
 
-		replace(ledger, body, release == 1 ? first : change);
+		replace(ledger, body, &caches, release == 1 ? first : change);
 	}
 	print_stages("complete", routes, first, 1);
 	print_stages("one route", routes, change, CHANGES);
 	cw_ledger_free(ledger);
+	release_reader_cache_free(caches.reader);
+	release_writer_cache_free(caches.writer);
 }
 
 /* Runs the benchmark. */
--- a/daemon/control.c
+++ b/daemon/control.c
@@ -86,7 +86,7 @@
 {
 	int64_t wait_ms = cw_raft_next_tick_ms(control->raft) - clock_now_ms();
 
-	if (control->apply_items.length)
+	if (control->apply_items.length || control->gateway_busy)
 		wait_ms = 0;
 	link_wait(control->server, control->clients, control->poller, -1, CLAMP(wait_ms, 0, MAX_WAIT_MS));
 }
@@ -140,7 +140,7 @@
 	poller_run_ready(control->poller);
 	metrics_tick(control->metrics, now_ms);
 	if (control->gateway_state)
-		control->gateway->tick_control(control->gateway_state, now_ms);
+		control->gateway_busy = control->gateway->tick_control(control->gateway_state, now_ms);
 	log_long_turn(control, start_ms, now_ms, messages);
 }
 
--- a/daemon/control.h
+++ b/daemon/control.h
@@ -27,6 +27,7 @@
 	uint64_t release;	   /* number of the new release */
 	uint64_t base_release;	   /* the release that it builds on */
 	Caraway__Content *content; /* all sections of the configuration; owned */
+	GPtrArray *owners;	   /* of the sections of content; NULL: content owns them */
 	uint64_t digest;	   /* of the fields above; identifies a repeated submission */
 } control_replacement_t;
 
@@ -79,6 +80,7 @@
 	const gateway_t *gateway; /* NULL: none */
 	metrics_t *metrics;	  /* NULL: none */
 	void *gateway_state;	  /* NULL: the gateway is not open */
+	bool gateway_busy;	  /* its tick is to be called again at once */
 	store_t *store;
 	cw_raft_t *raft;
 	cw_ledger_t *ledger;
@@ -151,6 +153,8 @@
 void control_apply_entry(control_t *control, const Caraway__Entry *entry);
 void control_apply_read(control_t *control, uint64_t cookie);
 void control_apply_continue(control_t *control);
+/* Leaves less to be applied in this iteration, in which a command of a length is packed or unpacked. */
+void control_spend_on_command(control_t *control, size_t length);
 void control_apply_reset(control_t *control, uint64_t index);
 
 /* control_pending.c: requests that wait for the replicated log. */
@@ -176,6 +180,9 @@
 				   control_callback_t callback, void *data);
 control_replacement_t *control_replacement_new(uint64_t release, uint64_t base_release,
 					       Caraway__Content *content);
+/* The same for a content whose services, routes and limits belong to owners; takes ownership of both. */
+control_replacement_t *control_replacement_new_shared(uint64_t release, uint64_t base_release,
+						      Caraway__Content *content, GPtrArray *owners);
 /* Calls back with CW_OK once a quorum has confirmed that control->ledger holds the release in force. */
 void control_confirm_release(control_t *control, control_callback_t callback, void *data);
 /* Completes a gateway request; called by control_finish_pending(). */
--- a/daemon/control_apply.c
+++ b/daemon/control_apply.c
@@ -9,6 +9,8 @@
 #include "control.h"
 #include "counters.h"
 
+enum { BYTES_PER_SECTION = 250 /* that unpacking costs as much as a section */ };
+
 /* A committed entry, or a read that is answered once the entries before it have been applied. */
 typedef struct {
 	Caraway__Entry *entry; /* NULL: a read */
@@ -45,11 +47,19 @@
 			       change);
 }
 
+/* Subtracts the handling of a packed command from the budget of this iteration. */
+void control_spend_on_command(control_t *control, size_t length)
+{
+	control->apply_budget -= MIN(control->apply_budget, length / BYTES_PER_SECTION);
+}
+
 /* Begins to apply the command of an entry; CW_ERR_DECODE. */
 static cw_status_t begin_command(control_t *control, const Caraway__Entry *entry)
 {
 	Caraway__Command *command = caraway__command__unpack(NULL, entry->data.len, entry->data.data);
 
+	control_spend_on_command(control, entry->data.len);
+
 	if (!command)
 		return cw_fail(CW_ERR_DECODE, "log entry %" PRIu64 " cannot be decoded", entry->index);
 	control->apply_job = cw_ledger_job_new(control->ledger, command);
--- a/daemon/control_release.c
+++ b/daemon/control_release.c
@@ -18,12 +18,27 @@
 	return replacement;
 }
 
+/* Creates a replacement whose content borrows its sections. */
+control_replacement_t *control_replacement_new_shared(uint64_t release, uint64_t base_release,
+						      Caraway__Content *content, GPtrArray *owners)
+{
+	control_replacement_t *replacement = control_replacement_new(release, base_release, content);
+
+	replacement->owners = owners;
+	return replacement;
+}
+
 /* Frees a replacement; NULL is allowed. */
 void control_replacement_free(control_replacement_t *replacement)
 {
 	if (!replacement)
 		return;
-	cw_message_free(replacement->content);
+	if (replacement->owners) {
+		cw_content_free_borrowed(replacement->content);
+		g_ptr_array_unref(replacement->owners);
+	} else {
+		cw_message_free(replacement->content);
+	}
 	g_free(replacement);
 }
 
@@ -44,6 +59,7 @@
 	const control_replacement_t *replacement = pending->gateway_request.replacement;
 	Caraway__Command command = CARAWAY__COMMAND__INIT;
 	Caraway__Replace replace = CARAWAY__REPLACE__INIT;
+	cw_difference_t *difference;
 	int64_t start_ms = clock_now_ms();
 
 	replace.operator_name = control->settings->operator_name;
@@ -51,12 +67,13 @@
 	replace.release = replacement->release;
 	replace.base_release = replacement->base_release;
 	replace.digest = replacement->digest;
-	replace.content = cw_ledger_release_difference(control->ledger, replacement->content);
+	difference = cw_ledger_release_difference(control->ledger, replacement->content);
+	replace.content = difference->content;
 	command.body_case = CARAWAY__COMMAND__BODY_REPLACE;
 	command.replace = &replace;
 	control_add_work(control, WORK_DIFFERENCE, start_ms);
 	control_propose(control, pending, &command);
-	cw_message_free(replace.content);
+	cw_difference_free(difference);
 }
 
 /*
--- a/daemon/control_replica.c
+++ b/daemon/control_replica.c
@@ -253,9 +253,13 @@
 /* Proposes a command, with the current time, to be appended to the replicated log. */
 void control_propose(control_t *control, pending_request_t *pending, Caraway__Command *command)
 {
+	GBytes *data;
+
 	command->proposed_ms = clock_utc_ms();
+	data = cw_message_pack(&command->base);
+	control_spend_on_command(control, g_bytes_get_size(data));
 	add_pending(control, pending);
-	request_from_raft(control, CW_RAFT_EV_PROPOSE, pending->cookie, cw_message_pack(&command->base));
+	request_from_raft(control, CW_RAFT_EV_PROPOSE, pending->cookie, data);
 }
 
 /* Asks a quorum to confirm that this replica is the leader. */
--- a/daemon/gateway.h
+++ b/daemon/gateway.h
@@ -20,10 +20,13 @@
 	void (*tick_proxy)(void *state, int64_t now_ms);
 	/* Runs after the traffic thread has stopped. */
 	void (*close_proxy)(void *state);
-	/* The same for a control replica, all on its only thread. */
+	/*
+	 * The same for a control replica, all on its only thread.  The tick does a part of the
+	 * work in progress and returns whether it is to be called again at once for the rest.
+	 */
 	cw_status_t (*open_control)(const control_settings_t *settings, poller_t *poller, control_t *control,
 				    void **state);
-	void (*tick_control)(void *state, int64_t now_ms);
+	bool (*tick_control)(void *state, int64_t now_ms);
 	void (*close_control)(void *state);
 } gateway_t;
 
--- a/libcaraway/caraway_changes.h
+++ b/libcaraway/caraway_changes.h
@@ -24,6 +24,12 @@
  * sends calls only to services of the same content; CW_ERR_CHECK.
  */
 cw_status_t cw_content_check_complete(const Caraway__Content *content);
+void cw_content_free_borrowed(Caraway__Content *content);
+/* Either check in parts, for a thread that must not be held by a large content. */
+typedef struct cw_content_check cw_content_check_t;
+cw_content_check_t *cw_content_check_new(const Caraway__Content *content, bool complete);
+bool cw_content_check_continue(cw_content_check_t *check, size_t *budget);
+cw_status_t cw_content_check_finish(cw_content_check_t *check);
 cw_status_t cw_vm_check(const Caraway__Vm *vm);
 uint64_t cw_content_digest(const Caraway__Content *content);
 
@@ -57,13 +63,6 @@
 Caraway__Catalog *cw_catalog_save(const cw_catalog_t *catalog);
 cw_status_t cw_catalog_load(const Caraway__Catalog *saved, cw_catalog_t **catalog);
 void cw_config_free(cw_config_t *config);
-/*
- * Returns the sections that apply to every VM and that changes numbered
- * least_number or above have set, freed with cw_message_free().
- */
-Caraway__Content *cw_catalog_content_for_all_vms(const cw_catalog_t *catalog, uint64_t least_number);
-/* The sections to set and to remove to turn one content into another; freed with cw_message_free(). */
-Caraway__Content *cw_content_difference(const Caraway__Content *from, const Caraway__Content *to);
 
 /* ---- feed: the ordered records that distribute the catalog to proxies ------------------- */
 
@@ -76,7 +75,7 @@
 uint64_t cw_feed_chain(const cw_feed_t *feed);
 uint64_t cw_feed_version(const cw_feed_t *feed);
 /* Source side: each makes a record, gives it the next index and chain value, and applies it. */
-void cw_feed_stage(cw_feed_t *feed, uint64_t number, const Caraway__Content *content);
+uint64_t cw_feed_stage(cw_feed_t *feed, uint64_t number, const Caraway__Content *content);
 cw_status_t cw_feed_activate(cw_feed_t *feed, uint64_t number, int64_t due_ms, int64_t at_ms);
 void cw_feed_activate_checked(cw_feed_t *feed, uint64_t number, int64_t due_ms, int64_t at_ms,
 			      cw_catalog_t *catalog);
@@ -129,13 +128,19 @@
 /* Checks whether a complete configuration can be accepted, or was before; see ledger_replace.c. */
 cw_status_t cw_ledger_check_release(const cw_ledger_t *ledger, uint64_t release, uint64_t base,
 				    uint64_t digest, bool *already_accepted);
-/* The difference from the release in force to a complete configuration; freed with cw_message_free(). */
-Caraway__Content *cw_ledger_release_difference(cw_ledger_t *ledger, const Caraway__Content *complete);
+/* The difference from the release in force to a complete configuration. */
+typedef struct {
+	Caraway__Content *content; /* borrows the sections to set from the complete configuration */
+	GPtrArray *removals;	   /* the other sections, owned */
+} cw_difference_t;
+
+cw_difference_t *cw_ledger_release_difference(cw_ledger_t *ledger, const Caraway__Content *complete);
+void cw_difference_free(cw_difference_t *difference);
 /*
  * The sections of the release in force that no booked change for all VMs has
- * replaced; freed with cw_message_free().
+ * replaced; a message stays the same until it is replaced.  Freed with cw_config_free().
  */
-Caraway__Content *cw_ledger_release_content(cw_ledger_t *ledger);
+cw_config_t *cw_ledger_release_config(cw_ledger_t *ledger);
 /* The digest by which the ledger recognises a release that was accepted before. */
 uint64_t cw_release_digest(uint64_t release, uint64_t base, const Caraway__Content *complete);
 GBytes *cw_ledger_save(const cw_ledger_t *ledger);
--- a/libcaraway/catalog.h
+++ b/libcaraway/catalog.h
@@ -38,18 +38,6 @@
 
 section_t section_cursor_next(section_cursor_t *cursor, const Caraway__Content *content);
 
-/* The validation of a content in parts. */
-typedef struct {
-	const Caraway__Content *content;
-	section_cursor_t cursor;
-	GHashTable *names[SECTION_KINDS]; /* sets of the names seen, borrowed */
-	cw_status_t status;		  /* of the sections seen */
-} content_check_t;
-
-void content_check_init(content_check_t *check, const Caraway__Content *content);
-bool content_check_continue(content_check_t *check, size_t *budget);
-void content_check_clear(content_check_t *check);
-
 /* ---- selector.c ---- */
 
 bool selector_key_is_builtin(const char *key);
@@ -176,6 +164,12 @@
 			   uint64_t version);
 void catalog_settle(cw_catalog_t *catalog);
 
+/* ---- difference.c ---- */
+
+cw_difference_t *catalog_difference_for_all_vms(const cw_catalog_t *catalog, uint64_t least_number,
+						const Caraway__Content *complete);
+cw_config_t *catalog_config_for_all_vms(const cw_catalog_t *catalog, uint64_t least_number);
+
 /* ---- catalog_check.c ---- */
 
 /* The check of the references from and to the sections of a content, in parts. */
--- a/libcaraway/content.c
+++ b/libcaraway/content.c
@@ -70,6 +70,18 @@
 	return keywords[kind];
 }
 
+/* Frees a content whose sections belong to others; NULL is allowed. */
+void cw_content_free_borrowed(Caraway__Content *content)
+{
+	if (!content)
+		return;
+	content->n_services = 0;
+	content->n_routes = 0;
+	content->n_targets = 0;
+	content->n_limits = 0;
+	cw_message_free(content);
+}
+
 /* Returns a section's name. */
 const char *section_name(section_t section)
 {
@@ -327,12 +339,22 @@
 	return content_section(content, cursor->kind, cursor->next++);
 }
 
-/* Begins to validate a content, which must outlast the check. */
-void content_check_init(content_check_t *check, const Caraway__Content *content)
+struct cw_content_check {
+	const Caraway__Content *content;
+	bool complete; /* the content is a complete configuration */
+	section_cursor_t cursor;
+	GHashTable *names[SECTION_KINDS]; /* sets of the names seen, borrowed */
+	cw_status_t status;		  /* of the sections seen */
+};
+
+/* Begins to validate a content, which must outlast the check: by itself, or as a complete configuration. */
+cw_content_check_t *cw_content_check_new(const Caraway__Content *content, bool complete)
 {
+	cw_content_check_t *check = g_new0(cw_content_check_t, 1);
 	cw_selector_t *selector;
 
-	*check = (content_check_t){.content = content};
+	check->content = content;
+	check->complete = complete;
 	for (int kind = 0; kind < SECTION_KINDS; kind++)
 		check->names[kind] = g_hash_table_new(g_str_hash, g_str_equal);
 	check->status = check_title_and_size(content);
@@ -340,17 +362,41 @@
 		check->status = cw_selector_parse(content->selector, &selector);
 	if (!check->status)
 		cw_selector_free(selector);
+	return check;
 }
 
-/* Frees what a check refers to. */
-void content_check_clear(content_check_t *check)
+/* Checks a route of a complete configuration, whose services have been seen before it. */
+static cw_status_t check_complete_route(const Caraway__Route *route, GHashTable *services)
 {
-	for (int kind = 0; kind < SECTION_KINDS; kind++)
-		g_clear_pointer(&check->names[kind], g_hash_table_destroy);
+	section_t section = {.kind = SECTION_ROUTE, .route = route};
+	const char *service;
+
+	if (!*route->host)
+		return cw_fail(CW_ERR_CHECK, "route %s: host is missing", route->name);
+	if (!route->timeout_ms)
+		return cw_fail(CW_ERR_CHECK, "route %s: the timeout is 0", route->name);
+	for (size_t i = 0; (service = section_service(section, i)); i++)
+		if (!g_hash_table_contains(services, service))
+			return cw_fail(CW_ERR_CHECK, "route %s refers to service %s, which does not exist",
+				       route->name, service);
+	return CW_OK;
 }
 
-/* Validates further sections, and that no name appears twice, while *budget lasts; returns whether it has ended. */
-bool content_check_continue(content_check_t *check, size_t *budget)
+/* Validates one section, and that its name has not been seen before. */
+static cw_status_t check_next(cw_content_check_t *check, section_t section)
+{
+	cw_status_t status = section_check(section);
+
+	if (!status && !g_hash_table_add(check->names[section.kind], (char *)section_name(section)))
+		status = cw_fail(CW_ERR_CHANGE_FILE, "%s %s appears twice",
+				 section_kind_keyword(section.kind), section_name(section));
+	if (!status && check->complete && section.kind == SECTION_ROUTE)
+		status = check_complete_route(section.route, check->names[SECTION_SERVICE]);
+	return status;
+}
+
+/* Validates up to *budget sections, subtracts their number and returns whether the check has ended. */
+bool cw_content_check_continue(cw_content_check_t *check, size_t *budget)
 {
 	while (!check->status && *budget) {
 		section_t section = section_cursor_next(&check->cursor, check->content);
@@ -358,60 +404,45 @@
 		if (!section.message)
 			return true;
 		--*budget;
-		check->status = section_check(section);
-		if (!check->status &&
-		    !g_hash_table_add(check->names[section.kind], (char *)section_name(section)))
-			check->status = cw_fail(CW_ERR_CHANGE_FILE, "%s %s appears twice",
-						section_kind_keyword(section.kind), section_name(section));
+		check->status = check_next(check, section);
 	}
 	return check->status != CW_OK;
 }
 
-/*
- * Validates a content by itself, without regard to the active configuration.
- * Fails with CW_ERR_CHANGE_FILE or CW_ERR_SELECTOR.
- */
-cw_status_t cw_content_check(const Caraway__Content *content)
+/* Returns the outcome of the sections seen, and frees the check. */
+cw_status_t cw_content_check_finish(cw_content_check_t *check)
 {
+	cw_status_t status = check->status;
+
+	for (int kind = 0; kind < SECTION_KINDS; kind++)
+		g_hash_table_destroy(check->names[kind]);
+	g_free(check);
+	return status;
+}
+
+/* Validates a content in one part. */
+static cw_status_t check_at_once(const Caraway__Content *content, bool complete)
+{
+	cw_content_check_t *check = cw_content_check_new(content, complete);
 	size_t budget = SIZE_MAX;
-	content_check_t check;
 
-	content_check_init(&check, content);
-	content_check_continue(&check, &budget);
-	content_check_clear(&check);
-	return check.status;
+	cw_content_check_continue(check, &budget);
+	return cw_content_check_finish(check);
 }
 
-/* Checks that a route of a complete configuration has a host and a timeout. */
-static cw_status_t check_complete_route(const Caraway__Route *route)
+/*
+ * Validates a content by itself, without regard to the active configuration.
+ * Fails with CW_ERR_CHANGE_FILE or CW_ERR_SELECTOR.
+ */
+cw_status_t cw_content_check(const Caraway__Content *content)
 {
-	if (!*route->host)
-		return cw_fail(CW_ERR_CHECK, "route %s: host is missing", route->name);
-	if (!route->timeout_ms)
-		return cw_fail(CW_ERR_CHECK, "route %s: the timeout is 0", route->name);
-	return CW_OK;
+	return check_at_once(content, false);
 }
 
 /* Validates a content as a complete configuration, whose routes send calls only to its own services. */
 cw_status_t cw_content_check_complete(const Caraway__Content *content)
 {
-	g_autoptr(GHashTable) services = g_hash_table_new(g_str_hash, g_str_equal);
-	cw_status_t status = cw_content_check(content);
-	const char *service;
-
-	for (size_t i = 0; i < content->n_services; i++)
-		g_hash_table_add(services, content->services[i]->name);
-	for (size_t i = 0; i < content->n_routes && !status; i++) {
-		section_t section = content_section(content, SECTION_ROUTE, i);
-
-		status = check_complete_route(section.route);
-		for (size_t j = 0; !status && (service = section_service(section, j)); j++)
-			if (!g_hash_table_contains(services, service))
-				status = cw_fail(CW_ERR_CHECK,
-						 "route %s refers to service %s, which does not exist",
-						 section.route->name, service);
-	}
-	return status;
+	return check_at_once(content, true);
 }
 
 /* Returns the hash of a serialized content. */
--- a/libcaraway/difference.c
+++ b/libcaraway/difference.c
@@ -1,4 +1,4 @@
-/* The difference of two contents, and the content that a catalog holds for all VMs. */
+/* What a catalog holds for all VMs, and the difference from it to a complete content. */
 #include "catalog.h"
 
 #include <string.h>
@@ -16,7 +16,7 @@
 	return content;
 }
 
-/* Appends a section; the content takes ownership of the message. */
+/* Appends a section. */
 static void append_section(Caraway__Content *content, section_kind_t kind, void *message)
 {
 	switch (kind) {
@@ -63,66 +63,109 @@
 	}
 }
 
-/* Returns whether two sections of the same kind are equal. */
-static bool sections_equal(section_t a, section_t b)
+/* Returns whether an entry sets a section and is of a change numbered least_number or above. */
+static bool is_set_from(const entry_t *entry, uint64_t least_number)
 {
-	g_autoptr(GBytes) left = cw_message_pack(a.message);
-	g_autoptr(GBytes) right = cw_message_pack(b.message);
+	return entry && entry->number >= least_number && !section_is_removed(entry->section);
+}
+
+/* Returns how many entries of a kind a layer has that is_set_from(). */
+static size_t count_set(const layer_t *layer, section_kind_t kind, uint64_t least_number)
+{
+	layer_iter_t iter;
+	const entry_t *entry;
+	size_t count = 0;
 
-	return g_bytes_equal(left, right);
+	layer_iter_init(&iter, layer, kind);
+	while ((entry = layer_iter_next(&iter)))
+		count += is_set_from(entry, least_number);
+	return count;
 }
 
-/* Returns the messages of the sections of a kind by name; keys and values are borrowed. */
-static GHashTable *sections_by_name(const Caraway__Content *content, section_kind_t kind)
+/* Orders strings. */
+static gint compare_names(gconstpointer a, gconstpointer b)
 {
-	GHashTable *names = g_hash_table_new(g_str_hash, g_str_equal);
+	return strcmp(*(const char *const *)a, *(const char *const *)b);
+}
 
-	for (size_t i = 0; i < content_count(content, kind); i++) {
-		section_t section = content_section(content, kind, i);
+/* Returns the names of the entries of a kind that a complete content lacks, borrowed, ordered. */
+static GPtrArray *missing_names(const layer_t *layer, section_kind_t kind, uint64_t least_number,
+				const Caraway__Content *complete)
+{
+	g_autoptr(GHashTable) names = g_hash_table_new(g_str_hash, g_str_equal);
+	GPtrArray *missing = g_ptr_array_new();
+	layer_iter_t iter;
+	const entry_t *entry;
 
-		g_hash_table_insert(names, (char *)section_name(section), (gpointer)section.message);
-	}
-	return names;
+	for (size_t i = 0; i < content_count(complete, kind); i++)
+		g_hash_table_add(names, (char *)section_name(content_section(complete, kind, i)));
+	layer_iter_init(&iter, layer, kind);
+	while ((entry = layer_iter_next(&iter)))
+		if (is_set_from(entry, least_number) &&
+		    !g_hash_table_contains(names, section_name(entry->section)))
+			g_ptr_array_add(missing, (char *)section_name(entry->section));
+	g_ptr_array_sort(missing, compare_names);
+	return missing;
 }
 
 /* Appends the sections of a kind that are new or changed, and a removal for each that is gone. */
-static void append_differences(Caraway__Content *difference, const Caraway__Content *from,
-			       const Caraway__Content *to, section_kind_t kind)
+static void append_differences(cw_difference_t *difference, const layer_t *layer, section_kind_t kind,
+			       uint64_t least_number, const Caraway__Content *complete)
 {
-	g_autoptr(GHashTable) old_sections = sections_by_name(from, kind);
-	g_autoptr(GHashTable) new_sections = sections_by_name(to, kind);
+	size_t present = layer ? count_set(layer, kind, least_number) : 0;
+	size_t found = 0;
 
-	for (size_t i = 0; i < content_count(to, kind); i++) {
-		section_t section = content_section(to, kind, i);
-		section_t old_section = {.kind = kind,
-					 .message = g_hash_table_lookup(old_sections, section_name(section))};
+	for (size_t i = 0; i < content_count(complete, kind); i++) {
+		section_t section = content_section(complete, kind, i);
+		const entry_t *entry = layer ? layer_entry(layer, kind, section_name(section)) : NULL;
+		bool set = is_set_from(entry, least_number);
 
-		if (!old_section.message || !sections_equal(section, old_section))
-			append_section(difference, kind, cw_message_copy(section.message));
+		found += set;
+		if (!set || !cw_message_equal(section.message, entry->section.message))
+			append_section(difference->content, kind, (void *)section.message);
 	}
-	for (size_t i = 0; i < content_count(from, kind); i++) {
-		const char *name = section_name(content_section(from, kind, i));
+	if (found < present) {
+		g_autoptr(GPtrArray) missing = missing_names(layer, kind, least_number, complete);
+
+		for (guint i = 0; i < missing->len; i++) {
+			void *removal = removal_new(kind, missing->pdata[i]);
 
-		if (!g_hash_table_contains(new_sections, name))
-			append_section(difference, kind, removal_new(kind, name));
+			g_ptr_array_add(difference->removals, removal);
+			append_section(difference->content, kind, removal);
+		}
 	}
 }
 
-/* Returns the content that turns one content into another when applied; its title is that of the second. */
-Caraway__Content *cw_content_difference(const Caraway__Content *from, const Caraway__Content *to)
+/*
+ * Returns what sets and removes sections for every VM so that those of changes numbered
+ * least_number or above become a complete content, whose title it has.
+ */
+cw_difference_t *catalog_difference_for_all_vms(const cw_catalog_t *catalog, uint64_t least_number,
+						const Caraway__Content *complete)
 {
+	size_t slot;
+	const layer_t *layer = catalog_find_layer(catalog, "", &slot);
 	size_t capacity[SECTION_KINDS];
-	Caraway__Content *difference;
+	cw_difference_t *difference = g_new(cw_difference_t, 1);
 
 	for (int kind = 0; kind < SECTION_KINDS; kind++)
-		capacity[kind] = content_count(from, kind) + content_count(to, kind);
-	difference = content_new(capacity);
-	difference->title = strdup(to->title);
+		capacity[kind] = content_count(complete, kind) + (layer ? layer->count[kind] : 0);
+	difference->content = content_new(capacity);
+	difference->content->title = strdup(complete->title);
+	difference->removals = g_ptr_array_new_with_free_func(cw_message_free);
 	for (int kind = 0; kind < SECTION_KINDS; kind++)
-		append_differences(difference, from, to, kind);
+		append_differences(difference, layer, kind, least_number, complete);
 	return difference;
 }
 
+/* Frees a difference; the sections to set belong to the complete content. */
+void cw_difference_free(cw_difference_t *difference)
+{
+	cw_content_free_borrowed(difference->content);
+	g_ptr_array_unref(difference->removals);
+	g_free(difference);
+}
+
 /* Returns a layer's entries, without removals, set by changes numbered least_number or above; by name. */
 static GPtrArray *entries_from_number(const layer_t *layer, section_kind_t kind, uint64_t least_number)
 {
@@ -132,33 +175,48 @@
 
 	layer_iter_init(&iter, layer, kind);
 	while ((entry = layer_iter_next(&iter)))
-		if (entry->number >= least_number && !section_is_removed(entry->section))
+		if (is_set_from(entry, least_number))
 			g_ptr_array_add(entries, (gpointer)entry);
 	entries_sort(entries);
 	return entries;
 }
 
-/* Returns the sections under the empty selector that were set by changes numbered least_number or above. */
-Caraway__Content *cw_catalog_content_for_all_vms(const cw_catalog_t *catalog, uint64_t least_number)
+/* Returns the messages of entries, kept alive by references added to owners; frees the array of entries. */
+static GPtrArray *messages_of(GPtrArray *entries, GPtrArray *owners)
 {
-	size_t slot;
-	const layer_t *layer = catalog_find_layer(catalog, "", &slot);
-	GPtrArray *entries[SECTION_KINDS];
-	size_t capacity[SECTION_KINDS] = {0};
-	Caraway__Content *content;
+	GPtrArray *messages = g_ptr_array_sized_new(entries->len);
 
-	for (int kind = 0; kind < SECTION_KINDS; kind++) {
-		entries[kind] = layer ? entries_from_number(layer, kind, least_number) : g_ptr_array_new();
-		capacity[kind] = entries[kind]->len;
-	}
-	content = content_new(capacity);
-	for (int kind = 0; kind < SECTION_KINDS; kind++) {
-		for (guint i = 0; i < entries[kind]->len; i++) {
-			const entry_t *entry = entries[kind]->pdata[i];
+	for (guint i = 0; i < entries->len; i++) {
+		entry_t *entry = entries->pdata[i];
 
-			append_section(content, kind, cw_message_copy(entry->section.message));
-		}
-		g_ptr_array_unref(entries[kind]);
+		g_ptr_array_add(owners, entry_ref(entry));
+		g_ptr_array_add(messages, (gpointer)entry->section.message);
 	}
-	return content;
+	g_ptr_array_unref(entries);
+	return messages;
+}
+
+/*
+ * Returns the sections that apply to every VM and that changes numbered least_number or
+ * above have set, as the catalog holds them: the same message as long as it is not
+ * replaced.  Freed with cw_config_free().
+ */
+cw_config_t *catalog_config_for_all_vms(const cw_catalog_t *catalog, uint64_t least_number)
+{
+	cw_config_t *config = g_new0(cw_config_t, 1);
+	GPtrArray *messages[SECTION_KINDS];
+	size_t slot;
+	const layer_t *layer = catalog_find_layer(catalog, "", &slot);
+
+	config->version = catalog->version;
+	config->entries = g_ptr_array_new_with_free_func(entry_unref);
+	for (int kind = 0; kind < SECTION_KINDS; kind++)
+		messages[kind] = messages_of(layer ? entries_from_number(layer, kind, least_number)
+						   : g_ptr_array_new(),
+					     config->entries);
+	config->services = messages[SECTION_SERVICE];
+	config->routes = messages[SECTION_ROUTE];
+	config->targets = messages[SECTION_TARGET];
+	config->limits = messages[SECTION_LIMITS];
+	return config;
 }
--- a/libcaraway/feed.c
+++ b/libcaraway/feed.c
@@ -41,16 +41,20 @@
 	return g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, staged_free);
 }
 
-void cw_feed_staged_put(GHashTable *table, const Caraway__StageRecord *record)
+/* Adds packed content to a table, in place of any earlier one of its number; takes ownership of the bytes. */
+static void put_packed(GHashTable *table, uint64_t number, uint64_t digest, GBytes *content)
 {
 	feed_staged_t *staged = g_new(feed_staged_t, 1);
 
-	staged->number = record->number;
-	staged->digest = record->digest;
-	staged->content = cw_message_pack(&record->content->base);
+	*staged = (feed_staged_t){.number = number, .digest = digest, .content = content};
 	g_hash_table_replace(table, &staged->number, staged);
 }
 
+void cw_feed_staged_put(GHashTable *table, const Caraway__StageRecord *record)
+{
+	put_packed(table, record->number, record->digest, cw_message_pack(&record->content->base));
+}
+
 Caraway__Content *cw_feed_staged_content(const feed_staged_t *staged)
 {
 	gsize length;
@@ -190,7 +194,11 @@
 {
 	switch (record->body_case) {
 	case CARAWAY__FEED_RECORD__BODY_STAGE:
-		cw_feed_staged_put(feed->staged, record->stage);
+		if (feed->packed_content)
+			put_packed(feed->staged, record->stage->number, record->stage->digest,
+				   g_steal_pointer(&feed->packed_content));
+		else
+			cw_feed_staged_put(feed->staged, record->stage);
 		break;
 	case CARAWAY__FEED_RECORD__BODY_ACTIVATE:
 		apply_activate(feed, record->activate->number, record->version);
@@ -221,18 +229,23 @@
 	cw_feed_apply(feed, record);
 }
 
-/* Appends a record that stages the content of a change, to be activated later. */
-void cw_feed_stage(cw_feed_t *feed, uint64_t number, const Caraway__Content *content)
+/* Appends a record that stages the content of a change, to be activated later; returns the content's digest. */
+uint64_t cw_feed_stage(cw_feed_t *feed, uint64_t number, const Caraway__Content *content)
 {
 	Caraway__FeedRecord record = CARAWAY__FEED_RECORD__INIT;
 	Caraway__StageRecord stage = CARAWAY__STAGE_RECORD__INIT;
+	gconstpointer data;
+	gsize length;
 
+	feed->packed_content = cw_message_pack(&content->base);
+	data = g_bytes_get_data(feed->packed_content, &length);
 	stage.number = number;
-	stage.digest = cw_content_digest(content);
+	stage.digest = cw_hash(data, length, 0);
 	stage.content = (Caraway__Content *)content;
 	record.body_case = CARAWAY__FEED_RECORD__BODY_STAGE;
 	record.stage = &stage;
 	append_record(feed, &record, false);
+	return stage.digest;
 }
 
 /* Appends a record that activates a staged change; times are UTC ms.  CW_ERR_STATE when it is not staged. */
--- a/libcaraway/feed_internal.h
+++ b/libcaraway/feed_internal.h
@@ -27,16 +27,16 @@
 struct cw_feed {
 	size_t keep_records; /* at least this many of the last records are kept for children */
 	cw_catalog_t *catalog;
-	cw_catalog_t
-		*checked_catalog; /* of the record that is being applied; NULL: to be made from the content */
-	uint64_t index;		  /* of the last record */
-	uint64_t chain;		  /* hash chain value of the last record */
-	uint64_t version;	  /* configuration version after the last record */
-	uint64_t base_index;	  /* index of the record before the first one kept */
-	uint64_t base_chain;	  /* hash chain value at base_index */
-	GPtrArray *records;	  /* GBytes *, serialized records, base_index + 1 first */
-	GHashTable *staged;	  /* number -> feed_staged_t * */
-	GArray *chains;		  /* uint64_t, hash chain values of the records kept */
+	cw_catalog_t *checked_catalog;	       /* after the record that is being applied; NULL: to be made */
+	GBytes *packed_content;		       /* of the record that is being applied; NULL: to be packed */
+	uint64_t index;			       /* of the last record */
+	uint64_t chain;			       /* hash chain value of the last record */
+	uint64_t version;		       /* configuration version after the last record */
+	uint64_t base_index;		       /* index of the record before the first one kept */
+	uint64_t base_chain;		       /* hash chain value at base_index */
+	GPtrArray *records;		       /* GBytes *, serialized records, base_index + 1 first */
+	GHashTable *staged;		       /* number -> feed_staged_t * */
+	GArray *chains;			       /* uint64_t, hash chain values of the records kept */
 	feed_snapshot_cache_t *snapshot_cache; /* also written by cw_feed_fill_update(), on a const feed */
 	feed_records_cache_t *records_cache;   /* also written by cw_feed_fill_update() */
 };
--- a/libcaraway/internal.h
+++ b/libcaraway/internal.h
@@ -4,6 +4,8 @@
 
 #include "libcaraway.h"
 
+/* Returns whether two messages of one kind, which may be NULL, have equal fields. */
+bool cw_message_equal(const ProtobufCMessage *left, const ProtobufCMessage *right);
 /* Packs a message and compresses it with zstd. */
 GBytes *cw_message_compress(const ProtobufCMessage *message);
 /* Decompresses and unpacks a message; on failure sets the last error message and returns NULL. */
--- a/libcaraway/ledger_change.c
+++ b/libcaraway/ledger_change.c
@@ -16,10 +16,16 @@
 	return MAX(change->due_ms, change->reviewed_ms);
 }
 
+/* Returns the digest of a content, given by its own, and its due time. */
+static uint64_t digest_with_due(uint64_t content_digest, int64_t due_ms)
+{
+	return cw_hash(&due_ms, sizeof(due_ms), content_digest);
+}
+
 /* Returns the digest of a content and its due time. */
 uint64_t change_digest(const Caraway__Content *content, int64_t due_ms)
 {
-	return cw_hash(&due_ms, sizeof(due_ms), cw_content_digest(content));
+	return digest_with_due(cw_content_digest(content), due_ms);
 }
 
 /* Replaces a string field of a message. */
@@ -289,7 +295,7 @@
 	return CW_OK;
 }
 
-/* Returns the change that a replacement is recorded as; takes its content. */
+/* Returns the change that a replacement is recorded as, without its digest; takes its content. */
 static Caraway__Change *change_of_replacement(Caraway__Replace *replace, int64_t at_ms)
 {
 	Caraway__Change *change = malloc(sizeof(*change));
@@ -304,7 +310,6 @@
 	change->accepted = true;
 	change->state = CARAWAY__CHANGE_STATE__CHANGE_ACCEPTED;
 	change->content = g_steal_pointer(&replace->content);
-	change->digest = change_digest(change->content, change->due_ms);
 	return change;
 }
 
@@ -326,7 +331,7 @@
 		return CW_ERR_CHECK;
 	}
 	ledger_add(ledger, change);
-	cw_feed_stage(ledger->feed, change->number, change->content);
+	change->digest = digest_with_due(cw_feed_stage(ledger->feed, change->number, change->content), at_ms);
 	cw_feed_activate_checked(ledger->feed, change->number, change->due_ms, at_ms, catalog);
 	schedule_forget_valid_vms(ledger->schedule);
 	change->in_force_ms = at_ms;
--- a/libcaraway/ledger_job.c
+++ b/libcaraway/ledger_job.c
@@ -20,7 +20,7 @@
 	char *message;		       /* of a failure */
 	cw_catalog_t *catalog;	       /* the copy; NULL before */
 	section_cursor_t cursor;       /* in STAGE_CATALOG */
-	content_check_t content;       /* in STAGE_CONTENT */
+	cw_content_check_t *content;   /* in STAGE_CONTENT; NULL otherwise */
 	reference_check_t *references; /* in STAGE_REFERENCES; NULL otherwise */
 };
 
@@ -57,22 +57,24 @@
 	if (!needed)
 		return job;
 	job->stage = STAGE_CONTENT;
-	content_check_init(&job->content, job_content(job));
+	job->content = cw_content_check_new(job_content(job), false);
 	return job;
 }
 
 /* Validates further sections, then copies the catalog. */
 static bool check_content(cw_ledger_job_t *job, size_t *budget)
 {
-	if (!content_check_continue(&job->content, budget))
+	cw_status_t status;
+
+	if (!cw_content_check_continue(job->content, budget))
 		return false;
-	if (job->content.status) {
-		end_stages(job, job->content.status);
+	status = cw_content_check_finish(g_steal_pointer(&job->content));
+	if (status) {
+		end_stages(job, status);
 	} else {
 		job->catalog = cw_catalog_copy(cw_feed_catalog(job->ledger->feed));
 		job->stage = STAGE_CATALOG;
 	}
-	content_check_clear(&job->content);
 	return true;
 }
 
@@ -144,7 +146,8 @@
 	if (job->references)
 		reference_check_finish(job->references);
 	g_free(job->references);
-	content_check_clear(&job->content);
+	if (job->content)
+		cw_content_check_finish(job->content);
 	cw_catalog_free(job->catalog);
 	cw_message_free(job->command);
 	g_free(job->message);
--- a/libcaraway/ledger_replace.c
+++ b/libcaraway/ledger_replace.c
@@ -66,19 +66,15 @@
 }
 
 /* Returns the sections of the release in force that no booked change for all VMs has replaced. */
-Caraway__Content *cw_ledger_release_content(cw_ledger_t *ledger)
+cw_config_t *cw_ledger_release_config(cw_ledger_t *ledger)
 {
-	return cw_catalog_content_for_all_vms(cw_feed_catalog(ledger->feed), FIRST_RELEASE_NUMBER);
+	return catalog_config_for_all_vms(cw_feed_catalog(ledger->feed), FIRST_RELEASE_NUMBER);
 }
 
 /* Returns the difference from the release in force to a complete configuration. */
-Caraway__Content *cw_ledger_release_difference(cw_ledger_t *ledger, const Caraway__Content *complete)
+cw_difference_t *cw_ledger_release_difference(cw_ledger_t *ledger, const Caraway__Content *complete)
 {
-	Caraway__Content *present = cw_ledger_release_content(ledger);
-	Caraway__Content *difference = cw_content_difference(present, complete);
-
-	cw_message_free(present);
-	return difference;
+	return catalog_difference_for_all_vms(cw_feed_catalog(ledger->feed), FIRST_RELEASE_NUMBER, complete);
 }
 
 /* Returns whether a difference has no sections to set or to remove. */
--- a/tests/unit/test_ledger.c
+++ b/tests/unit/test_ledger.c
@@ -216,11 +216,13 @@
 		g_string_append_printf(out, "%s\n",
 				       already_accepted ? "accepted before" : cw_last_error_message());
 	} else {
-		replace.content = cw_ledger_release_difference(state->ledger, complete);
+		cw_difference_t *difference = cw_ledger_release_difference(state->ledger, complete);
+
+		replace.content = difference->content;
 		command.body_case = CARAWAY__COMMAND__BODY_REPLACE;
 		command.replace = &replace;
 		g_queue_push_tail(&state->proposed_commands, cw_message_copy(&command.base));
-		cw_message_free(replace.content);
+		cw_difference_free(difference);
 	}
 	cw_message_free(complete);
 }
@@ -239,18 +241,21 @@
 /* "release": prints the release in force, its services, and its routes with the service of each. */
 static void run_release(script_state_t *state, int argc, char **argv, GString *out)
 {
-	Caraway__Content *content = cw_ledger_release_content(state->ledger);
+	cw_config_t *config = cw_ledger_release_config(state->ledger);
 
 	(void)argc;
 	(void)argv;
 	g_string_append_printf(out, "release %" G_GUINT64_FORMAT ":",
 			       cw_ledger_release_in_force(state->ledger));
-	for (size_t i = 0; i < content->n_services; i++)
-		g_string_append_printf(out, " %s", content->services[i]->name);
-	for (size_t i = 0; i < content->n_routes; i++)
-		g_string_append_printf(out, " %s>%s", content->routes[i]->name, content->routes[i]->service);
+	for (guint i = 0; i < config->services->len; i++)
+		g_string_append_printf(out, " %s", ((Caraway__Service *)config->services->pdata[i])->name);
+	for (guint i = 0; i < config->routes->len; i++) {
+		const Caraway__Route *route = config->routes->pdata[i];
+
+		g_string_append_printf(out, " %s>%s", route->name, route->service);
+	}
 	g_string_append_c(out, '\n');
-	cw_message_free(content);
+	cw_config_free(config);
 }
 
 /* Runs one command of a script. */
