--- a/daemon/control.h
+++ b/daemon/control.h
@@ -80,7 +80,6 @@
 	const gateway_t *gateway; /* NULL: none */
 	metrics_t *metrics;	  /* NULL: none */
 	void *gateway_state;	  /* NULL: the gateway is not open */
-	bool gateway_busy;	  /* its tick is to be called again at once */
 	store_t *store;
 	cw_raft_t *raft;
 	cw_ledger_t *ledger;
@@ -96,7 +95,6 @@
 	GQueue apply_items;		   /* what waits to be applied, in order; see control_apply.c */
 	cw_ledger_job_t *apply_job;	   /* of the first of them; NULL: not begun */
 	size_t apply_budget;		   /* sections that may still be applied in this iteration */
-	bool applying;			   /* items are being carried out: further ones wait */
 	uint64_t applied_index;		   /* of the last log entry applied to the ledger */
 	uint64_t delivered_index;	   /* of the last log entry that Raft has given out to be applied */
 	uint64_t snapshot_index;	   /* of the last log entry in the newest snapshot */
@@ -109,6 +107,8 @@
 	uint32_t notified_leader_id;
 	bool notified_is_leader;
 	int64_t work_ms[WORK_KINDS]; /* time spent in the present iteration */
+	bool gateway_busy;	     /* its tick is to be called again at once */
+	bool applying;		     /* items are being carried out: further ones wait */
 	bool activation_pending;     /* an activation was proposed and has no outcome yet */
 	bool storage_failed;	  /* this replica takes no part in Raft until the data folder is reopened */
 	int64_t next_recovery_ms; /* when to reopen the data folder after a storage failure */
@@ -155,6 +155,7 @@
 void control_apply_continue(control_t *control);
 /* Leaves less to be applied in this iteration, in which a command of a length is packed or unpacked. */
 void control_spend_on_command(control_t *control, size_t length);
+void control_apply_restart(control_t *control);
 void control_apply_reset(control_t *control, uint64_t index);
 
 /* control_pending.c: requests that wait for the replicated log. */
--- a/daemon/control_apply.c
+++ b/daemon/control_apply.c
@@ -26,6 +26,13 @@
 	g_free(item);
 }
 
+/* Gives up the entry that is being applied; it is begun anew, unless its item is removed as well. */
+void control_apply_restart(control_t *control)
+{
+	cw_ledger_job_free(control->apply_job);
+	control->apply_job = NULL;
+}
+
 /*
  * Completes the pending request at this log index: with the outcome, or with
  * an error when the entry of another leader has replaced its entry.
@@ -152,7 +159,7 @@
 /* Gives up what waits to be applied, as a snapshot covers it; the ledger has applied all up to index. */
 void control_apply_reset(control_t *control, uint64_t index)
 {
-	g_clear_pointer(&control->apply_job, cw_ledger_job_free);
+	control_apply_restart(control);
 	g_queue_clear_full(&control->apply_items, item_free);
 	control->applied_index = index;
 	control->delivered_index = index;
--- a/daemon/control_replica.c
+++ b/daemon/control_replica.c
@@ -64,7 +64,7 @@
 
 	if (status != CW_OK)
 		return status;
-	g_clear_pointer(&control->apply_job, cw_ledger_job_free); /* of the ledger that is replaced */
+	control_apply_restart(control); /* the ledger must not be loaded while one is in progress */
 	status = cw_ledger_load(control->ledger, data, length);
 	if (status != CW_OK)
 		return status;
--- a/libcaraway/catalog.c
+++ b/libcaraway/catalog.c
@@ -255,7 +255,7 @@
 	section_t section;
 
 	catalog->version = version;
-	while ((section = section_cursor_next(&cursor, content)).message)
+	while (section_cursor_next(&cursor, content, &section))
 		catalog_apply_section(catalog, content->selector, section, number, version);
 }
 
--- a/libcaraway/catalog.h
+++ b/libcaraway/catalog.h
@@ -36,7 +36,7 @@
 	size_t next; /* section of this kind */
 } section_cursor_t;
 
-section_t section_cursor_next(section_cursor_t *cursor, const Caraway__Content *content);
+bool section_cursor_next(section_cursor_t *cursor, const Caraway__Content *content, section_t *section);
 
 /* ---- selector.c ---- */
 
--- a/libcaraway/catalog_check.c
+++ b/libcaraway/catalog_check.c
@@ -127,7 +127,7 @@
 	section_cursor_t cursor = {0};
 	section_t section;
 
-	while ((section = section_cursor_next(&cursor, content)).message)
+	while (section_cursor_next(&cursor, content, &section))
 		check_name(set, section.kind, section_name(section), first);
 }
 
@@ -227,9 +227,9 @@
 static bool check_present_group(reference_check_t *check, size_t *budget)
 {
 	while (*budget) {
-		section_t section = section_cursor_next(&check->cursor, check->content);
+		section_t section;
 
-		if (!section.message)
+		if (!section_cursor_next(&check->cursor, check->content, &section))
 			return true;
 		--*budget;
 		check_name(&check->set, section.kind, section_name(section), &check->error);
--- a/libcaraway/content.c
+++ b/libcaraway/content.c
@@ -327,16 +327,16 @@
 	return CW_OK;
 }
 
-/* Returns the next section of a content; one without a message after the last. */
-section_t section_cursor_next(section_cursor_t *cursor, const Caraway__Content *content)
+/* Moves to the next section of a content; returns false after the last. */
+bool section_cursor_next(section_cursor_t *cursor, const Caraway__Content *content, section_t *section)
 {
-	while (cursor->kind < SECTION_KINDS && cursor->next >= content_count(content, cursor->kind)) {
-		cursor->kind++;
-		cursor->next = 0;
+	for (; cursor->kind < SECTION_KINDS; cursor->kind++, cursor->next = 0) {
+		if (cursor->next >= content_count(content, cursor->kind))
+			continue;
+		*section = content_section(content, cursor->kind, cursor->next++);
+		return true;
 	}
-	if (cursor->kind == SECTION_KINDS)
-		return (section_t){.kind = SECTION_KINDS};
-	return content_section(content, cursor->kind, cursor->next++);
+	return false;
 }
 
 struct cw_content_check {
@@ -399,9 +399,9 @@
 bool cw_content_check_continue(cw_content_check_t *check, size_t *budget)
 {
 	while (!check->status && *budget) {
-		section_t section = section_cursor_next(&check->cursor, check->content);
+		section_t section;
 
-		if (!section.message)
+		if (!section_cursor_next(&check->cursor, check->content, &section))
 			return true;
 		--*budget;
 		check->status = check_next(check, section);
--- a/libcaraway/ledger_job.c
+++ b/libcaraway/ledger_job.c
@@ -86,9 +86,9 @@
 	uint64_t number = FIRST_RELEASE_NUMBER + job->command->replace->release;
 
 	while (*budget) {
-		section_t section = section_cursor_next(&job->cursor, content);
+		section_t section;
 
-		if (!section.message) {
+		if (!section_cursor_next(&job->cursor, content, &section)) {
 			job->references = g_new(reference_check_t, 1);
 			reference_check_init(job->references, job->catalog, content);
 			job->stage = STAGE_REFERENCES;
@@ -106,7 +106,8 @@
 	if (!reference_check_continue(job->references, budget))
 		return false;
 	end_stages(job, reference_check_finish(job->references));
-	g_clear_pointer(&job->references, g_free);
+	g_free(job->references);
+	job->references = NULL;
 	return true;
 }
 
--- a/libcaraway/ledger_replace.c
+++ b/libcaraway/ledger_replace.c
@@ -98,7 +98,7 @@
 	if (!status)
 		status = cw_ledger_check_release(ledger, replace->release, replace->base_release,
 						 replace->digest, &already_accepted);
-	*needed = !status && !already_accepted && !is_empty(replace->content);
+	*needed = !status && !already_accepted && replace->content && !is_empty(replace->content);
 	return status;
 }
 
