Repeat no call elsewhere for an error that the other targets give too

Cause: the targets of another service, which call it, fail with it; an error counted as one target's own if the best other target had fewer, and among many there is always one that has had no call for a while. The call was shown to another target, which called the failing service again. Now no target is an outlier while the others answer with errors more often than in one of four.

--- a/libcaraway/pick.c
+++ b/libcaraway/pick.c
@@ -33,6 +33,9 @@
 /* An endpoint is an outlier above outlier_factor * (lowest error ratio of the others) + outlier_margin. */
 static const double outlier_factor = 2;
 static const double outlier_margin = 0.05;
+/* None is one while the others answer with errors more often than this, of at least so many recent answers. */
+static const double max_common_error_ratio = 0.25;
+static const double min_common_answers = 3;
 
 /* Load from which other zones are considered while service times are unknown. */
 static const double cross_zone_load = 0.8;
@@ -74,7 +77,9 @@
 	uint32_t failures;	   /* attempts without an answer, in a row */
 	uint32_t errors;	   /* 5xx answers other than 503, in a row */
 	double error_ratio;	   /* moving average over answers, as of last_result_ms */
-	uint32_t ejections;	   /* in a row */
+	double recent_answers;	   /* errors included; decaying numbers, as of last_result_ms */
+	double recent_errors;
+	uint32_t ejections; /* in a row */
 	int64_t ejected_until_ms;
 	int64_t unavailable_until_ms;
 	int64_t last_result_ms;
@@ -152,10 +157,16 @@
 	return (double)(LOAD_MAX_AGE_MS - age_ms) / LOAD_MAX_AGE_MS;
 }
 
+/* Returns by what a value of an endpoint's last result has decayed since. */
+static double error_decay(const endpoint_stats_t *stats, int64_t now_ms)
+{
+	return exp2(-(double)(now_ms - stats->last_result_ms) / ERROR_HALF_LIFE_MS);
+}
+
 /* Returns the recent error ratio of an endpoint, which decays while no results come in. */
 static double decayed_error_ratio(const endpoint_stats_t *stats, int64_t now_ms)
 {
-	return stats->error_ratio * exp2(-(double)(now_ms - stats->last_result_ms) / ERROR_HALF_LIFE_MS);
+	return stats->error_ratio * error_decay(stats, now_ms);
 }
 
 /* Returns the service time of a route at an endpoint, in milliseconds; 0 when it is not known. */
@@ -571,29 +582,45 @@
 /* Updates the error ratio of an endpoint with the result of a call. */
 static void update_error_ratio(endpoint_stats_t *stats, cw_pick_result_t result, int64_t now_ms)
 {
-	double ratio = decayed_error_ratio(stats, now_ms);
+	double decay = error_decay(stats, now_ms);
+	double ratio = stats->error_ratio * decay;
+	bool answered = result == CW_PICK_ERROR || result == CW_PICK_ANSWERED;
 
-	if (result == CW_PICK_ERROR || result == CW_PICK_ANSWERED)
+	if (answered)
 		ratio += answer_weight * ((result == CW_PICK_ERROR) - ratio);
 	stats->error_ratio = ratio;
+	stats->recent_answers = stats->recent_answers * decay + answered;
+	stats->recent_errors = stats->recent_errors * decay + (result == CW_PICK_ERROR);
 }
 
-/* Returns whether an endpoint has a clearly higher error ratio than the best other candidate. */
+/*
+ * Returns whether an endpoint has a clearly higher error ratio than the best other
+ * candidate.  None has while the others give many errors too, as they do when a service
+ * that they call fails: a call that is repeated repeats its calls there.
+ */
 bool cw_pick_is_error_outlier(cw_pick_t *pick, const cw_candidate_t *candidates, size_t count, const char *vm,
 			      int64_t now_ms)
 {
 	double vm_ratio = 0;
 	double least_other_ratio = 1;
+	double other_answers = 0;
+	double other_errors = 0;
 
 	for (size_t i = 0; i < count; i++) {
-		double ratio = decayed_error_ratio(
-			stats_for(pick, candidates[i].vm, candidates[i].incarnation), now_ms);
+		const endpoint_stats_t *stats = stats_for(pick, candidates[i].vm, candidates[i].incarnation);
+		double decay = error_decay(stats, now_ms);
 
-		if (g_str_equal(candidates[i].vm, vm))
-			vm_ratio = ratio;
-		else if (!candidates[i].excluded)
-			least_other_ratio = MIN(least_other_ratio, ratio);
+		if (g_str_equal(candidates[i].vm, vm)) {
+			vm_ratio = stats->error_ratio * decay;
+			continue;
+		}
+		other_answers += stats->recent_answers * decay;
+		other_errors += stats->recent_errors * decay;
+		if (!candidates[i].excluded)
+			least_other_ratio = MIN(least_other_ratio, stats->error_ratio * decay);
 	}
+	if (other_answers >= min_common_answers && other_errors > max_common_error_ratio * other_answers)
+		return false;
 	return vm_ratio > outlier_factor * least_other_ratio + outlier_margin;
 }
 
