--- a/libcaraway/feed.c
+++ b/libcaraway/feed.c
@@ -112,7 +112,7 @@
 	g_free(feed);
 }
 
-/* Returns the catalog as of the last record, borrowed; the next record changes it in place. */
+/* Returns the catalog as of the last record, borrowed; the next record changes or replaces it. */
 const cw_catalog_t *cw_feed_catalog(const cw_feed_t *feed)
 {
 	return feed->catalog;
