--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Builds into $(BUILD); SANITIZE=address,undefined or SANITIZE=thread instruments the build.
 BUILD ?= build
 CC = gcc
-PACKAGES = glib-2.0 libprotobuf-c libxxhash libzstd
+PACKAGES = glib-2.0 libprotobuf-c libxxhash libzstd libsodium
 DAEMON_PACKAGES = $(PACKAGES) libzmq liburcu-memb jansson
 CFLAGS ?= -O2 -g
 WARNINGS = -std=gnu11 -Wall -Wextra -Werror -Wshadow -Wstrict-prototypes -Wmissing-prototypes
--- a/daemon/control_release.c
+++ b/daemon/control_release.c
@@ -1,4 +1,7 @@
 /* Releases, complete configurations submitted to the gateway: put in force through the replicated log. */
+#include <sodium.h>
+#include <stdlib.h>
+
 #include "clock.h"
 #include "control.h"
 #include "log.h"
@@ -53,12 +56,69 @@
 	return pending;
 }
 
+/* Sets the salt of the digests of keys: that of the configuration in force, or a new one. */
+static void choose_salt(const control_t *control, uint64_t salt[2])
+{
+	if (!cw_ledger_account_salt(control->ledger, salt))
+		randombytes_buf(salt, 2 * sizeof(*salt));
+}
+
+/* Returns a content that borrows all from another one but the accounts, which have digests of their keys. */
+static Caraway__Content *content_sealed(const control_t *control, const Caraway__Content *content)
+{
+	Caraway__Content *sealed = g_memdup2(content, sizeof(*content));
+	uint64_t salt[2];
+
+	sealed->accounts = cw_message_array(content->n_accounts);
+	if (content->n_accounts)
+		choose_salt(control, salt);
+	for (size_t i = 0; i < content->n_accounts; i++)
+		sealed->accounts[i] = cw_account_seal(content->accounts[i], salt);
+	return sealed;
+}
+
+/* Frees a content that content_sealed() returned. */
+static void content_sealed_free(Caraway__Content *sealed)
+{
+	for (size_t i = 0; i < sealed->n_accounts; i++)
+		cw_message_free(sealed->accounts[i]);
+	free(sealed->accounts);
+	g_free(sealed);
+}
+
+/* Returns the keys of the accounts that a difference sets, borrowed from the complete content. */
+static GPtrArray *keys_of_difference(const Caraway__Content *difference, const Caraway__Content *complete)
+{
+	GPtrArray *keys = g_ptr_array_new_with_free_func(g_free);
+	g_autoptr(GHashTable) by_name = g_hash_table_new(g_str_hash, g_str_equal);
+
+	for (size_t i = 0; i < complete->n_accounts; i++)
+		g_hash_table_insert(by_name, complete->accounts[i]->name, complete->accounts[i]);
+	for (size_t i = 0; i < difference->n_accounts; i++) {
+		const Caraway__ClientAccount *set = difference->accounts[i];
+		const Caraway__ClientAccount *account = g_hash_table_lookup(by_name, set->name);
+		Caraway__AccountKeys *message;
+
+		if (set->removed || !account)
+			continue;
+		message = g_new(Caraway__AccountKeys, 1);
+		caraway__account_keys__init(message);
+		message->name = account->name;
+		message->n_keys = account->n_keys;
+		message->keys = account->keys;
+		g_ptr_array_add(keys, message);
+	}
+	return keys;
+}
+
 /* Proposes the difference between the release in force and the replacement. */
 static void propose_replacement(control_t *control, pending_request_t *pending)
 {
 	const control_replacement_t *replacement = pending->gateway_request.replacement;
 	Caraway__Command command = CARAWAY__COMMAND__INIT;
 	Caraway__Replace replace = CARAWAY__REPLACE__INIT;
+	g_autoptr(GPtrArray) account_keys = NULL;
+	Caraway__Content *sealed;
 	cw_difference_t *difference;
 	int64_t start_ms = clock_now_ms();
 
@@ -67,13 +127,18 @@
 	replace.release = replacement->release;
 	replace.base_release = replacement->base_release;
 	replace.digest = replacement->digest;
-	difference = cw_ledger_release_difference(control->ledger, replacement->content);
+	sealed = content_sealed(control, replacement->content);
+	difference = cw_ledger_release_difference(control->ledger, sealed);
+	account_keys = keys_of_difference(difference->content, replacement->content);
 	replace.content = difference->content;
+	replace.n_account_keys = account_keys->len;
+	replace.account_keys = (Caraway__AccountKeys **)account_keys->pdata;
 	command.body_case = CARAWAY__COMMAND__BODY_REPLACE;
 	command.replace = &replace;
 	control_add_work(control, WORK_DIFFERENCE, start_ms);
 	control_propose(control, pending, &command);
 	cw_difference_free(difference);
+	content_sealed_free(sealed);
 }
 
 /*
--- a/daemon/counters.h
+++ b/daemon/counters.h
@@ -27,6 +27,10 @@
 	X(ID##_TOO_LARGE, name "-too-large")                                                                 \
 	X(ID##_TOO_DEEP, name "-too-deep")                                                                   \
 	X(ID##_BAD_HEADER, name "-bad-header")                                                               \
+	X(ID##_BAD_KEY, name "-bad-key")                                                                     \
+	X(ID##_KEYS_UNCONFIRMED, name "-keys-unconfirmed")                                                   \
+	X(ID##_OVER_ALLOTMENT, name "-over-allotment")                                                       \
+	X(ID##_ALLOTMENT_UNAVAILABLE, name "-allotment-unavailable")                                         \
 	X(ID##_NO_ANSWER, name "-no-answer")                                                                 \
 	X(ID##_CUT, name "-cut")                                                                             \
 	X(ID##_TARGET_ERROR, name "-target-error")                                                           \
--- a/daemon/endpoints.c
+++ b/daemon/endpoints.c
@@ -49,7 +49,9 @@
 
 	int64_t current_until_ms = published_view_current_until_ms(published_view);
 
-	*endpoints = (endpoints_t){.refusal = CW_REASON_NONE, .current_until_ms = current_until_ms};
+	*endpoints = (endpoints_t){.refusal = CW_REASON_NONE,
+				   .current_until_ms = current_until_ms,
+				   .keys_until_ms = published_view_keys_until_ms(published_view)};
 	urcu_memb_read_lock();
 	view = published_view_read(published_view);
 	endpoints->view = view ? view_ref(view) : NULL;
--- a/daemon/endpoints.h
+++ b/daemon/endpoints.h
@@ -21,6 +21,7 @@
 typedef struct {
 	cw_reason_t refusal;	  /* why there is no route, or CW_REASON_NONE */
 	int64_t current_until_ms; /* until when the view counts as the newest; 0: it does not */
+	int64_t keys_until_ms;	  /* until when the keys in the view may be accepted */
 	const view_t *view;	  /* a reference; NULL when none is published */
 	const view_route_t *route;
 	const char *service; /* that the call goes to */
--- a/daemon/forward.c
+++ b/daemon/forward.c
@@ -1,6 +1,7 @@
 /* The sending side of calls: sends attempts to the endpoints of a route until the outcome is known. */
 #include "forward_internal.h"
 
+#include "accounts.h"
 #include "call_counters.h"
 #include "clock.h"
 #include "headers.h"
@@ -221,14 +222,16 @@
 	forward_outcome_t outcome = {.outcome = CARAWAY__CALL_OUTCOME__OUTCOME_NOT_RUN, .reason = reason};
 	int64_t now_ms = clock_now_ms();
 
-	if (reason == CW_REASON_NO_CONFIG || reason == CW_REASON_CONFIG_STALE)
+	if (reason == CW_REASON_NO_CONFIG || reason == CW_REASON_CONFIG_STALE ||
+	    reason == CW_REASON_KEYS_UNCONFIRMED)
 		outcome.retry_after_ms = cw_retry_after_unconfigured_ms(now_ms - forward->started_ms,
 									g_rand_double(forward->random));
 	call_count_outcome(reason);
 	log_info("call-refused", LOG_STR("request", request_id(forward, request)),
 		 LOG_STR("path", request->path), LOG_STR("reason", cw_reason_name(reason)),
 		 LOG_UINT("version", endpoints->view ? endpoints->view->version : 0),
-		 LOG_INT("current_for_ms", endpoints->current_until_ms - now_ms), LOG_END);
+		 LOG_INT("current_for_ms", endpoints->current_until_ms - now_ms),
+		 LOG_INT("keys_for_ms", endpoints->keys_until_ms - now_ms), LOG_END);
 	cw_message_free(request);
 	forward->callbacks.done(forward->callbacks.data, cookie, &outcome);
 }
@@ -238,6 +241,7 @@
 			int64_t caller_timeout_ms, void *cookie, forward_call_t **handle)
 {
 	int64_t now_ms = clock_now_ms();
+	const view_account_t *account = NULL;
 	endpoints_t endpoints;
 	forward_call_t *call;
 
@@ -247,6 +251,9 @@
 			 g_rand_double(forward->random));
 	if (request->depth > MAX_CALL_DEPTH)
 		endpoints.refusal = CW_REASON_TOO_DEEP;
+	else if (endpoints.refusal == CW_REASON_NONE)
+		endpoints.refusal =
+			accounts_identify(&endpoints, &forward->settings->headers, request, &account);
 	if (endpoints.refusal != CW_REASON_NONE) {
 		refuse_without_attempt(forward, request, cookie, &endpoints);
 		endpoints_clear(&endpoints);
@@ -255,6 +262,8 @@
 	call = g_new0(forward_call_t, 1);
 	call->request = request;
 	call->endpoints = endpoints;
+	call->account = account;
+	call->priority = account && account->has_priority ? account->priority : endpoints.route->priority;
 	call->has_own_endpoint =
 		endpoints_mark_own(&call->endpoints, forward->settings->vm, forward->incarnation);
 	call->cookie = cookie;
--- a/daemon/forward.h
+++ b/daemon/forward.h
@@ -25,8 +25,8 @@
 	void (*done)(void *data, void *cookie, const forward_outcome_t *outcome);
 	/* A new view has been published; called on the thread that runs forward_run(). */
 	void (*view_changed)(void *data, const view_t *view);
-	/* Stores the present load of this proxy's target for a route; returns false if it takes no calls. */
-	bool (*own_load)(void *data, const view_route_t *route, cw_pick_load_t *load);
+	/* Stores the present load of this proxy's target for a route and priority; returns false if it takes no calls. */
+	bool (*own_load)(void *data, uint64_t route, uint32_t priority, cw_pick_load_t *load);
 	void *data;
 } forward_callbacks_t;
 
--- a/daemon/forward_attempt.c
+++ b/daemon/forward_attempt.c
@@ -61,7 +61,8 @@
 	request.sent_ms = now_ms;
 	request.useful_ms = (int32_t)(call->useful_until_ms - now_ms);
 	request.route = call->endpoints.route->id;
-	request.priority = call->endpoints.route->priority;
+	request.priority = call->priority;
+	request.account = call->account ? call->account->id : 0;
 	request.service = (char *)call->endpoints.service;
 	request.attempt = call->request->attempt + call->state.attempt_count;
 	message.body_case = CARAWAY__MESSAGE__BODY_CALL_REQUEST;
@@ -74,11 +75,11 @@
 {
 	int64_t now_ms = clock_now_ms();
 	cw_pick_load_t own_load;
-	bool own_takes_calls =
-		call->has_own_endpoint &&
-		forward->callbacks.own_load(forward->callbacks.data, call->endpoints.route, &own_load);
+	bool own_takes_calls = call->has_own_endpoint &&
+			       forward->callbacks.own_load(forward->callbacks.data, call->endpoints.route->id,
+							   call->priority, &own_load);
 	const cw_pick_call_t pick_call = {.route = call->endpoints.route->id,
-					  .priority = call->endpoints.route->priority,
+					  .priority = call->priority,
 					  .own_load = own_takes_calls ? &own_load : NULL,
 					  .useful_ms = call->useful_until_ms - now_ms,
 					  .left_ms = call->state.deadline_ms - now_ms,
--- a/daemon/forward_internal.h
+++ b/daemon/forward_internal.h
@@ -11,7 +11,7 @@
 	int64_t sent_ms;
 	const endpoint_t *endpoint; /* points into the call's endpoints */
 	uint64_t route;		    /* id of the call's route */
-	uint32_t priority;	    /* of the route */
+	uint32_t priority;	    /* of the call */
 	bool ended;		    /* its result was reported to the load balancer */
 } forward_attempt_t;
 
@@ -19,8 +19,10 @@
 	cw_call_t state; /* state machine of the call, see cw_call_step() */
 	Caraway__CallRequest *request;
 	endpoints_t endpoints;
-	bool has_own_endpoint;	 /* one of the endpoints is this proxy */
-	int64_t useful_until_ms; /* an answer after this is worth less to the caller */
+	const view_account_t *account; /* of the caller, in the view; NULL: none */
+	uint32_t priority;	       /* of the account, or else of the route */
+	bool has_own_endpoint;	       /* one of the endpoints is this proxy */
+	int64_t useful_until_ms;       /* an answer after this is worth less to the caller */
 	uint32_t wait_ms;    /* shortest queueing delay reported by a receiver that did not answer; 0: none */
 	uint32_t service_ms; /* expected service time of the call at that receiver */
 	Caraway__CallReply *error_reply; /* a target's error, saved while another target is tried; or NULL */
--- a/daemon/headers.h
+++ b/daemon/headers.h
@@ -18,6 +18,8 @@
 	char *caller_service;  /* of requests to a target: service of the VM that the request comes from */
 	char *expected_target; /* of requests to a target: the only incarnation that may run them */
 	char *not_executed;    /* of a target's responses: it did not run the request */
+	char *account_key;     /* of requests: key of a client account; not sent to the target */
+	char *account;	       /* of requests to a target: name of the client account */
 	char *target_id;       /* of a target's responses to health checks: its incarnation */
 } header_names_t;
 
--- a/daemon/proxy.c
+++ b/daemon/proxy.c
@@ -14,6 +14,8 @@
 	VIEW_WAIT_MS = 50, /* delay to collect further changes of endpoints before a view is built */
 	TARGET_ANNOUNCE_INTERVAL_MS = 1000, /* minimum between announcements of the target's state */
 	MAX_UPDATE_BYTES = 65536,	    /* of the records in one update to a child */
+	CLOCK_DRIFT_DIVISOR =
+		50, /* a key lease is shortened by this part, for clocks that run at other rates */
 	ENDPOINT_LEASE_MS = 30000 /* an endpoint missing from a new leader's table is kept this long */
 };
 
@@ -166,6 +168,19 @@
 	proxy->unconfirmed_since_ms = 0;
 }
 
+/* Extends the time during which the keys in the published view may be accepted. */
+static void extend_key_lease(proxy_t *proxy)
+{
+	uint32_t lease_ms = proxy->settings->proxy.key_lease_ms;
+	int64_t confirmed_ms = cw_relay_confirmed_ms(proxy->relay_io.relay);
+
+	int64_t keys_until_ms = INT64_MAX;
+
+	if (lease_ms)
+		keys_until_ms = confirmed_ms ? confirmed_ms + lease_ms - lease_ms / CLOCK_DRIFT_DIVISOR : 0;
+	published_view_set_keys_until(proxy->published_view, keys_until_ms);
+}
+
 /* Tells the traffic thread until when the published view counts as the newest. */
 static void publish_currency(proxy_t *proxy)
 {
@@ -173,6 +188,8 @@
 	int64_t current_until_ms = published ? cw_relay_current_until_ms(proxy->relay_io.relay) : 0;
 
 	published_view_set_current_until(proxy->published_view, current_until_ms);
+	if (published)
+		extend_key_lease(proxy);
 	log_currency(proxy, clock_now_ms() < current_until_ms);
 }
 
@@ -264,6 +281,8 @@
 	proxy->feed = cw_feed_new(settings->proxy.feed_keep_records);
 	proxy->members = cw_members_new(0, ENDPOINT_LEASE_MS);
 	proxy->published_view = published_view_new();
+	if (settings->proxy.key_lease_ms)
+		published_view_set_keys_until(proxy->published_view, 0);
 	proxy->view_deadline_ms = INT64_MAX;
 }
 
--- a/daemon/settings.c
+++ b/daemon/settings.c
@@ -234,6 +234,8 @@
 	g_free(settings->proxy.headers.caller_service);
 	g_free(settings->proxy.headers.expected_target);
 	g_free(settings->proxy.headers.not_executed);
+	g_free(settings->proxy.headers.account_key);
+	g_free(settings->proxy.headers.account);
 	g_free(settings->proxy.headers.target_id);
 	g_free(settings);
 }
--- a/daemon/settings.h
+++ b/daemon/settings.h
@@ -61,6 +61,8 @@
 	char *target_listen;	    /* HOST:PORT where the target announces itself; empty: it does not */
 	char *ready_listen;	    /* HOST:PORT of the readiness endpoint; empty: none */
 	header_names_t headers;
+	/* Keys of client accounts count for this long after the configuration was confirmed; 0: always. */
+	uint32_t key_lease_ms;
 	uint32_t grace_ms;	/* from the signal of a planned stop until the process is killed */
 	uint32_t retry_percent; /* retry budget, as a percentage of calls */
 } proxy_settings_t;
--- a/daemon/settings_rules.c
+++ b/daemon/settings_rules.c
@@ -67,7 +67,11 @@
 	{"headers", "caller-service", VALUE_HEADER, OFFSET(proxy.headers.caller_service), "", 0, 0},
 	{"headers", "expected-target", VALUE_HEADER, OFFSET(proxy.headers.expected_target), "", 0, 0},
 	{"headers", "not-executed", VALUE_HEADER, OFFSET(proxy.headers.not_executed), "", 0, 0},
+	{"headers", "account-key", VALUE_HEADER, OFFSET(proxy.headers.account_key), "Caraway-Account-Key", 0,
+	 0},
+	{"headers", "account", VALUE_HEADER, OFFSET(proxy.headers.account), "Caraway-Account", 0, 0},
 	{"headers", "target-id", VALUE_HEADER, OFFSET(proxy.headers.target_id), "", 0, 0},
+	{"proxy", "key-lease-s", VALUE_SECONDS, OFFSET(proxy.key_lease_ms), "0", 0, 600000},
 	{"proxy", "grace-s", VALUE_SECONDS, OFFSET(proxy.grace_ms), "12", 0, 600000},
 	{"proxy", "retry-percent", VALUE_NUMBER, OFFSET(proxy.retry_percent), "10", 0, 100},
 };
--- a/daemon/traffic.c
+++ b/daemon/traffic.c
@@ -87,11 +87,11 @@
 }
 
 /* Stores the present load of this proxy's target; returns false if it takes no calls. */
-static bool own_load(void *data, const view_route_t *route, cw_pick_load_t *load)
+static bool own_load(void *data, uint64_t route, uint32_t priority, cw_pick_load_t *load)
 {
 	const traffic_t *traffic = data;
 
-	*load = receiver_load(traffic->receiver, route->id, route->priority);
+	*load = receiver_load(traffic->receiver, route, priority);
 	return receiver_target_ready(traffic->receiver);
 }
 
--- a/daemon/view.c
+++ b/daemon/view.c
@@ -1,6 +1,7 @@
 /* Views: the configuration and endpoints that calls use, published under RCU. */
 #include "view.h"
 
+#include <sodium.h>
 #include <stdatomic.h>
 #include <stdlib.h>
 #include <string.h>
@@ -182,6 +183,7 @@
 	copy->target_latency_ms = route->target_latency_ms;
 	copy->priority = route->priority;
 	copy->max_attempts = route->max_attempts;
+	copy->is_public = route->access == CARAWAY__ACCESS__ACCESS_PUBLIC;
 	copy->destinations = g_new0(view_destination_t, MAX(route->n_splits, 1));
 	if (!route->n_splits)
 		fill_destination(builder, copy, route->service, route->target, 1);
@@ -189,6 +191,55 @@
 		fill_destination(builder, copy, route->splits[i]->service, "", route->splits[i]->weight);
 }
 
+/* Hashes a digest, which is itself a hash (GHashFunc). */
+static guint hash_key_digest(gconstpointer digest)
+{
+	return (guint)((const cw_key_digest_t *)digest)->words[0];
+}
+
+/* Compares digests in constant time (GEqualFunc). */
+static gboolean key_digests_equal(gconstpointer left, gconstpointer right)
+{
+	return !sodium_memcmp(left, right, sizeof(cw_key_digest_t));
+}
+
+/* Copies a client account into a view and indexes it by its keys. */
+static void copy_account(view_t *view, const Caraway__ClientAccount *account)
+{
+	view_account_t *copy = &view->accounts[view->account_count++];
+
+	copy->name = g_strdup(account->name);
+	copy->id = cw_hash(account->name, strlen(account->name), 0) | 1;
+	copy->has_priority = account->has_priority;
+	copy->priority = account->priority;
+	copy->rate_per_s = account->rate_per_s;
+	copy->burst = account->burst;
+	if (account->n_key_salt == G_N_ELEMENTS(view->key_salt))
+		memcpy(view->key_salt, account->key_salt, sizeof(view->key_salt));
+	for (size_t i = 0; i + 1 < account->n_key_digests; i += 2)
+		g_hash_table_insert(view->accounts_by_key,
+				    g_memdup2(&account->key_digests[i], sizeof(cw_key_digest_t)), copy);
+}
+
+/* Copies the client accounts into a view. */
+static void copy_accounts(view_t *view, const cw_config_t *config)
+{
+	if (!config->accounts->len)
+		return;
+	view->accounts = g_new0(view_account_t, config->accounts->len);
+	view->accounts_by_key = g_hash_table_new_full(hash_key_digest, key_digests_equal, g_free, NULL);
+	for (guint i = 0; i < config->accounts->len; i++)
+		copy_account(view, g_ptr_array_index(config->accounts, i));
+}
+
+/* Returns the client account that has a key. */
+const view_account_t *view_find_account(const view_t *view, const char *key)
+{
+	cw_key_digest_t digest = cw_account_key_digest(view->key_salt, key);
+
+	return g_hash_table_lookup(view->accounts_by_key, &digest);
+}
+
 /* Orders routes by length of the path, longest first, then by path and name. */
 static int compare_routes(const void *a, const void *b)
 {
@@ -246,6 +297,7 @@
 	qsort(view->routes, view->route_count, sizeof(*view->routes), compare_routes);
 	index_routes_by_path(view);
 	move_groups(view, &builder);
+	copy_accounts(view, config);
 	service = find_service(config, vm->service);
 	view->health_path = g_strdup(service ? service->health_path : "");
 	if (config->limits->len)
@@ -277,6 +329,11 @@
 		g_free(view->groups[i]->endpoint_indexes);
 		g_free(view->groups[i]);
 	}
+	for (uint32_t i = 0; i < view->account_count; i++)
+		g_free(view->accounts[i].name);
+	g_free(view->accounts);
+	if (view->accounts_by_key)
+		g_hash_table_destroy(view->accounts_by_key);
 	cw_message_free(view->limits);
 	g_free(view->health_path);
 	g_free(view->endpoints);
@@ -360,6 +417,7 @@
 	view_t *view;			  /* NULL: none */
 	uint64_t serial;		  /* of the last view published */
 	_Atomic int64_t current_until_ms; /* until when it counts as the newest */
+	_Atomic int64_t keys_until_ms;	  /* until when its keys may be accepted */
 };
 
 /* Creates a pointer to a published view, with no view yet. */
@@ -368,6 +426,7 @@
 	published_view_t *published = g_new0(published_view_t, 1);
 
 	atomic_init(&published->current_until_ms, INT64_MAX);
+	atomic_init(&published->keys_until_ms, INT64_MAX);
 	return published;
 }
 
@@ -413,3 +472,18 @@
 {
 	return atomic_load(&published->current_until_ms);
 }
+
+/* Sets until when the keys in the published view may be accepted. */
+void published_view_set_keys_until(published_view_t *published, int64_t keys_until_ms)
+{
+	atomic_store(&published->keys_until_ms, keys_until_ms);
+}
+
+/*
+ * Returns until when the keys in the published view may be accepted.  Read it before
+ * the view: the time holds for that view and for those after it.
+ */
+int64_t published_view_keys_until_ms(const published_view_t *published)
+{
+	return atomic_load(&published->keys_until_ms);
+}
--- a/daemon/view.h
+++ b/daemon/view.h
@@ -45,11 +45,22 @@
 	uint32_t target_latency_ms; /* 0: not configured */
 	uint32_t priority;	    /* 0 is the highest */
 	uint32_t max_attempts;	    /* 0: not configured */
+	bool is_public;		    /* its calls need no key of a client account */
 	view_destination_t *destinations;
 	uint32_t destination_count; /* 1 or more */
 	double weight_sum;	    /* of the destinations */
 } view_route_t;
 
+/* A client account of the configuration. */
+typedef struct {
+	char *name;
+	uint64_t id; /* hash of the name, not 0 */
+	bool has_priority;
+	uint32_t priority; /* takes precedence over that of a route */
+	double rate_per_s; /* calls a second, by all proxies together; 0: without limit */
+	double burst;	   /* calls beyond the rate */
+} view_account_t;
+
 /* The view; not changed after it was published, except for the reference count. */
 typedef struct {
 	uint64_t version; /* of the configuration */
@@ -60,7 +71,11 @@
 	uint32_t group_count;
 	view_route_t *routes; /* longest path first, routes of the same path adjacent */
 	uint32_t route_count;
-	GHashTable *routes_by_path;    /* path -> the first route of that path */
+	GHashTable *routes_by_path; /* path -> the first route of that path */
+	view_account_t *accounts;
+	uint32_t account_count;
+	uint64_t key_salt[2];	       /* of the digests of the accounts' keys */
+	GHashTable *accounts_by_key;   /* cw_key_digest_t -> view_account_t; NULL: there are no accounts */
 	Caraway__CallerLimits *limits; /* NULL: not configured */
 	char *health_path;	       /* of the service of this VM's target; "": not configured */
 	gint reference_count;
@@ -73,6 +88,8 @@
 void view_unref(const view_t *view);
 /* Returns the route for a host without port and a path without query; NULL when there is none. */
 const view_route_t *view_find_route(const view_t *view, const char *host, const char *path);
+/* Returns the client account that has a key; NULL: none has it. */
+const view_account_t *view_find_account(const view_t *view, const char *key);
 /* Selects a destination by weight; random_unit is a uniform random number in [0, 1). */
 const view_destination_t *view_choose_destination(const view_route_t *route, double random_unit);
 
@@ -89,5 +106,9 @@
 void published_view_set_current_until(published_view_t *published, int64_t current_until_ms);
 /* Returns until when the published view counts as the newest; to be read before the view. */
 int64_t published_view_current_until_ms(const published_view_t *published);
+/* Sets until when the keys in the published view may be accepted; any time before the first call. */
+void published_view_set_keys_until(published_view_t *published, int64_t keys_until_ms);
+/* Returns until when they may be accepted; to be read before the view. */
+int64_t published_view_keys_until_ms(const published_view_t *published);
 
 #endif
--- a/libcaraway/caraway_calls.h
+++ b/libcaraway/caraway_calls.h
@@ -32,6 +32,10 @@
 	X(TOO_LARGE, "too-large", 413)			 /* the request is too large */                      \
 	X(TOO_DEEP, "too-deep", 508)			 /* too many levels of nested calls */               \
 	X(BAD_HEADER, "bad-header", 400)		 /* a header of the request is invalid */            \
+	X(BAD_KEY, "bad-key", 401)			 /* no client account has the key */                 \
+	X(KEYS_UNCONFIRMED, "keys-unconfirmed", 503)	 /* the keys known here may be withdrawn or old */   \
+	X(OVER_ALLOTMENT, "over-allotment", 429)	 /* the client account has used its allotment */     \
+	X(ALLOTMENT_UNAVAILABLE, "allotment-unavailable", 503) /* the owner of the allotment is silent */    \
 	/* the call may have been run */                                                                     \
 	X(NO_ANSWER, "no-answer", 504)		     /* no answer in time */                                 \
 	X(CUT, "cut", 502)			     /* broken connection or malformed response */           \
--- a/libcaraway/caraway_changes.h
+++ b/libcaraway/caraway_changes.h
@@ -30,6 +30,15 @@
 cw_content_check_t *cw_content_check_new(const Caraway__Content *content, bool complete);
 bool cw_content_check_continue(cw_content_check_t *check, size_t *budget);
 cw_status_t cw_content_check_finish(cw_content_check_t *check);
+/* A key of a client account is kept outside the control replicas as a keyed digest only. */
+typedef struct {
+	uint64_t words[2];
+} cw_key_digest_t;
+
+/* Returns the digest of a key; the salt is that of the account. */
+cw_key_digest_t cw_account_key_digest(const uint64_t salt[2], const char *key);
+/* Returns a copy of an account with the digests of its keys in place of the keys. */
+Caraway__ClientAccount *cw_account_seal(const Caraway__ClientAccount *account, const uint64_t salt[2]);
 cw_status_t cw_vm_check(const Caraway__Vm *vm);
 uint64_t cw_content_digest(const Caraway__Content *content);
 
@@ -42,7 +51,10 @@
 	GPtrArray *routes;   /* Caraway__Route *, ordered by name */
 	GPtrArray *targets;  /* Caraway__Target *, ordered by name */
 	GPtrArray *limits;   /* Caraway__CallerLimits *, ordered by name */
+	GPtrArray *accounts; /* Caraway__ClientAccount *, ordered by name */
 	GPtrArray *entries;  /* entry_t *, the owners of the messages above */
+	/* cw_ledger_release_config() only: account -> GBytes, a packed Caraway__AccountKeys; else NULL */
+	GHashTable *account_keys;
 } cw_config_t;
 
 typedef struct cw_catalog cw_catalog_t;
@@ -141,6 +153,8 @@
  * replaced; a message stays the same until it is replaced.  Freed with cw_config_free().
  */
 cw_config_t *cw_ledger_release_config(cw_ledger_t *ledger);
+/* The salt of the digests of keys in the configuration in force; false while it has no account. */
+bool cw_ledger_account_salt(const cw_ledger_t *ledger, uint64_t salt[2]);
 /* The digest by which the ledger recognises a release that was accepted before. */
 uint64_t cw_release_digest(uint64_t release, uint64_t base, const Caraway__Content *complete);
 GBytes *cw_ledger_save(const cw_ledger_t *ledger);
--- a/libcaraway/caraway_relay.h
+++ b/libcaraway/caraway_relay.h
@@ -180,6 +180,8 @@
  * 0 while it is not ready or lacks records that the newest stamp covers.
  */
 int64_t cw_relay_current_until_ms(const cw_relay_t *relay);
+/* Returns a lower bound of the time at which the feed was confirmed to be the newest; 0: none is known. */
+int64_t cw_relay_confirmed_ms(const cw_relay_t *relay);
 const char *cw_relay_parent(const cw_relay_t *relay); /* HOST:PORT; NULL until it has sent a stamp */
 uint32_t cw_relay_depth(const cw_relay_t *relay);     /* levels below a control replica, which has 0 */
 size_t cw_relay_child_count(const cw_relay_t *relay);
--- a/libcaraway/catalog.h
+++ b/libcaraway/catalog.h
@@ -4,9 +4,16 @@
 
 #include "internal.h"
 
-typedef enum { SECTION_SERVICE, SECTION_ROUTE, SECTION_TARGET, SECTION_LIMITS, SECTION_KINDS } section_kind_t;
-
-/* A named service, route, target or caller limits of a configuration; borrows the message. */
+typedef enum {
+	SECTION_SERVICE,
+	SECTION_ROUTE,
+	SECTION_TARGET,
+	SECTION_LIMITS,
+	SECTION_ACCOUNT,
+	SECTION_KINDS
+} section_kind_t;
+
+/* A named service, route, target, caller limits or account of a configuration; borrows the message. */
 typedef struct {
 	section_kind_t kind;
 	union {
@@ -14,6 +21,7 @@
 		const Caraway__Route *route;
 		const Caraway__Target *target;
 		const Caraway__CallerLimits *limits;
+		const Caraway__ClientAccount *account;
 		const ProtobufCMessage *message;
 	};
 } section_t;
@@ -38,6 +46,12 @@
 
 bool section_cursor_next(section_cursor_t *cursor, const Caraway__Content *content, section_t *section);
 
+/* ---- account.c ---- */
+
+cw_status_t account_check(const Caraway__ClientAccount *account);
+bool account_removal_is_valid(const Caraway__ClientAccount *account);
+bool account_adds_shared_key(const Caraway__ClientAccount *account, GHashTable *keys);
+
 /* ---- selector.c ---- */
 
 bool selector_key_is_builtin(const char *key);
--- a/libcaraway/catalog_resolve.c
+++ b/libcaraway/catalog_resolve.c
@@ -69,6 +69,7 @@
 	config->routes = entry_messages(resolve_kind(catalog, vm, SECTION_ROUTE), config->entries);
 	config->targets = entry_messages(resolve_kind(catalog, vm, SECTION_TARGET), config->entries);
 	config->limits = entry_messages(resolve_kind(catalog, vm, SECTION_LIMITS), config->entries);
+	config->accounts = entry_messages(resolve_kind(catalog, vm, SECTION_ACCOUNT), config->entries);
 	return config;
 }
 
@@ -81,6 +82,9 @@
 	g_ptr_array_unref(config->routes);
 	g_ptr_array_unref(config->targets);
 	g_ptr_array_unref(config->limits);
+	g_ptr_array_unref(config->accounts);
+	if (config->account_keys)
+		g_hash_table_unref(config->account_keys);
 	g_ptr_array_unref(config->entries);
 	g_free(config);
 }
--- a/libcaraway/catalog_save.c
+++ b/libcaraway/catalog_save.c
@@ -95,6 +95,26 @@
 	g_ptr_array_unref(entries);
 }
 
+/* Fills in the accounts of a saved layer. */
+static void save_accounts(const layer_t *layer, Caraway__Layer *saved)
+{
+	GPtrArray *entries = sorted_entries(layer, SECTION_ACCOUNT);
+
+	saved->n_accounts = entries->len;
+	saved->accounts = cw_message_array(entries->len);
+	for (size_t i = 0; i < entries->len; i++) {
+		const entry_t *entry = entries->pdata[i];
+		Caraway__LayerAccount *item = malloc(sizeof(*item));
+
+		caraway__layer_account__init(item);
+		item->version = entry->version;
+		item->number = entry->number;
+		item->account = cw_message_copy(entry->section.message);
+		saved->accounts[i] = item;
+	}
+	g_ptr_array_unref(entries);
+}
+
 /* Returns a layer as a message. */
 static Caraway__Layer *save_layer(const layer_t *layer)
 {
@@ -106,6 +126,7 @@
 	save_routes(layer, saved);
 	save_targets(layer, saved);
 	save_limits(layer, saved);
+	save_accounts(layer, saved);
 	return saved;
 }
 
@@ -200,6 +221,12 @@
 
 		status = load_section(layer, section, item->version, item->number, newest);
 	}
+	for (size_t i = 0; i < saved->n_accounts && !status; i++) {
+		const Caraway__LayerAccount *item = saved->accounts[i];
+		section_t section = {.kind = SECTION_ACCOUNT, .account = item->account};
+
+		status = load_section(layer, section, item->version, item->number, newest);
+	}
 	return status;
 }
 
@@ -211,7 +238,7 @@
 
 	if (catalog_find_layer(catalog, saved->selector, &slot))
 		return cw_fail(CW_ERR_DECODE, "catalog: a selector appears twice");
-	if (saved->n_services + saved->n_routes + saved->n_targets + saved->n_limits == 0)
+	if (saved->n_services + saved->n_routes + saved->n_targets + saved->n_limits + saved->n_accounts == 0)
 		return cw_fail(CW_ERR_DECODE, "catalog: a selector has no sections");
 	if (cw_selector_parse(saved->selector, &selector))
 		return CW_ERR_DECODE;
--- a/libcaraway/content.c
+++ b/libcaraway/content.c
@@ -36,6 +36,8 @@
 		return content->n_routes;
 	case SECTION_LIMITS:
 		return content->n_limits;
+	case SECTION_ACCOUNT:
+		return content->n_accounts;
 	default:
 		return content->n_targets;
 	}
@@ -56,6 +58,9 @@
 	case SECTION_LIMITS:
 		section.limits = content->limits[i];
 		break;
+	case SECTION_ACCOUNT:
+		section.account = content->accounts[i];
+		break;
 	default:
 		section.target = content->targets[i];
 	}
@@ -65,7 +70,8 @@
 /* Returns the keyword of a kind of section in change files. */
 const char *section_kind_keyword(section_kind_t kind)
 {
-	static const char *const keywords[SECTION_KINDS] = {"service", "route", "target", "limits"};
+	static const char *const keywords[SECTION_KINDS] = {"service", "route", "target", "limits",
+							    "account"};
 
 	return keywords[kind];
 }
@@ -79,6 +85,7 @@
 	content->n_routes = 0;
 	content->n_targets = 0;
 	content->n_limits = 0;
+	content->n_accounts = 0;
 	cw_message_free(content);
 }
 
@@ -92,6 +99,8 @@
 		return section.route->name;
 	case SECTION_LIMITS:
 		return section.limits->name;
+	case SECTION_ACCOUNT:
+		return section.account->name;
 	default:
 		return section.target->name;
 	}
@@ -136,6 +145,8 @@
 		return section.route->removed;
 	case SECTION_LIMITS:
 		return section.limits->removed;
+	case SECTION_ACCOUNT:
+		return section.account->removed;
 	default:
 		return section.target->removed;
 	}
@@ -230,6 +241,8 @@
 		return cw_fail(CW_ERR_CHANGE_FILE, "route %s: target is not a valid name", route->name);
 	if (route->idempotence > CARAWAY__IDEMPOTENCE__NEVER)
 		return cw_fail(CW_ERR_CHANGE_FILE, "route %s: idempotent has an unknown value", route->name);
+	if (route->access > CARAWAY__ACCESS__ACCESS_ACCOUNT)
+		return cw_fail(CW_ERR_CHANGE_FILE, "route %s: access has an unknown value", route->name);
 	return check_path(route);
 }
 
@@ -280,6 +293,8 @@
 		       section.route->idempotence == CARAWAY__IDEMPOTENCE__BY_METHOD;
 	case SECTION_LIMITS:
 		return !section.limits->max_header_bytes && !section.limits->max_body_bytes;
+	case SECTION_ACCOUNT:
+		return account_removal_is_valid(section.account);
 	default:
 		return !*section.target->service && !*section.target->selector;
 	}
@@ -304,6 +319,8 @@
 		return check_route(section.route);
 	case SECTION_LIMITS:
 		return check_limits(section.limits);
+	case SECTION_ACCOUNT:
+		return account_check(section.account);
 	default:
 		return check_target(section.target);
 	}
@@ -312,7 +329,8 @@
 /* Checks the title, the size and the number of sections. */
 static cw_status_t check_title_and_size(const Caraway__Content *content)
 {
-	size_t count = content->n_services + content->n_routes + content->n_targets + content->n_limits;
+	size_t count = content->n_services + content->n_routes + content->n_targets + content->n_limits +
+		       content->n_accounts;
 
 	if (!*content->title)
 		return cw_fail(CW_ERR_CHANGE_FILE, "the change has no title");
@@ -344,6 +362,7 @@
 	bool complete; /* the content is a complete configuration */
 	section_cursor_t cursor;
 	GHashTable *names[SECTION_KINDS]; /* sets of the names seen, borrowed */
+	GHashTable *account_keys;	  /* keys of the accounts seen, or their digests -> account */
 	cw_status_t status;		  /* of the sections seen */
 };
 
@@ -357,6 +376,7 @@
 	check->complete = complete;
 	for (int kind = 0; kind < SECTION_KINDS; kind++)
 		check->names[kind] = g_hash_table_new(g_str_hash, g_str_equal);
+	check->account_keys = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	check->status = check_title_and_size(content);
 	if (!check->status)
 		check->status = cw_selector_parse(content->selector, &selector);
@@ -392,6 +412,10 @@
 				 section_kind_keyword(section.kind), section_name(section));
 	if (!status && check->complete && section.kind == SECTION_ROUTE)
 		status = check_complete_route(section.route, check->names[SECTION_SERVICE]);
+	if (!status && section.kind == SECTION_ACCOUNT && !section_is_removed(section) &&
+	    account_adds_shared_key(section.account, check->account_keys))
+		status = cw_fail(CW_ERR_CHECK, "account %s has a key of another account",
+				 section_name(section));
 	return status;
 }
 
@@ -416,6 +440,7 @@
 
 	for (int kind = 0; kind < SECTION_KINDS; kind++)
 		g_hash_table_destroy(check->names[kind]);
+	g_hash_table_destroy(check->account_keys);
 	g_free(check);
 	return status;
 }
--- a/libcaraway/difference.c
+++ b/libcaraway/difference.c
@@ -13,6 +13,7 @@
 	content->routes = cw_message_array(capacity[SECTION_ROUTE]);
 	content->targets = cw_message_array(capacity[SECTION_TARGET]);
 	content->limits = cw_message_array(capacity[SECTION_LIMITS]);
+	content->accounts = cw_message_array(capacity[SECTION_ACCOUNT]);
 	return content;
 }
 
@@ -29,6 +30,9 @@
 	case SECTION_LIMITS:
 		content->limits[content->n_limits++] = message;
 		break;
+	case SECTION_ACCOUNT:
+		content->accounts[content->n_accounts++] = message;
+		break;
 	default:
 		content->targets[content->n_targets++] = message;
 		break;
@@ -42,6 +46,7 @@
 	Caraway__Route route = CARAWAY__ROUTE__INIT;
 	Caraway__Target target = CARAWAY__TARGET__INIT;
 	Caraway__CallerLimits limits = CARAWAY__CALLER_LIMITS__INIT;
+	Caraway__ClientAccount account = CARAWAY__CLIENT_ACCOUNT__INIT;
 
 	switch (kind) {
 	case SECTION_SERVICE:
@@ -56,6 +61,10 @@
 		limits.name = (char *)name;
 		limits.removed = true;
 		return cw_message_copy(&limits.base);
+	case SECTION_ACCOUNT:
+		account.name = (char *)name;
+		account.removed = true;
+		return cw_message_copy(&account.base);
 	default:
 		target.name = (char *)name;
 		target.removed = true;
@@ -218,5 +227,6 @@
 	config->routes = messages[SECTION_ROUTE];
 	config->targets = messages[SECTION_TARGET];
 	config->limits = messages[SECTION_LIMITS];
+	config->accounts = messages[SECTION_ACCOUNT];
 	return config;
 }
--- a/libcaraway/gen/caraway.pb-c.c
+++ b/libcaraway/gen/caraway.pb-c.c
@@ -187,6 +187,96 @@
   assert(message->base.descriptor == &caraway__route__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   caraway__client_account__init
+                     (Caraway__ClientAccount         *message)
+{
+  static const Caraway__ClientAccount init_value = CARAWAY__CLIENT_ACCOUNT__INIT;
+  *message = init_value;
+}
+size_t caraway__client_account__get_packed_size
+                     (const Caraway__ClientAccount *message)
+{
+  assert(message->base.descriptor == &caraway__client_account__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t caraway__client_account__pack
+                     (const Caraway__ClientAccount *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &caraway__client_account__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t caraway__client_account__pack_to_buffer
+                     (const Caraway__ClientAccount *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &caraway__client_account__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Caraway__ClientAccount *
+       caraway__client_account__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Caraway__ClientAccount *)
+     protobuf_c_message_unpack (&caraway__client_account__descriptor,
+                                allocator, len, data);
+}
+void   caraway__client_account__free_unpacked
+                     (Caraway__ClientAccount *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &caraway__client_account__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   caraway__account_keys__init
+                     (Caraway__AccountKeys         *message)
+{
+  static const Caraway__AccountKeys init_value = CARAWAY__ACCOUNT_KEYS__INIT;
+  *message = init_value;
+}
+size_t caraway__account_keys__get_packed_size
+                     (const Caraway__AccountKeys *message)
+{
+  assert(message->base.descriptor == &caraway__account_keys__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t caraway__account_keys__pack
+                     (const Caraway__AccountKeys *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &caraway__account_keys__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t caraway__account_keys__pack_to_buffer
+                     (const Caraway__AccountKeys *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &caraway__account_keys__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Caraway__AccountKeys *
+       caraway__account_keys__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Caraway__AccountKeys *)
+     protobuf_c_message_unpack (&caraway__account_keys__descriptor,
+                                allocator, len, data);
+}
+void   caraway__account_keys__free_unpacked
+                     (Caraway__AccountKeys *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &caraway__account_keys__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   caraway__caller_limits__init
                      (Caraway__CallerLimits         *message)
 {
@@ -1762,6 +1852,51 @@
   assert(message->base.descriptor == &caraway__layer_limits__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   caraway__layer_account__init
+                     (Caraway__LayerAccount         *message)
+{
+  static const Caraway__LayerAccount init_value = CARAWAY__LAYER_ACCOUNT__INIT;
+  *message = init_value;
+}
+size_t caraway__layer_account__get_packed_size
+                     (const Caraway__LayerAccount *message)
+{
+  assert(message->base.descriptor == &caraway__layer_account__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t caraway__layer_account__pack
+                     (const Caraway__LayerAccount *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &caraway__layer_account__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t caraway__layer_account__pack_to_buffer
+                     (const Caraway__LayerAccount *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &caraway__layer_account__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Caraway__LayerAccount *
+       caraway__layer_account__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Caraway__LayerAccount *)
+     protobuf_c_message_unpack (&caraway__layer_account__descriptor,
+                                allocator, len, data);
+}
+void   caraway__layer_account__free_unpacked
+                     (Caraway__LayerAccount *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &caraway__layer_account__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   caraway__catalog__init
                      (Caraway__Catalog         *message)
 {
@@ -2527,6 +2662,186 @@
   assert(message->base.descriptor == &caraway__revoke_reply__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   caraway__allotment_need__init
+                     (Caraway__AllotmentNeed         *message)
+{
+  static const Caraway__AllotmentNeed init_value = CARAWAY__ALLOTMENT_NEED__INIT;
+  *message = init_value;
+}
+size_t caraway__allotment_need__get_packed_size
+                     (const Caraway__AllotmentNeed *message)
+{
+  assert(message->base.descriptor == &caraway__allotment_need__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t caraway__allotment_need__pack
+                     (const Caraway__AllotmentNeed *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &caraway__allotment_need__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t caraway__allotment_need__pack_to_buffer
+                     (const Caraway__AllotmentNeed *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &caraway__allotment_need__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Caraway__AllotmentNeed *
+       caraway__allotment_need__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Caraway__AllotmentNeed *)
+     protobuf_c_message_unpack (&caraway__allotment_need__descriptor,
+                                allocator, len, data);
+}
+void   caraway__allotment_need__free_unpacked
+                     (Caraway__AllotmentNeed *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &caraway__allotment_need__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   caraway__allotment_request__init
+                     (Caraway__AllotmentRequest         *message)
+{
+  static const Caraway__AllotmentRequest init_value = CARAWAY__ALLOTMENT_REQUEST__INIT;
+  *message = init_value;
+}
+size_t caraway__allotment_request__get_packed_size
+                     (const Caraway__AllotmentRequest *message)
+{
+  assert(message->base.descriptor == &caraway__allotment_request__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t caraway__allotment_request__pack
+                     (const Caraway__AllotmentRequest *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &caraway__allotment_request__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t caraway__allotment_request__pack_to_buffer
+                     (const Caraway__AllotmentRequest *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &caraway__allotment_request__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Caraway__AllotmentRequest *
+       caraway__allotment_request__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Caraway__AllotmentRequest *)
+     protobuf_c_message_unpack (&caraway__allotment_request__descriptor,
+                                allocator, len, data);
+}
+void   caraway__allotment_request__free_unpacked
+                     (Caraway__AllotmentRequest *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &caraway__allotment_request__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   caraway__allotment_share__init
+                     (Caraway__AllotmentShare         *message)
+{
+  static const Caraway__AllotmentShare init_value = CARAWAY__ALLOTMENT_SHARE__INIT;
+  *message = init_value;
+}
+size_t caraway__allotment_share__get_packed_size
+                     (const Caraway__AllotmentShare *message)
+{
+  assert(message->base.descriptor == &caraway__allotment_share__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t caraway__allotment_share__pack
+                     (const Caraway__AllotmentShare *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &caraway__allotment_share__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t caraway__allotment_share__pack_to_buffer
+                     (const Caraway__AllotmentShare *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &caraway__allotment_share__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Caraway__AllotmentShare *
+       caraway__allotment_share__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Caraway__AllotmentShare *)
+     protobuf_c_message_unpack (&caraway__allotment_share__descriptor,
+                                allocator, len, data);
+}
+void   caraway__allotment_share__free_unpacked
+                     (Caraway__AllotmentShare *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &caraway__allotment_share__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   caraway__allotment_grant__init
+                     (Caraway__AllotmentGrant         *message)
+{
+  static const Caraway__AllotmentGrant init_value = CARAWAY__ALLOTMENT_GRANT__INIT;
+  *message = init_value;
+}
+size_t caraway__allotment_grant__get_packed_size
+                     (const Caraway__AllotmentGrant *message)
+{
+  assert(message->base.descriptor == &caraway__allotment_grant__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t caraway__allotment_grant__pack
+                     (const Caraway__AllotmentGrant *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &caraway__allotment_grant__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t caraway__allotment_grant__pack_to_buffer
+                     (const Caraway__AllotmentGrant *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &caraway__allotment_grant__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Caraway__AllotmentGrant *
+       caraway__allotment_grant__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Caraway__AllotmentGrant *)
+     protobuf_c_message_unpack (&caraway__allotment_grant__descriptor,
+                                allocator, len, data);
+}
+void   caraway__allotment_grant__free_unpacked
+                     (Caraway__AllotmentGrant *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &caraway__allotment_grant__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   caraway__changes_query__init
                      (Caraway__ChangesQuery         *message)
 {
@@ -3285,7 +3600,7 @@
   (ProtobufCMessageInit) caraway__split__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor caraway__route__field_descriptors[12] =
+static const ProtobufCFieldDescriptor caraway__route__field_descriptors[14] =
 {
   {
     "name",
@@ -3431,8 +3746,33 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "access",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_ENUM,
+    0,   /* quantifier_offset */
+    offsetof(Caraway__Route, access),
+    &caraway__access__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "upload",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Caraway__Route, upload),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned caraway__route__field_indices_by_name[] = {
+  12,   /* field[12] = access */
   6,   /* field[6] = host */
   5,   /* field[5] = idempotence */
   10,   /* field[10] = max_attempts */
@@ -3445,11 +3785,12 @@
   4,   /* field[4] = target */
   8,   /* field[8] = target_latency_ms */
   7,   /* field[7] = timeout_ms */
+  13,   /* field[13] = upload */
 };
 static const ProtobufCIntRange caraway__route__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 12 }
+  { 0, 14 }
 };
 const ProtobufCMessageDescriptor caraway__route__descriptor =
 {
@@ -3459,14 +3800,14 @@
   "Caraway__Route",
   "caraway",
   sizeof(Caraway__Route),
-  12,
+  14,
   caraway__route__field_descriptors,
   caraway__route__field_indices_by_name,
   1,  caraway__route__number_ranges,
   (ProtobufCMessageInit) caraway__route__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor caraway__caller_limits__field_descriptors[6] =
+static const ProtobufCFieldDescriptor caraway__client_account__field_descriptors[11] =
 {
   {
     "name",
@@ -3474,7 +3815,7 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Caraway__CallerLimits, name),
+    offsetof(Caraway__ClientAccount, name),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
@@ -3486,66 +3827,285 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Caraway__CallerLimits, removed),
+    offsetof(Caraway__ClientAccount, removed),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "max_header_bytes",
+    "key_salt",
     3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Caraway__CallerLimits, max_header_bytes),
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Caraway__ClientAccount, n_key_salt),
+    offsetof(Caraway__ClientAccount, key_salt),
     NULL,
     NULL,
-    0,             /* flags */
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "max_body_bytes",
+    "key_digests",
     4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Caraway__ClientAccount, n_key_digests),
+    offsetof(Caraway__ClientAccount, key_digests),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "keys",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Caraway__ClientAccount, n_keys),
+    offsetof(Caraway__ClientAccount, keys),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "has_priority",
+    6,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Caraway__CallerLimits, max_body_bytes),
+    offsetof(Caraway__ClientAccount, has_priority),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "header_timeout_ms",
-    5,
+    "priority",
+    7,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Caraway__CallerLimits, header_timeout_ms),
+    offsetof(Caraway__ClientAccount, priority),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "idle_timeout_ms",
-    6,
+    "has_rate",
+    8,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Caraway__CallerLimits, idle_timeout_ms),
+    offsetof(Caraway__ClientAccount, has_rate),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-};
-static const unsigned caraway__caller_limits__field_indices_by_name[] = {
-  4,   /* field[4] = header_timeout_ms */
-  5,   /* field[5] = idle_timeout_ms */
-  3,   /* field[3] = max_body_bytes */
-  2,   /* field[2] = max_header_bytes */
+  {
+    "rate_per_s",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Caraway__ClientAccount, rate_per_s),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "has_burst",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Caraway__ClientAccount, has_burst),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "burst",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Caraway__ClientAccount, burst),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned caraway__client_account__field_indices_by_name[] = {
+  10,   /* field[10] = burst */
+  9,   /* field[9] = has_burst */
+  5,   /* field[5] = has_priority */
+  7,   /* field[7] = has_rate */
+  3,   /* field[3] = key_digests */
+  2,   /* field[2] = key_salt */
+  4,   /* field[4] = keys */
+  0,   /* field[0] = name */
+  6,   /* field[6] = priority */
+  8,   /* field[8] = rate_per_s */
+  1,   /* field[1] = removed */
+};
+static const ProtobufCIntRange caraway__client_account__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 11 }
+};
+const ProtobufCMessageDescriptor caraway__client_account__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "caraway.ClientAccount",
+  "ClientAccount",
+  "Caraway__ClientAccount",
+  "caraway",
+  sizeof(Caraway__ClientAccount),
+  11,
+  caraway__client_account__field_descriptors,
+  caraway__client_account__field_indices_by_name,
+  1,  caraway__client_account__number_ranges,
+  (ProtobufCMessageInit) caraway__client_account__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor caraway__account_keys__field_descriptors[2] =
+{
+  {
+    "name",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Caraway__AccountKeys, name),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "keys",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Caraway__AccountKeys, n_keys),
+    offsetof(Caraway__AccountKeys, keys),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned caraway__account_keys__field_indices_by_name[] = {
+  1,   /* field[1] = keys */
+  0,   /* field[0] = name */
+};
+static const ProtobufCIntRange caraway__account_keys__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor caraway__account_keys__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "caraway.AccountKeys",
+  "AccountKeys",
+  "Caraway__AccountKeys",
+  "caraway",
+  sizeof(Caraway__AccountKeys),
+  2,
+  caraway__account_keys__field_descriptors,
+  caraway__account_keys__field_indices_by_name,
+  1,  caraway__account_keys__number_ranges,
+  (ProtobufCMessageInit) caraway__account_keys__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor caraway__caller_limits__field_descriptors[6] =
+{
+  {
+    "name",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Caraway__CallerLimits, name),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "removed",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Caraway__CallerLimits, removed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "max_header_bytes",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Caraway__CallerLimits, max_header_bytes),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "max_body_bytes",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Caraway__CallerLimits, max_body_bytes),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "header_timeout_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Caraway__CallerLimits, header_timeout_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "idle_timeout_ms",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Caraway__CallerLimits, idle_timeout_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned caraway__caller_limits__field_indices_by_name[] = {
+  4,   /* field[4] = header_timeout_ms */
+  5,   /* field[5] = idle_timeout_ms */
+  3,   /* field[3] = max_body_bytes */
+  2,   /* field[2] = max_header_bytes */
   0,   /* field[0] = name */
   1,   /* field[1] = removed */
 };
@@ -3646,7 +4206,7 @@
   (ProtobufCMessageInit) caraway__target__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor caraway__content__field_descriptors[6] =
+static const ProtobufCFieldDescriptor caraway__content__field_descriptors[7] =
 {
   {
     "title",
@@ -3720,8 +4280,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "accounts",
+    7,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Caraway__Content, n_accounts),
+    offsetof(Caraway__Content, accounts),
+    &caraway__client_account__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned caraway__content__field_indices_by_name[] = {
+  6,   /* field[6] = accounts */
   5,   /* field[5] = limits */
   3,   /* field[3] = routes */
   1,   /* field[1] = selector */
@@ -3732,7 +4305,7 @@
 static const ProtobufCIntRange caraway__content__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor caraway__content__descriptor =
 {
@@ -3742,7 +4315,7 @@
   "Caraway__Content",
   "caraway",
   sizeof(Caraway__Content),
-  6,
+  7,
   caraway__content__field_descriptors,
   caraway__content__field_indices_by_name,
   1,  caraway__content__number_ranges,
@@ -4158,7 +4731,7 @@
   (ProtobufCMessageInit) caraway__activate__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor caraway__replace__field_descriptors[6] =
+static const ProtobufCFieldDescriptor caraway__replace__field_descriptors[7] =
 {
   {
     "operator_name",
@@ -4232,8 +4805,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "account_keys",
+    7,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Caraway__Replace, n_account_keys),
+    offsetof(Caraway__Replace, account_keys),
+    &caraway__account_keys__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned caraway__replace__field_indices_by_name[] = {
+  6,   /* field[6] = account_keys */
   1,   /* field[1] = approval */
   3,   /* field[3] = base_release */
   5,   /* field[5] = content */
@@ -4244,7 +4830,7 @@
 static const ProtobufCIntRange caraway__replace__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor caraway__replace__descriptor =
 {
@@ -4254,7 +4840,7 @@
   "Caraway__Replace",
   "caraway",
   sizeof(Caraway__Replace),
-  6,
+  7,
   caraway__replace__field_descriptors,
   caraway__replace__field_indices_by_name,
   1,  caraway__replace__number_ranges,
@@ -5886,7 +6472,7 @@
   (ProtobufCMessageInit) caraway__feed_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor caraway__layer__field_descriptors[5] =
+static const ProtobufCFieldDescriptor caraway__layer__field_descriptors[6] =
 {
   {
     "selector",
@@ -5948,8 +6534,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "accounts",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Caraway__Layer, n_accounts),
+    offsetof(Caraway__Layer, accounts),
+    &caraway__layer_account__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned caraway__layer__field_indices_by_name[] = {
+  5,   /* field[5] = accounts */
   4,   /* field[4] = limits */
   2,   /* field[2] = routes */
   0,   /* field[0] = selector */
@@ -5959,7 +6558,7 @@
 static const ProtobufCIntRange caraway__layer__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor caraway__layer__descriptor =
 {
@@ -5969,7 +6568,7 @@
   "Caraway__Layer",
   "caraway",
   sizeof(Caraway__Layer),
-  5,
+  6,
   caraway__layer__field_descriptors,
   caraway__layer__field_indices_by_name,
   1,  caraway__layer__number_ranges,
@@ -6232,6 +6831,70 @@
   (ProtobufCMessageInit) caraway__layer_limits__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor caraway__layer_account__field_descriptors[3] =
+{
+  {
+    "version",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Caraway__LayerAccount, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "number",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Caraway__LayerAccount, number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "account",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Caraway__LayerAccount, account),
+    &caraway__client_account__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned caraway__layer_account__field_indices_by_name[] = {
+  2,   /* field[2] = account */
+  1,   /* field[1] = number */
+  0,   /* field[0] = version */
+};
+static const ProtobufCIntRange caraway__layer_account__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor caraway__layer_account__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "caraway.LayerAccount",
+  "LayerAccount",
+  "Caraway__LayerAccount",
+  "caraway",
+  sizeof(Caraway__LayerAccount),
+  3,
+  caraway__layer_account__field_descriptors,
+  caraway__layer_account__field_indices_by_name,
+  1,  caraway__layer_account__number_ranges,
+  (ProtobufCMessageInit) caraway__layer_account__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor caraway__catalog__field_descriptors[3] =
 {
   {
@@ -6475,7 +7138,7 @@
   (ProtobufCMessageInit) caraway__release__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor caraway__ledger_snapshot__field_descriptors[4] =
+static const ProtobufCFieldDescriptor caraway__ledger_snapshot__field_descriptors[5] =
 {
   {
     "changes",
@@ -6525,8 +7188,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "account_keys",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Caraway__LedgerSnapshot, n_account_keys),
+    offsetof(Caraway__LedgerSnapshot, account_keys),
+    &caraway__account_keys__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned caraway__ledger_snapshot__field_indices_by_name[] = {
+  4,   /* field[4] = account_keys */
   2,   /* field[2] = archive */
   0,   /* field[0] = changes */
   1,   /* field[1] = feed */
@@ -6535,7 +7211,7 @@
 static const ProtobufCIntRange caraway__ledger_snapshot__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor caraway__ledger_snapshot__descriptor =
 {
@@ -6545,7 +7221,7 @@
   "Caraway__LedgerSnapshot",
   "caraway",
   sizeof(Caraway__LedgerSnapshot),
-  4,
+  5,
   caraway__ledger_snapshot__field_descriptors,
   caraway__ledger_snapshot__field_indices_by_name,
   1,  caraway__ledger_snapshot__number_ranges,
@@ -7042,7 +7718,7 @@
   (ProtobufCMessageInit) caraway__pull__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor caraway__news__field_descriptors[16] =
+static const ProtobufCFieldDescriptor caraway__news__field_descriptors[17] =
 {
   {
     "request",
@@ -7236,6 +7912,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "stamp_max_age_ms",
+    17,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Caraway__News, stamp_max_age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned caraway__news__field_indices_by_name[] = {
   9,   /* field[9] = depth */
@@ -7254,11 +7942,12 @@
   4,   /* field[4] = snapshot_digest */
   1,   /* field[1] = stamp */
   15,   /* field[15] = stamp_age_ms */
+  16,   /* field[16] = stamp_max_age_ms */
 };
 static const ProtobufCIntRange caraway__news__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 16 }
+  { 0, 17 }
 };
 const ProtobufCMessageDescriptor caraway__news__descriptor =
 {
@@ -7268,7 +7957,7 @@
   "Caraway__News",
   "caraway",
   sizeof(Caraway__News),
-  16,
+  17,
   caraway__news__field_descriptors,
   caraway__news__field_indices_by_name,
   1,  caraway__news__number_ranges,
@@ -7441,7 +8130,7 @@
   (ProtobufCMessageInit) caraway__call_id__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor caraway__call_request__field_descriptors[17] =
+static const ProtobufCFieldDescriptor caraway__call_request__field_descriptors[18] =
 {
   {
     "id",
@@ -7647,8 +8336,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "account",
+    18,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Caraway__CallRequest, account),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned caraway__call_request__field_indices_by_name[] = {
+  17,   /* field[17] = account */
   9,   /* field[9] = attempt */
   7,   /* field[7] = body */
   11,   /* field[11] = depth */
@@ -7670,7 +8372,7 @@
 static const ProtobufCIntRange caraway__call_request__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 17 }
+  { 0, 18 }
 };
 const ProtobufCMessageDescriptor caraway__call_request__descriptor =
 {
@@ -7680,14 +8382,14 @@
   "Caraway__CallRequest",
   "caraway",
   sizeof(Caraway__CallRequest),
-  17,
+  18,
   caraway__call_request__field_descriptors,
   caraway__call_request__field_indices_by_name,
   1,  caraway__call_request__number_ranges,
   (ProtobufCMessageInit) caraway__call_request__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor caraway__call_reply__field_descriptors[14] =
+static const ProtobufCFieldDescriptor caraway__call_reply__field_descriptors[16] =
 {
   {
     "id",
@@ -7857,6 +8559,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "work_ms",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Caraway__CallReply, work_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "speed_percent",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Caraway__CallReply, speed_percent),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned caraway__call_reply__field_indices_by_name[] = {
   10,   /* field[10] = arrived */
@@ -7871,13 +8597,15 @@
   11,   /* field[11] = service_ms */
   13,   /* field[13] = short_call */
   7,   /* field[7] = slots */
+  15,   /* field[15] = speed_percent */
   3,   /* field[3] = status */
   9,   /* field[9] = wait_ms */
+  14,   /* field[14] = work_ms */
 };
 static const ProtobufCIntRange caraway__call_reply__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 14 }
+  { 0, 16 }
 };
 const ProtobufCMessageDescriptor caraway__call_reply__descriptor =
 {
@@ -7887,7 +8615,7 @@
   "Caraway__CallReply",
   "caraway",
   sizeof(Caraway__CallReply),
-  14,
+  16,
   caraway__call_reply__field_descriptors,
   caraway__call_reply__field_indices_by_name,
   1,  caraway__call_reply__number_ranges,
@@ -8048,6 +8776,262 @@
   (ProtobufCMessageInit) caraway__revoke_reply__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor caraway__allotment_need__field_descriptors[2] =
+{
+  {
+    "account",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Caraway__AllotmentNeed, account),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "tokens",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Caraway__AllotmentNeed, tokens),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned caraway__allotment_need__field_indices_by_name[] = {
+  0,   /* field[0] = account */
+  1,   /* field[1] = tokens */
+};
+static const ProtobufCIntRange caraway__allotment_need__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor caraway__allotment_need__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "caraway.AllotmentNeed",
+  "AllotmentNeed",
+  "Caraway__AllotmentNeed",
+  "caraway",
+  sizeof(Caraway__AllotmentNeed),
+  2,
+  caraway__allotment_need__field_descriptors,
+  caraway__allotment_need__field_indices_by_name,
+  1,  caraway__allotment_need__number_ranges,
+  (ProtobufCMessageInit) caraway__allotment_need__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor caraway__allotment_request__field_descriptors[4] =
+{
+  {
+    "request",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Caraway__AllotmentRequest, request),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "owner",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Caraway__AllotmentRequest, owner),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "substitute",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Caraway__AllotmentRequest, substitute),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "needs",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Caraway__AllotmentRequest, n_needs),
+    offsetof(Caraway__AllotmentRequest, needs),
+    &caraway__allotment_need__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned caraway__allotment_request__field_indices_by_name[] = {
+  3,   /* field[3] = needs */
+  1,   /* field[1] = owner */
+  0,   /* field[0] = request */
+  2,   /* field[2] = substitute */
+};
+static const ProtobufCIntRange caraway__allotment_request__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor caraway__allotment_request__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "caraway.AllotmentRequest",
+  "AllotmentRequest",
+  "Caraway__AllotmentRequest",
+  "caraway",
+  sizeof(Caraway__AllotmentRequest),
+  4,
+  caraway__allotment_request__field_descriptors,
+  caraway__allotment_request__field_indices_by_name,
+  1,  caraway__allotment_request__number_ranges,
+  (ProtobufCMessageInit) caraway__allotment_request__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor caraway__allotment_share__field_descriptors[4] =
+{
+  {
+    "account",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Caraway__AllotmentShare, account),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "tokens",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Caraway__AllotmentShare, tokens),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "retry_after_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Caraway__AllotmentShare, retry_after_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "refused",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Caraway__AllotmentShare, refused),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned caraway__allotment_share__field_indices_by_name[] = {
+  0,   /* field[0] = account */
+  3,   /* field[3] = refused */
+  2,   /* field[2] = retry_after_ms */
+  1,   /* field[1] = tokens */
+};
+static const ProtobufCIntRange caraway__allotment_share__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor caraway__allotment_share__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "caraway.AllotmentShare",
+  "AllotmentShare",
+  "Caraway__AllotmentShare",
+  "caraway",
+  sizeof(Caraway__AllotmentShare),
+  4,
+  caraway__allotment_share__field_descriptors,
+  caraway__allotment_share__field_indices_by_name,
+  1,  caraway__allotment_share__number_ranges,
+  (ProtobufCMessageInit) caraway__allotment_share__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor caraway__allotment_grant__field_descriptors[2] =
+{
+  {
+    "request",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Caraway__AllotmentGrant, request),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "shares",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Caraway__AllotmentGrant, n_shares),
+    offsetof(Caraway__AllotmentGrant, shares),
+    &caraway__allotment_share__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned caraway__allotment_grant__field_indices_by_name[] = {
+  0,   /* field[0] = request */
+  1,   /* field[1] = shares */
+};
+static const ProtobufCIntRange caraway__allotment_grant__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor caraway__allotment_grant__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "caraway.AllotmentGrant",
+  "AllotmentGrant",
+  "Caraway__AllotmentGrant",
+  "caraway",
+  sizeof(Caraway__AllotmentGrant),
+  2,
+  caraway__allotment_grant__field_descriptors,
+  caraway__allotment_grant__field_indices_by_name,
+  1,  caraway__allotment_grant__number_ranges,
+  (ProtobufCMessageInit) caraway__allotment_grant__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 #define caraway__changes_query__field_descriptors NULL
 #define caraway__changes_query__field_indices_by_name NULL
 #define caraway__changes_query__number_ranges NULL
@@ -8952,7 +9936,7 @@
   (ProtobufCMessageInit) caraway__operator_reply__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor caraway__message__field_descriptors[10] =
+static const ProtobufCFieldDescriptor caraway__message__field_descriptors[12] =
 {
   {
     "raft",
@@ -9074,8 +10058,34 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "allotment_request",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Caraway__Message, body_case),
+    offsetof(Caraway__Message, allotment_request),
+    &caraway__allotment_request__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "allotment_grant",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Caraway__Message, body_case),
+    offsetof(Caraway__Message, allotment_grant),
+    &caraway__allotment_grant__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned caraway__message__field_indices_by_name[] = {
+  11,   /* field[11] = allotment_grant */
+  10,   /* field[10] = allotment_request */
   5,   /* field[5] = call_reply */
   4,   /* field[4] = call_request */
   2,   /* field[2] = news */
@@ -9090,7 +10100,7 @@
 static const ProtobufCIntRange caraway__message__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor caraway__message__descriptor =
 {
@@ -9100,7 +10110,7 @@
   "Caraway__Message",
   "caraway",
   sizeof(Caraway__Message),
-  10,
+  12,
   caraway__message__field_descriptors,
   caraway__message__field_indices_by_name,
   1,  caraway__message__number_ranges,
@@ -9137,6 +10147,36 @@
   caraway__idempotence__value_ranges,
   NULL,NULL,NULL,NULL   /* reserved[1234] */
 };
+static const ProtobufCEnumValue caraway__access__enum_values_by_number[3] =
+{
+  { "ACCESS_DEFAULT", "CARAWAY__ACCESS__ACCESS_DEFAULT", 0 },
+  { "ACCESS_PUBLIC", "CARAWAY__ACCESS__ACCESS_PUBLIC", 1 },
+  { "ACCESS_ACCOUNT", "CARAWAY__ACCESS__ACCESS_ACCOUNT", 2 },
+};
+static const ProtobufCIntRange caraway__access__value_ranges[] = {
+{0, 0},{0, 3}
+};
+static const ProtobufCEnumValueIndex caraway__access__enum_values_by_name[3] =
+{
+  { "ACCESS_ACCOUNT", 2 },
+  { "ACCESS_DEFAULT", 0 },
+  { "ACCESS_PUBLIC", 1 },
+};
+const ProtobufCEnumDescriptor caraway__access__descriptor =
+{
+  PROTOBUF_C__ENUM_DESCRIPTOR_MAGIC,
+  "caraway.Access",
+  "Access",
+  "Caraway__Access",
+  "caraway",
+  3,
+  caraway__access__enum_values_by_number,
+  3,
+  caraway__access__enum_values_by_name,
+  1,
+  caraway__access__value_ranges,
+  NULL,NULL,NULL,NULL   /* reserved[1234] */
+};
 static const ProtobufCEnumValue caraway__change_state__enum_values_by_number[6] =
 {
   { "CHANGE_NONE", "CARAWAY__CHANGE_STATE__CHANGE_NONE", 0 },
--- a/libcaraway/gen/caraway.pb-c.h
+++ b/libcaraway/gen/caraway.pb-c.h
@@ -19,6 +19,8 @@
 typedef struct Caraway__Service Caraway__Service;
 typedef struct Caraway__Split Caraway__Split;
 typedef struct Caraway__Route Caraway__Route;
+typedef struct Caraway__ClientAccount Caraway__ClientAccount;
+typedef struct Caraway__AccountKeys Caraway__AccountKeys;
 typedef struct Caraway__CallerLimits Caraway__CallerLimits;
 typedef struct Caraway__Target Caraway__Target;
 typedef struct Caraway__Content Caraway__Content;
@@ -54,6 +56,7 @@
 typedef struct Caraway__LayerRoute Caraway__LayerRoute;
 typedef struct Caraway__LayerTarget Caraway__LayerTarget;
 typedef struct Caraway__LayerLimits Caraway__LayerLimits;
+typedef struct Caraway__LayerAccount Caraway__LayerAccount;
 typedef struct Caraway__Catalog Caraway__Catalog;
 typedef struct Caraway__FeedSnapshot Caraway__FeedSnapshot;
 typedef struct Caraway__Archive Caraway__Archive;
@@ -71,6 +74,10 @@
 typedef struct Caraway__CallReply Caraway__CallReply;
 typedef struct Caraway__Revoke Caraway__Revoke;
 typedef struct Caraway__RevokeReply Caraway__RevokeReply;
+typedef struct Caraway__AllotmentNeed Caraway__AllotmentNeed;
+typedef struct Caraway__AllotmentRequest Caraway__AllotmentRequest;
+typedef struct Caraway__AllotmentShare Caraway__AllotmentShare;
+typedef struct Caraway__AllotmentGrant Caraway__AllotmentGrant;
 typedef struct Caraway__ChangesQuery Caraway__ChangesQuery;
 typedef struct Caraway__ShowQuery Caraway__ShowQuery;
 typedef struct Caraway__InForceQuery Caraway__InForceQuery;
@@ -96,6 +103,24 @@
   CARAWAY__IDEMPOTENCE__NEVER = 2
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(CARAWAY__IDEMPOTENCE)
 } Caraway__Idempotence;
+/*
+ * Which calls of a route need the key of a client account.
+ */
+typedef enum _Caraway__Access {
+  /*
+   * those of a configuration with client accounts
+   */
+  CARAWAY__ACCESS__ACCESS_DEFAULT = 0,
+  /*
+   * none
+   */
+  CARAWAY__ACCESS__ACCESS_PUBLIC = 1,
+  /*
+   * the same as ACCESS_DEFAULT, as an operator set it explicitly
+   */
+  CARAWAY__ACCESS__ACCESS_ACCOUNT = 2
+    PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(CARAWAY__ACCESS)
+} Caraway__Access;
 typedef enum _Caraway__ChangeState {
   CARAWAY__CHANGE_STATE__CHANGE_NONE = 0,
   CARAWAY__CHANGE_STATE__CHANGE_BOOKED = 1,
@@ -234,10 +259,72 @@
   uint32_t max_attempts;
   size_t n_splits;
   Caraway__Split **splits;
+  Caraway__Access access;
+  /*
+   * its calls have long bodies
+   */
+  protobuf_c_boolean upload;
 };
 #define CARAWAY__ROUTE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&caraway__route__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, CARAWAY__IDEMPOTENCE__BY_METHOD, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL }
+    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, CARAWAY__IDEMPOTENCE__BY_METHOD, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, CARAWAY__ACCESS__ACCESS_DEFAULT, 0 }
+
+
+/*
+ * A customer whose callers send a key.  A configuration has either its keys, as operators
+ * submitted them to a control replica, or the digests of the keys.
+ */
+struct  Caraway__ClientAccount
+{
+  ProtobufCMessage base;
+  char *name;
+  protobuf_c_boolean removed;
+  /*
+   * key of the digests, 2 values
+   */
+  size_t n_key_salt;
+  uint64_t *key_salt;
+  /*
+   * 2 values for each key
+   */
+  size_t n_key_digests;
+  uint64_t *key_digests;
+  size_t n_keys;
+  char **keys;
+  protobuf_c_boolean has_priority;
+  /*
+   * takes precedence over that of a route; 0 is the highest
+   */
+  uint32_t priority;
+  protobuf_c_boolean has_rate;
+  /*
+   * calls a second, by all proxies together; 0: without limit
+   */
+  double rate_per_s;
+  protobuf_c_boolean has_burst;
+  /*
+   * calls beyond the rate
+   */
+  double burst;
+};
+#define CARAWAY__CLIENT_ACCOUNT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&caraway__client_account__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0 }
+
+
+/*
+ * The keys of an account; only control replicas have them.
+ */
+struct  Caraway__AccountKeys
+{
+  ProtobufCMessage base;
+  char *name;
+  size_t n_keys;
+  char **keys;
+};
+#define CARAWAY__ACCOUNT_KEYS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&caraway__account_keys__descriptor) \
+    , (char *)protobuf_c_empty_string, 0,NULL }
 
 
 /*
@@ -293,10 +380,12 @@
   Caraway__Target **targets;
   size_t n_limits;
   Caraway__CallerLimits **limits;
+  size_t n_accounts;
+  Caraway__ClientAccount **accounts;
 };
 #define CARAWAY__CONTENT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&caraway__content__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
 
 
 struct  Caraway__Vm
@@ -427,10 +516,15 @@
    * the difference from the base
    */
   Caraway__Content *content;
+  /*
+   * of each account that the content sets
+   */
+  size_t n_account_keys;
+  Caraway__AccountKeys **account_keys;
 };
 #define CARAWAY__REPLACE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&caraway__replace__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, NULL }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, NULL, 0,NULL }
 
 
 typedef enum {
@@ -879,10 +973,12 @@
   Caraway__LayerTarget **targets;
   size_t n_limits;
   Caraway__LayerLimits **limits;
+  size_t n_accounts;
+  Caraway__LayerAccount **accounts;
 };
 #define CARAWAY__LAYER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&caraway__layer__descriptor) \
-    , (char *)protobuf_c_empty_string, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
+    , (char *)protobuf_c_empty_string, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
 
 
 struct  Caraway__LayerService
@@ -939,6 +1035,18 @@
     , 0, 0, NULL }
 
 
+struct  Caraway__LayerAccount
+{
+  ProtobufCMessage base;
+  uint64_t version;
+  uint64_t number;
+  Caraway__ClientAccount *account;
+};
+#define CARAWAY__LAYER_ACCOUNT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&caraway__layer_account__descriptor) \
+    , 0, 0, NULL }
+
+
 /*
  * The configuration in force, for all VMs.
  */
@@ -1016,10 +1124,15 @@
    */
   size_t n_releases;
   Caraway__Release **releases;
+  /*
+   * ordered by name
+   */
+  size_t n_account_keys;
+  Caraway__AccountKeys **account_keys;
 };
 #define CARAWAY__LEDGER_SNAPSHOT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&caraway__ledger_snapshot__descriptor) \
-    , 0,NULL, NULL, NULL, 0,NULL }
+    , 0,NULL, NULL, NULL, 0,NULL, 0,NULL }
 
 
 /*
@@ -1196,10 +1309,15 @@
    * since the confirmation of the stamp began, without the time on links
    */
   uint32_t stamp_age_ms;
+  /*
+   * Upper bound of the time since the confirmation of the stamp began, time on links included,
+   * plus 1; 0: not known.
+   */
+  uint32_t stamp_max_age_ms;
 };
 #define CARAWAY__NEWS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&caraway__news__descriptor) \
-    , 0, NULL, 0,NULL, {0,NULL}, 0, 0, 0, 0, 0,NULL, 0, 0, 0, 0, {0,NULL}, {0,NULL}, 0 }
+    , 0, NULL, 0,NULL, {0,NULL}, 0, 0, 0, 0, 0,NULL, 0, 0, 0, 0, {0,NULL}, {0,NULL}, 0, 0 }
 
 
 /*
@@ -1300,10 +1418,14 @@
    * time after left_ms during which a started call may still run
    */
   uint32_t run_on_ms;
+  /*
+   * hash of the name of the client account; 0: none
+   */
+  uint64_t account;
 };
 #define CARAWAY__CALL_REQUEST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&caraway__call_request__descriptor) \
-    , NULL, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, {0,NULL}, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0 }
+    , NULL, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, {0,NULL}, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Caraway__CallReply
@@ -1345,10 +1467,18 @@
    * time from the receipt of the request to this reply, plus 1; 0: not known
    */
   uint32_t held_ms;
+  /*
+   * expected time until the present work of the target is done, plus 1; 0: not known
+   */
+  uint32_t work_ms;
+  /*
+   * of the target, relative to the average of its service; 0: not known
+   */
+  uint32_t speed_percent;
 };
 #define CARAWAY__CALL_REPLY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&caraway__call_reply__descriptor) \
-    , NULL, CARAWAY__CALL_OUTCOME__OUTCOME_ANSWERED, (char *)protobuf_c_empty_string, 0, 0,NULL, {0,NULL}, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , NULL, CARAWAY__CALL_OUTCOME__OUTCOME_ANSWERED, (char *)protobuf_c_empty_string, 0, 0,NULL, {0,NULL}, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
@@ -1392,6 +1522,71 @@
     , NULL, 0, 0, 0 }
 
 
+struct  Caraway__AllotmentNeed
+{
+  ProtobufCMessage base;
+  char *account;
+  uint32_t tokens;
+};
+#define CARAWAY__ALLOTMENT_NEED__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&caraway__allotment_need__descriptor) \
+    , (char *)protobuf_c_empty_string, 0 }
+
+
+/*
+ * Asks the owner of accounts for tokens, each of which admits one call.
+ */
+struct  Caraway__AllotmentRequest
+{
+  ProtobufCMessage base;
+  uint64_t request;
+  /*
+   * incarnation of the proxy that it is sent to
+   */
+  uint64_t owner;
+  /*
+   * the sender cannot reach the owner that comes before this one
+   */
+  protobuf_c_boolean substitute;
+  size_t n_needs;
+  Caraway__AllotmentNeed **needs;
+};
+#define CARAWAY__ALLOTMENT_REQUEST__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&caraway__allotment_request__descriptor) \
+    , 0, 0, 0, 0,NULL }
+
+
+struct  Caraway__AllotmentShare
+{
+  ProtobufCMessage base;
+  char *account;
+  uint32_t tokens;
+  /*
+   * until there may be further tokens
+   */
+  uint32_t retry_after_ms;
+  /*
+   * this proxy is not the owner at present
+   */
+  protobuf_c_boolean refused;
+};
+#define CARAWAY__ALLOTMENT_SHARE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&caraway__allotment_share__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, 0 }
+
+
+struct  Caraway__AllotmentGrant
+{
+  ProtobufCMessage base;
+  uint64_t request;
+  size_t n_shares;
+  Caraway__AllotmentShare **shares;
+};
+#define CARAWAY__ALLOTMENT_GRANT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&caraway__allotment_grant__descriptor) \
+    , 0, 0,NULL }
+
+
 struct  Caraway__ChangesQuery
 {
   ProtobufCMessage base;
@@ -1607,7 +1802,9 @@
   CARAWAY__MESSAGE__BODY_REVOKE = 7,
   CARAWAY__MESSAGE__BODY_REVOKE_REPLY = 8,
   CARAWAY__MESSAGE__BODY_OPERATOR_REQUEST = 9,
-  CARAWAY__MESSAGE__BODY_OPERATOR_REPLY = 10
+  CARAWAY__MESSAGE__BODY_OPERATOR_REPLY = 10,
+  CARAWAY__MESSAGE__BODY_ALLOTMENT_REQUEST = 11,
+  CARAWAY__MESSAGE__BODY_ALLOTMENT_GRANT = 12
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(CARAWAY__MESSAGE__BODY__CASE)
 } Caraway__Message__BodyCase;
 
@@ -1626,6 +1823,8 @@
     Caraway__RevokeReply *revoke_reply;
     Caraway__OperatorRequest *operator_request;
     Caraway__OperatorReply *operator_reply;
+    Caraway__AllotmentRequest *allotment_request;
+    Caraway__AllotmentGrant *allotment_grant;
   };
 };
 #define CARAWAY__MESSAGE__INIT \
@@ -1709,6 +1908,44 @@
 void   caraway__route__free_unpacked
                      (Caraway__Route *message,
                       ProtobufCAllocator *allocator);
+/* Caraway__ClientAccount methods */
+void   caraway__client_account__init
+                     (Caraway__ClientAccount         *message);
+size_t caraway__client_account__get_packed_size
+                     (const Caraway__ClientAccount   *message);
+size_t caraway__client_account__pack
+                     (const Caraway__ClientAccount   *message,
+                      uint8_t             *out);
+size_t caraway__client_account__pack_to_buffer
+                     (const Caraway__ClientAccount   *message,
+                      ProtobufCBuffer     *buffer);
+Caraway__ClientAccount *
+       caraway__client_account__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   caraway__client_account__free_unpacked
+                     (Caraway__ClientAccount *message,
+                      ProtobufCAllocator *allocator);
+/* Caraway__AccountKeys methods */
+void   caraway__account_keys__init
+                     (Caraway__AccountKeys         *message);
+size_t caraway__account_keys__get_packed_size
+                     (const Caraway__AccountKeys   *message);
+size_t caraway__account_keys__pack
+                     (const Caraway__AccountKeys   *message,
+                      uint8_t             *out);
+size_t caraway__account_keys__pack_to_buffer
+                     (const Caraway__AccountKeys   *message,
+                      ProtobufCBuffer     *buffer);
+Caraway__AccountKeys *
+       caraway__account_keys__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   caraway__account_keys__free_unpacked
+                     (Caraway__AccountKeys *message,
+                      ProtobufCAllocator *allocator);
 /* Caraway__CallerLimits methods */
 void   caraway__caller_limits__init
                      (Caraway__CallerLimits         *message);
@@ -2374,6 +2611,25 @@
 void   caraway__layer_limits__free_unpacked
                      (Caraway__LayerLimits *message,
                       ProtobufCAllocator *allocator);
+/* Caraway__LayerAccount methods */
+void   caraway__layer_account__init
+                     (Caraway__LayerAccount         *message);
+size_t caraway__layer_account__get_packed_size
+                     (const Caraway__LayerAccount   *message);
+size_t caraway__layer_account__pack
+                     (const Caraway__LayerAccount   *message,
+                      uint8_t             *out);
+size_t caraway__layer_account__pack_to_buffer
+                     (const Caraway__LayerAccount   *message,
+                      ProtobufCBuffer     *buffer);
+Caraway__LayerAccount *
+       caraway__layer_account__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   caraway__layer_account__free_unpacked
+                     (Caraway__LayerAccount *message,
+                      ProtobufCAllocator *allocator);
 /* Caraway__Catalog methods */
 void   caraway__catalog__init
                      (Caraway__Catalog         *message);
@@ -2697,6 +2953,82 @@
 void   caraway__revoke_reply__free_unpacked
                      (Caraway__RevokeReply *message,
                       ProtobufCAllocator *allocator);
+/* Caraway__AllotmentNeed methods */
+void   caraway__allotment_need__init
+                     (Caraway__AllotmentNeed         *message);
+size_t caraway__allotment_need__get_packed_size
+                     (const Caraway__AllotmentNeed   *message);
+size_t caraway__allotment_need__pack
+                     (const Caraway__AllotmentNeed   *message,
+                      uint8_t             *out);
+size_t caraway__allotment_need__pack_to_buffer
+                     (const Caraway__AllotmentNeed   *message,
+                      ProtobufCBuffer     *buffer);
+Caraway__AllotmentNeed *
+       caraway__allotment_need__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   caraway__allotment_need__free_unpacked
+                     (Caraway__AllotmentNeed *message,
+                      ProtobufCAllocator *allocator);
+/* Caraway__AllotmentRequest methods */
+void   caraway__allotment_request__init
+                     (Caraway__AllotmentRequest         *message);
+size_t caraway__allotment_request__get_packed_size
+                     (const Caraway__AllotmentRequest   *message);
+size_t caraway__allotment_request__pack
+                     (const Caraway__AllotmentRequest   *message,
+                      uint8_t             *out);
+size_t caraway__allotment_request__pack_to_buffer
+                     (const Caraway__AllotmentRequest   *message,
+                      ProtobufCBuffer     *buffer);
+Caraway__AllotmentRequest *
+       caraway__allotment_request__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   caraway__allotment_request__free_unpacked
+                     (Caraway__AllotmentRequest *message,
+                      ProtobufCAllocator *allocator);
+/* Caraway__AllotmentShare methods */
+void   caraway__allotment_share__init
+                     (Caraway__AllotmentShare         *message);
+size_t caraway__allotment_share__get_packed_size
+                     (const Caraway__AllotmentShare   *message);
+size_t caraway__allotment_share__pack
+                     (const Caraway__AllotmentShare   *message,
+                      uint8_t             *out);
+size_t caraway__allotment_share__pack_to_buffer
+                     (const Caraway__AllotmentShare   *message,
+                      ProtobufCBuffer     *buffer);
+Caraway__AllotmentShare *
+       caraway__allotment_share__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   caraway__allotment_share__free_unpacked
+                     (Caraway__AllotmentShare *message,
+                      ProtobufCAllocator *allocator);
+/* Caraway__AllotmentGrant methods */
+void   caraway__allotment_grant__init
+                     (Caraway__AllotmentGrant         *message);
+size_t caraway__allotment_grant__get_packed_size
+                     (const Caraway__AllotmentGrant   *message);
+size_t caraway__allotment_grant__pack
+                     (const Caraway__AllotmentGrant   *message,
+                      uint8_t             *out);
+size_t caraway__allotment_grant__pack_to_buffer
+                     (const Caraway__AllotmentGrant   *message,
+                      ProtobufCBuffer     *buffer);
+Caraway__AllotmentGrant *
+       caraway__allotment_grant__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   caraway__allotment_grant__free_unpacked
+                     (Caraway__AllotmentGrant *message,
+                      ProtobufCAllocator *allocator);
 /* Caraway__ChangesQuery methods */
 void   caraway__changes_query__init
                      (Caraway__ChangesQuery         *message);
@@ -2939,6 +3271,12 @@
 typedef void (*Caraway__Route_Closure)
                  (const Caraway__Route *message,
                   void *closure_data);
+typedef void (*Caraway__ClientAccount_Closure)
+                 (const Caraway__ClientAccount *message,
+                  void *closure_data);
+typedef void (*Caraway__AccountKeys_Closure)
+                 (const Caraway__AccountKeys *message,
+                  void *closure_data);
 typedef void (*Caraway__CallerLimits_Closure)
                  (const Caraway__CallerLimits *message,
                   void *closure_data);
@@ -3044,6 +3382,9 @@
 typedef void (*Caraway__LayerLimits_Closure)
                  (const Caraway__LayerLimits *message,
                   void *closure_data);
+typedef void (*Caraway__LayerAccount_Closure)
+                 (const Caraway__LayerAccount *message,
+                  void *closure_data);
 typedef void (*Caraway__Catalog_Closure)
                  (const Caraway__Catalog *message,
                   void *closure_data);
@@ -3095,6 +3436,18 @@
 typedef void (*Caraway__RevokeReply_Closure)
                  (const Caraway__RevokeReply *message,
                   void *closure_data);
+typedef void (*Caraway__AllotmentNeed_Closure)
+                 (const Caraway__AllotmentNeed *message,
+                  void *closure_data);
+typedef void (*Caraway__AllotmentRequest_Closure)
+                 (const Caraway__AllotmentRequest *message,
+                  void *closure_data);
+typedef void (*Caraway__AllotmentShare_Closure)
+                 (const Caraway__AllotmentShare *message,
+                  void *closure_data);
+typedef void (*Caraway__AllotmentGrant_Closure)
+                 (const Caraway__AllotmentGrant *message,
+                  void *closure_data);
 typedef void (*Caraway__ChangesQuery_Closure)
                  (const Caraway__ChangesQuery *message,
                   void *closure_data);
@@ -3138,6 +3491,7 @@
 /* --- descriptors --- */
 
 extern const ProtobufCEnumDescriptor    caraway__idempotence__descriptor;
+extern const ProtobufCEnumDescriptor    caraway__access__descriptor;
 extern const ProtobufCEnumDescriptor    caraway__change_state__descriptor;
 extern const ProtobufCEnumDescriptor    caraway__entry_kind__descriptor;
 extern const ProtobufCEnumDescriptor    caraway__endpoint_state__descriptor;
@@ -3147,6 +3501,8 @@
 extern const ProtobufCMessageDescriptor caraway__service__descriptor;
 extern const ProtobufCMessageDescriptor caraway__split__descriptor;
 extern const ProtobufCMessageDescriptor caraway__route__descriptor;
+extern const ProtobufCMessageDescriptor caraway__client_account__descriptor;
+extern const ProtobufCMessageDescriptor caraway__account_keys__descriptor;
 extern const ProtobufCMessageDescriptor caraway__caller_limits__descriptor;
 extern const ProtobufCMessageDescriptor caraway__target__descriptor;
 extern const ProtobufCMessageDescriptor caraway__content__descriptor;
@@ -3182,6 +3538,7 @@
 extern const ProtobufCMessageDescriptor caraway__layer_route__descriptor;
 extern const ProtobufCMessageDescriptor caraway__layer_target__descriptor;
 extern const ProtobufCMessageDescriptor caraway__layer_limits__descriptor;
+extern const ProtobufCMessageDescriptor caraway__layer_account__descriptor;
 extern const ProtobufCMessageDescriptor caraway__catalog__descriptor;
 extern const ProtobufCMessageDescriptor caraway__feed_snapshot__descriptor;
 extern const ProtobufCMessageDescriptor caraway__archive__descriptor;
@@ -3199,6 +3556,10 @@
 extern const ProtobufCMessageDescriptor caraway__call_reply__descriptor;
 extern const ProtobufCMessageDescriptor caraway__revoke__descriptor;
 extern const ProtobufCMessageDescriptor caraway__revoke_reply__descriptor;
+extern const ProtobufCMessageDescriptor caraway__allotment_need__descriptor;
+extern const ProtobufCMessageDescriptor caraway__allotment_request__descriptor;
+extern const ProtobufCMessageDescriptor caraway__allotment_share__descriptor;
+extern const ProtobufCMessageDescriptor caraway__allotment_grant__descriptor;
 extern const ProtobufCMessageDescriptor caraway__changes_query__descriptor;
 extern const ProtobufCMessageDescriptor caraway__show_query__descriptor;
 extern const ProtobufCMessageDescriptor caraway__in_force_query__descriptor;
--- a/libcaraway/ledger.c
+++ b/libcaraway/ledger.c
@@ -15,6 +15,8 @@
 	ledger->finished_unarchived = g_queue_new();
 	ledger->archive = g_array_new(FALSE, FALSE, sizeof(archived_t));
 	ledger->releases = g_array_new(FALSE, FALSE, sizeof(release_t));
+	ledger->account_keys =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, (GDestroyNotify)g_bytes_unref);
 	return ledger;
 }
 
@@ -27,19 +29,21 @@
 	g_queue_free(ledger->finished_unarchived);
 	g_array_unref(ledger->archive);
 	g_array_unref(ledger->releases);
+	g_hash_table_destroy(ledger->account_keys);
 	schedule_free(ledger->schedule);
 	g_hash_table_destroy(ledger->changes);
 	cw_feed_free(ledger->feed);
 	g_free(ledger);
 }
 
-/* Removes all changes and releases; the feed is not altered. */
+/* Removes all changes, releases and keys of accounts; the feed is not altered. */
 void ledger_reset(cw_ledger_t *ledger)
 {
 	g_queue_clear(ledger->finished_with_content);
 	g_queue_clear(ledger->finished_unarchived);
 	g_array_set_size(ledger->archive, 0);
 	g_array_set_size(ledger->releases, 0);
+	g_hash_table_remove_all(ledger->account_keys);
 	schedule_free(ledger->schedule);
 	ledger->schedule = schedule_new();
 	g_hash_table_remove_all(ledger->changes);
--- a/libcaraway/ledger.h
+++ b/libcaraway/ledger.h
@@ -49,6 +49,7 @@
 	GQueue *finished_unarchived;   /* finished changes that are not archived, oldest first */
 	GArray *archive;	       /* archived_t, ordered by number */
 	GArray *releases;	       /* release_t, in the order in which they came into force */
+	GHashTable *account_keys;      /* account -> GBytes, a packed Caraway__AccountKeys */
 	uint64_t finished_count;       /* changes that have ever finished */
 	size_t open_count;	       /* changes that have not finished */
 };
@@ -109,6 +110,14 @@
 cw_status_t ledger_replace_without_content(cw_ledger_t *ledger, const Caraway__Replace *replace);
 void ledger_record_release(cw_ledger_t *ledger, const Caraway__Replace *replace);
 
+/* ---- ledger_account.c ---- */
+
+cw_status_t ledger_check_account_keys(const Caraway__Replace *replace);
+void ledger_apply_account_keys(cw_ledger_t *ledger, const Caraway__Content *content,
+			       const Caraway__Replace *replace);
+GPtrArray *ledger_save_account_keys(const cw_ledger_t *ledger);
+void ledger_load_account_keys(cw_ledger_t *ledger, const Caraway__LedgerSnapshot *snapshot);
+
 /* ---- ledger_vm.c ---- */
 
 cw_status_t ledger_set_labels(cw_ledger_t *ledger, const Caraway__SetLabels *command);
--- a/libcaraway/ledger_change.c
+++ b/libcaraway/ledger_change.c
@@ -330,6 +330,7 @@
 		cw_catalog_free(catalog);
 		return CW_ERR_CHECK;
 	}
+	ledger_apply_account_keys(ledger, change->content, command->replace);
 	ledger_add(ledger, change);
 	change->digest = digest_with_due(cw_feed_stage(ledger->feed, change->number, change->content), at_ms);
 	cw_feed_activate_checked(ledger->feed, change->number, change->due_ms, at_ms, catalog);
--- a/libcaraway/ledger_replace.c
+++ b/libcaraway/ledger_replace.c
@@ -65,10 +65,29 @@
 	return CW_OK;
 }
 
+/* Returns a copy of the table of keys, which shares its values. */
+static GHashTable *copy_account_keys(const cw_ledger_t *ledger)
+{
+	GHashTable *copy =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, (GDestroyNotify)g_bytes_unref);
+	GHashTableIter iter;
+	gpointer name, keys;
+
+	g_hash_table_iter_init(&iter, ledger->account_keys);
+	while (g_hash_table_iter_next(&iter, &name, &keys))
+		g_hash_table_insert(copy, g_strdup(name), g_bytes_ref(keys));
+	return copy;
+}
+
 /* Returns the sections of the release in force that no booked change for all VMs has replaced. */
 cw_config_t *cw_ledger_release_config(cw_ledger_t *ledger)
 {
-	return catalog_config_for_all_vms(cw_feed_catalog(ledger->feed), FIRST_RELEASE_NUMBER);
+	cw_config_t *config = catalog_config_for_all_vms(cw_feed_catalog(ledger->feed), FIRST_RELEASE_NUMBER);
+
+	/* A copy: the release may be written in several turns, between which another one comes into force. */
+	if (config->accounts->len)
+		config->account_keys = copy_account_keys(ledger);
+	return config;
 }
 
 /* Returns the difference from the release in force to a complete configuration. */
@@ -80,7 +99,8 @@
 /* Returns whether a difference has no sections to set or to remove. */
 static bool is_empty(const Caraway__Content *content)
 {
-	return !content->n_services && !content->n_routes && !content->n_targets && !content->n_limits;
+	return !content->n_services && !content->n_routes && !content->n_targets && !content->n_limits &&
+	       !content->n_accounts;
 }
 
 /*
@@ -95,6 +115,8 @@
 	if (!status && (!*replace->approval || !replace->content))
 		status = cw_fail(CW_ERR_USAGE,
 				 "a complete configuration needs a standing approval and a content");
+	if (!status)
+		status = ledger_check_account_keys(replace);
 	if (!status)
 		status = cw_ledger_check_release(ledger, replace->release, replace->base_release,
 						 replace->digest, &already_accepted);
--- a/libcaraway/ledger_save.c
+++ b/libcaraway/ledger_save.c
@@ -53,6 +53,7 @@
 {
 	Caraway__LedgerSnapshot snapshot = CARAWAY__LEDGER_SNAPSHOT__INIT;
 	GPtrArray *changes = cw_ledger_changes(ledger);
+	GPtrArray *account_keys = ledger_save_account_keys(ledger);
 	size_t length;
 	uint8_t *data;
 	uint64_t hash;
@@ -62,6 +63,8 @@
 	snapshot.feed = cw_feed_save(ledger->feed);
 	snapshot.archive = archive_save(ledger->archive);
 	save_releases(ledger, &snapshot);
+	snapshot.n_account_keys = account_keys->len;
+	snapshot.account_keys = (Caraway__AccountKeys **)account_keys->pdata;
 	length = caraway__ledger_snapshot__get_packed_size(&snapshot);
 	data = g_malloc(HASH_BYTES + length);
 	caraway__ledger_snapshot__pack(&snapshot, data + HASH_BYTES);
@@ -71,6 +74,7 @@
 	cw_message_free(snapshot.archive);
 	g_free(snapshot.releases[0]);
 	g_free(snapshot.releases);
+	g_ptr_array_unref(account_keys);
 	g_ptr_array_unref(changes);
 	return g_bytes_new_take(data, HASH_BYTES + length);
 }
@@ -254,6 +258,7 @@
 		ledger_reset(ledger);
 		load_changes(ledger, snapshot);
 		load_releases(ledger, snapshot);
+		ledger_load_account_keys(ledger, snapshot);
 		g_array_append_vals(ledger->archive, archive->data, archive->len);
 	}
 	g_array_unref(archive);
--- a/libcaraway/relay.c
+++ b/libcaraway/relay.c
@@ -151,6 +151,7 @@
 	relay->stamp.sequence = stamp->sequence;
 	relay->stamp.feed_index = stamp->feed_index;
 	relay->stamp_issued_ms = now_ms - age_ms;
+	relay->stamp_bound_ms = 0;
 	if (cw_feed_index(relay->feed) < relay->fresh_index)
 		return false;
 	relay->fresh_index = stamp->feed_index;
@@ -158,6 +159,19 @@
 	return true;
 }
 
+void cw_relay_bound_stamp(cw_relay_t *relay, const Caraway__Stamp *stamp, int64_t bound_ms)
+{
+	if (stamp->term == relay->stamp.term && stamp->sequence == relay->stamp.sequence)
+		relay->stamp_bound_ms = MAX(relay->stamp_bound_ms, bound_ms);
+}
+
+/* Notes the confirmation of the newest stamp once the feed has its records. */
+static void note_confirmation(cw_relay_t *relay)
+{
+	if (relay->ready && relay->stamp.term && cw_feed_index(relay->feed) >= relay->stamp.feed_index)
+		relay->confirmed_ms = MAX(relay->confirmed_ms, relay->stamp_bound_ms);
+}
+
 void cw_relay_record_floor(cw_relay_t *relay, uint64_t covers, uint64_t feed_index)
 {
 	relay->floor_answered = MAX(relay->floor_answered, covers);
@@ -216,6 +230,7 @@
 	stamp.sequence = ++relay->lead_sequence;
 	stamp.feed_index = cw_feed_index(relay->feed);
 	cw_relay_accept_stamp(relay, &stamp, (uint32_t)(now_ms - relay->confirm_start_ms), now_ms);
+	cw_relay_bound_stamp(relay, &stamp, relay->confirm_start_ms);
 	cw_relay_record_floor(relay, relay->confirm_covers, stamp.feed_index);
 }
 
@@ -320,6 +335,7 @@
 			cw_relay_add_action(actions, CW_RELAY_AC_ENDPOINTS);
 		cw_relay_pull_tick(relay, now_ms, actions);
 	}
+	note_confirmation(relay);
 	cw_relay_serve(relay, now_ms, actions);
 }
 
@@ -354,6 +370,16 @@
 	return relay->stamp_issued_ms + CURRENT_MS;
 }
 
+/*
+ * Returns a lower bound of the time at which a quorum confirmed that the feed was the newest; 0: none is
+ * known.  Unlike the time of cw_relay_current_until_ms() it does not depend on how long messages were on
+ * their way or this process was suspended.
+ */
+int64_t cw_relay_confirmed_ms(const cw_relay_t *relay)
+{
+	return relay->confirmed_ms;
+}
+
 /* Returns the address of the parent, or NULL before it has sent an update with a stamp. */
 const char *cw_relay_parent(const cw_relay_t *relay)
 {
--- a/libcaraway/relay_child.c
+++ b/libcaraway/relay_child.c
@@ -94,6 +94,7 @@
 	pull.zone = (char *)relay->options.zone;
 	pull.incarnation = relay->options.incarnation;
 	pull.request = parent->request = ++relay->request;
+	relay->pull_sent_ms[relay->request % RELAY_PULLS_REMEMBERED] = now_ms;
 	/* The feed of a replica comes from the replicated log: request no records. */
 	pull.feed_index = replica ? UINT64_MAX : cw_feed_index(relay->feed);
 	pull.chain = cw_feed_chain(relay->feed);
@@ -177,6 +178,19 @@
 	return true;
 }
 
+/*
+ * Bounds when the confirmation of an update's stamp began.  The parent made the update after it had received
+ * the pull, so after the pull was sent; how long the update was on its way, or waited here, is not known.
+ */
+static void bound_stamp(cw_relay_t *relay, const Caraway__News *update)
+{
+	int64_t pull_sent_ms = relay->pull_sent_ms[update->request % RELAY_PULLS_REMEMBERED];
+
+	if (update->stamp_max_age_ms && update->request + RELAY_PULLS_REMEMBERED > relay->request)
+		cw_relay_bound_stamp(relay, update->stamp,
+				     pull_sent_ms - (int64_t)(update->stamp_max_age_ms - 1));
+}
+
 /* Applies the stamp and floor of an update; advanced: the update has extended the feed. */
 static void apply_stamp(cw_relay_t *relay, const Caraway__News *update, bool advanced, int64_t now_ms,
 			cw_relay_actions_t *actions)
@@ -193,6 +207,7 @@
 		/* Catching up may take longer than the freshness bound: keep a parent that makes progress. */
 		relay->parent.stamp_by_ms = now_ms + relay->options.freshness_ms;
 	}
+	bound_stamp(relay, update);
 	if (relay->floor_pending && update->floor == relay->floor_sent_number) {
 		relay->floor_pending = false;
 		cw_relay_record_floor(relay, relay->floor_sent_covers, update->stamp->feed_index);
--- a/libcaraway/relay_internal.h
+++ b/libcaraway/relay_internal.h
@@ -4,6 +4,9 @@
 
 #include "internal.h"
 
+/* Pulls whose time of sending is remembered: a pull is sent early for new endpoints, before the answer to another. */
+enum { RELAY_PULLS_REMEMBERED = 16 };
+
 /* A child, with its position as of its newest pull. */
 typedef struct {
 	char *vm;
@@ -71,6 +74,9 @@
 	/* freshness */
 	Caraway__Stamp stamp; /* newest received or issued */
 	int64_t stamp_issued_ms; /* when the confirmation of the newest stamp began, as far as its age is known */
+	/* Lower bounds of when the confirmation of a stamp began; 0: not known. */
+	int64_t stamp_bound_ms; /* of the newest stamp */
+	int64_t confirmed_ms;	/* of the newest one whose records the feed has */
 	int64_t fresh_until_ms; /* freshness bound after the newest stamp that counted */
 	uint64_t fresh_index;	/* the feed must reach this index before the next stamp counts */
 	/* floor requests of this process and its children, by order of arrival; a proxy's own is the first */
@@ -90,8 +96,9 @@
 	int64_t confirm_timeout_ms;    /* when the pending one is abandoned */
 	/* as a child */
 	relay_parent_t parent;
-	uint64_t request;	       /* number of the newest pull sent */
-	GHashTable *left_parents;      /* address -> relay_left_parent_t * */
+	uint64_t request;			      /* number of the newest pull sent */
+	int64_t pull_sent_ms[RELAY_PULLS_REMEMBERED]; /* of the newest pulls, by number modulo the size */
+	GHashTable *left_parents;		      /* address -> relay_left_parent_t * */
 	GPtrArray *hints;	       /* char *, addresses of parents that a refusal suggests */
 	char *leader;		       /* replica: address of the leader, or NULL */
 	GHashTable *pending_endpoints; /* vm -> relay_pending_t * */
@@ -122,6 +129,8 @@
 bool cw_relay_is_newer(const cw_relay_t *relay, const Caraway__Stamp *stamp);
 /* Stores a stamp of an age if it is newer than the newest received; returns true if it extends the freshness. */
 bool cw_relay_accept_stamp(cw_relay_t *relay, const Caraway__Stamp *stamp, uint32_t age_ms, int64_t now_ms);
+/* Stores a lower bound of when the confirmation of the newest stamp began, if it is that of the stamp. */
+void cw_relay_bound_stamp(cw_relay_t *relay, const Caraway__Stamp *stamp, int64_t bound_ms);
 /* Marks the floor requests up to a position as answered; the first answer sets the floor of this process. */
 void cw_relay_record_floor(cw_relay_t *relay, uint64_t covers, uint64_t feed_index);
 /* Makes the configuration usable once the feed has reached the floor. */
--- a/libcaraway/relay_serve.c
+++ b/libcaraway/relay_serve.c
@@ -284,6 +284,9 @@
 	if (relay->stamp.term) {
 		update->stamp = cw_message_copy(&relay->stamp.base);
 		update->stamp_age_ms = (uint32_t)CLAMP(now_ms - relay->stamp_issued_ms, 0, UINT32_MAX);
+		if (relay->stamp_bound_ms)
+			update->stamp_max_age_ms =
+				(uint32_t)CLAMP(now_ms - relay->stamp_bound_ms + 1, 1, UINT32_MAX);
 	}
 	fill_endpoints(relay, child, update);
 	if (has_floor_answer(relay, child)) {
--- a/scripts/install-packages.sh
+++ b/scripts/install-packages.sh
@@ -5,7 +5,7 @@
 packages=(
 	gcc make pkg-config clang-format clang-tidy
 	libglib2.0-dev libzmq3-dev liburcu-dev libhttp-parser-dev libmicrohttpd-dev
-	libprotobuf-c-dev protobuf-c-compiler libjansson-dev libxxhash-dev libzstd-dev libgsl-dev
+	libprotobuf-c-dev protobuf-c-compiler libjansson-dev libxxhash-dev libzstd-dev libsodium-dev libgsl-dev
 	check spin curl
 )
 
--- a/tests/unit/relay_observer.c
+++ b/tests/unit/relay_observer.c
@@ -150,6 +150,21 @@
 			      g_strdup_printf("%s: takes an old version for the newest", node->name));
 }
 
+/*
+ * Checks that a proxy does not date the confirmation of its configuration after another one was put in force: the
+ * lease of withdrawn keys would end too late.
+ */
+static void check_confirmed(observer_t *observer, const net_node_t *node)
+{
+	uint64_t next = node->used_version + 1;
+
+	if (node->used_version && next < observer->versions->len &&
+	    cw_relay_confirmed_ms(node->relay) * US_PER_MS >
+		    g_array_index(observer->version_times_us, int64_t, next))
+		add_violation(observer,
+			      g_strdup_printf("%s: confirms a version after the next one", node->name));
+}
+
 /* Processes a sent message: a pull of a proxy, or an update that carries a stamp. */
 static void on_message_sent(void *data, const net_node_t *from, const net_node_t *to,
 			    const Caraway__Message *message, bool delivered, int64_t now_us)
@@ -158,8 +173,10 @@
 	process_state_t *process;
 	const Caraway__Stamp *stamp;
 
-	if (!from->is_control_replica && from->relay)
+	if (!from->is_control_replica && from->relay) {
 		check_current(observer, from, now_us);
+		check_confirmed(observer, from);
+	}
 	if (message->body_case == CARAWAY__MESSAGE__BODY_PULL && !from->is_control_replica)
 		on_pull(observer, from, to, now_us);
 	if (message->body_case != CARAWAY__MESSAGE__BODY_NEWS || !delivered || !message->news->stamp)
--- a/tests/unit/test_forward.c
+++ b/tests/unit/test_forward.c
@@ -50,10 +50,11 @@
 }
 
 /* Returns that this proxy's target takes no calls. */
-static bool no_own_load(void *data, const view_route_t *route, cw_pick_load_t *load)
+static bool no_own_load(void *data, uint64_t route, uint32_t priority, cw_pick_load_t *load)
 {
 	(void)data;
 	(void)route;
+	(void)priority;
 	(void)load;
 	return false;
 }
--- a/tests/unit/test_release.c
+++ b/tests/unit/test_release.c
@@ -137,6 +137,63 @@
 	"\"spec\":{\"max_header_bytes\":1000,\"max_body_bytes\":1000,\"header_timeout_s\":1,"
 	"\"idle_timeout_s\":1}}], \"z\": -1.5e3 }\n";
 
+/* A configuration with an account, a public route and one for long bodies; the keys are inserted. */
+static const char accounts_body[] =
+	"{\"version\":\"00000002\",\"base_version\":\"00000001\",\"resources\":["
+	"{\"resource_kind\":\"services\",\"metadata\":{\"name\":\"tabla\"},"
+	"\"spec\":{\"health_path\":\"/health\",\"max_connections\":5,\"tls\":false}},"
+	"{\"resource_kind\":\"routes\",\"metadata\":{\"name\":\"r-1\"},\"spec\":{\"host\":\"a.example\","
+	"\"path_prefix\":\"/a/\",\"kind\":\"upload\",\"timeout_s\":1,\"target_latency_s\":1,\"priority\":1,"
+	"\"max_attempts\":2,\"service\":\"tabla\",\"public\":false}},"
+	"{\"resource_kind\":\"routes\",\"metadata\":{\"name\":\"r-2\"},\"spec\":{\"host\":\"a.example\","
+	"\"path_prefix\":\"/b/\",\"kind\":\"safe\",\"timeout_s\":1,\"target_latency_s\":1,\"priority\":1,"
+	"\"max_attempts\":2,\"service\":\"tabla\",\"public\":true}},"
+	"{\"resource_kind\":\"tenants\",\"metadata\":{\"name\":\"posta\"},\"spec\":{"
+	"\"api_keys\":[\"k1\",\"k2\"],\"priority\":0,\"rate_per_s\":12.5,\"burst\":3}},"
+	"{\"resource_kind\":\"tenants\",\"metadata\":{\"name\":\"vasut\"},\"spec\":{\"api_keys\":[%s]}}]}";
+
+/* CONFIG: accounts, long bodies or public routes are read back with other values than were sent. */
+START_TEST(test_accounts_are_read_back)
+{
+	g_autofree char *sent = g_strdup_printf(accounts_body, "\"k3\"");
+	control_replacement_t *replacement = NULL;
+	json_t *sent_resources, *read;
+	char *text;
+
+	ck_assert_int_eq(decode(sent, &replacement), CW_OK);
+	text = encode(replacement);
+	read = json_loads(text, 0, NULL);
+	sent_resources = json_loads(sent, 0, NULL);
+	for (size_t i = 0; i < json_array_size(json_object_get(sent_resources, "resources")); i++) {
+		json_t *resource = json_array_get(json_object_get(sent_resources, "resources"), i);
+		bool found = false;
+
+		for (size_t j = 0; j < json_array_size(json_object_get(read, "resources")); j++)
+			found = found ||
+				json_equal(resource, json_array_get(json_object_get(read, "resources"), j));
+		ck_assert_msg(found, "resource %zu is not in %s", i, text);
+	}
+	json_decref(sent_resources);
+	json_decref(read);
+	g_free(text);
+	control_replacement_free(replacement);
+}
+END_TEST
+
+/* CONFIG: a configuration in which two accounts have one key, or an account has a bad one, is acknowledged. */
+START_TEST(test_invalid_keys_are_refused)
+{
+	static const char *const keys[] = {"\"k2\"", "\"k3\",\"k1\"", "\"\"", "\"a b\"", "7", "null"};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(keys); i++) {
+		g_autofree char *body = g_strdup_printf(accounts_body, keys[i]);
+		control_replacement_t *replacement = NULL;
+
+		ck_assert_msg(decode(body, &replacement) != CW_OK, "%s", keys[i]);
+	}
+}
+END_TEST
+
 /* Reads a body in parts of a budget; returns how many parts there were, 0 after a failure. */
 static unsigned read_in_parts(const char *body, size_t length, size_t part, release_reader_cache_t *cache,
 			      size_t *parsed, control_replacement_t **replacement)
@@ -258,6 +315,8 @@
 	TCase *tcase = tcase_create("release");
 
 	tcase_add_loop_test(tcase, test_figures_are_read_back_as_sent_or_refused, 0, G_N_ELEMENTS(figures));
+	tcase_add_test(tcase, test_accounts_are_read_back);
+	tcase_add_test(tcase, test_invalid_keys_are_refused);
 	tcase_add_test(tcase, test_resources_that_come_again_are_not_read_again);
 	tcase_add_test(tcase, test_reading_is_given_up);
 	tcase_add_loop_test(tcase, test_damaged_bodies_are_read_like_whole_ones, 0, DAMAGED_SEEDS);
