Allotments of client accounts over all proxies

The owner of an account, first by rendezvous hashing over the proxies of the view, keeps its token bucket and what it granted in the last window. Origins ask it for tokens by what waits and what they expect, and spend one on each call before its first attempt. A token expires 250 ms after it was asked for.

Weighed: shares by reported demand down the tree (a lag of 2 s; an account at 7.5 times its usual exceeds the tolerated window in 1.4 s), equal shares (accounts with one caller get an 80th). Ruled out: a token bucket alone, which gives 86 a second where 117 are tolerated over 5 s.

--- a/daemon/auth.c
+++ b/daemon/auth.c
@@ -205,6 +205,7 @@
 		break;
 	case CARAWAY__MESSAGE__BODY_CALL_REQUEST:
 	case CARAWAY__MESSAGE__BODY_REVOKE:
+	case CARAWAY__MESSAGE__BODY_ALLOTMENT_REQUEST:
 		if (is_proxy)
 			return CW_OK;
 		break;
--- a/daemon/forward.c
+++ b/daemon/forward.c
@@ -16,12 +16,17 @@
 	HTTP_SERVER_ERROR = 500
 };
 
+static void start_granted_call(void *data, void *cookie);
+static void refuse_waiting_call(void *data, void *cookie, cw_reason_t reason, uint32_t retry_after_ms);
+
 /* Creates the sending side of a proxy. */
 forward_t *forward_new(const proxy_settings_t *settings, uint64_t incarnation,
 		       published_view_t *published_view, link_clients_t *clients,
 		       const forward_callbacks_t *callbacks)
 {
 	forward_t *forward = g_new0(forward_t, 1);
+	const allotments_callbacks_t allotments_callbacks = {
+		.granted = start_granted_call, .refused = refuse_waiting_call, .data = forward};
 
 	forward->settings = settings;
 	forward->incarnation = incarnation;
@@ -29,6 +34,8 @@
 	forward->published_view = published_view;
 	forward->clients = clients;
 	forward->callbacks = *callbacks;
+	forward->allotments =
+		allotments_new(settings, incarnation, published_view, clients, &allotments_callbacks);
 	forward->pick = cw_pick_new(settings->zone, incarnation);
 	forward->budgets = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	forward->calls = g_ptr_array_new();
@@ -54,6 +61,8 @@
 		last = g_ptr_array_index(forward->calls, call->index);
 		last->index = call->index;
 	}
+	if (call->awaits_token)
+		allotments_cancel(forward->allotments, call->account->id, call);
 	*call->handle = NULL;
 	endpoints_clear(&call->endpoints);
 	cw_message_free(call->request);
@@ -69,6 +78,7 @@
 	g_ptr_array_free(forward->calls, TRUE);
 	g_hash_table_destroy(forward->by_sequence);
 	g_hash_table_destroy(forward->budgets);
+	allotments_free(forward->allotments);
 	cw_pick_free(forward->pick);
 	g_rand_free(forward->random);
 	cw_prior_wait_free(forward->prior_wait);
@@ -92,6 +102,7 @@
 
 	log_info("call-failed", LOG_STR("request", request_id(forward, call->request)),
 		 LOG_STR("route", call->endpoints.route->name), LOG_STR("service", call->endpoints.service),
+		 LOG_STR("account", call->account ? call->account->name : NULL),
 		 LOG_STR("outcome",
 			 outcome->outcome == CARAWAY__CALL_OUTCOME__OUTCOME_NOT_RUN ? "not-run" : "unknown"),
 		 LOG_STR("reason", cw_reason_name(outcome->reason)),
@@ -135,7 +146,7 @@
 }
 
 /* Returns after how many milliseconds the caller should retry. */
-static uint32_t retry_after_ms(const forward_t *forward, const forward_call_t *call)
+static uint32_t retry_after_ms_of(const forward_t *forward, const forward_call_t *call)
 {
 	int64_t now_ms = clock_now_ms();
 	const cw_refused_call_t refused_call = {.wait_ms = call->wait_ms,
@@ -207,13 +218,59 @@
 						  ? CARAWAY__CALL_OUTCOME__OUTCOME_NOT_RUN
 						  : CARAWAY__CALL_OUTCOME__OUTCOME_UNKNOWN;
 			outcome.reason = action.reason;
-			outcome.retry_after_ms = retry_after_ms(forward, call);
+			outcome.retry_after_ms = retry_after_ms_of(forward, call);
 			complete_call(forward, call, &outcome);
 			return;
 		}
 	}
 }
 
+/* Begins a call that has waited for a token. */
+static void start_granted_call(void *data, void *cookie)
+{
+	forward_call_t *call = cookie;
+
+	call->awaits_token = false;
+	step_call(data, call, (cw_call_event_t){.type = CW_CALL_EV_START}, NULL);
+}
+
+/* Refuses a call that has no token. */
+static void refuse_waiting_call(void *data, void *cookie, cw_reason_t reason, uint32_t retry_after_ms)
+{
+	forward_t *forward = data;
+	forward_call_t *call = cookie;
+	const forward_outcome_t outcome = {
+		.outcome = CARAWAY__CALL_OUTCOME__OUTCOME_NOT_RUN,
+		.reason = reason,
+		.retry_after_ms = retry_after_ms ? retry_after_ms : retry_after_ms_of(forward, call)};
+
+	call->awaits_token = false;
+	complete_call(forward, call, &outcome);
+}
+
+/* Begins a call once its account has a token for it, or refuses it. */
+static void admit_by_allotment(forward_t *forward, forward_call_t *call)
+{
+	uint32_t retry_after_ms = 0;
+
+	if (!call->account || call->account->rate_per_s <= 0) {
+		start_granted_call(forward, call);
+		return;
+	}
+	switch (allotments_take(forward->allotments, call->account, call, &retry_after_ms)) {
+	case CW_ALLOTMENT_TAKEN:
+		start_granted_call(forward, call);
+		break;
+	case CW_ALLOTMENT_WAIT:
+		call->awaits_token = true;
+		forward->next_tick_ms = MIN(forward->next_tick_ms, call->state.deadline_ms);
+		break;
+	case CW_ALLOTMENT_REFUSED:
+		refuse_waiting_call(forward, call, CW_REASON_OVER_ALLOTMENT, retry_after_ms);
+		break;
+	}
+}
+
 /* Refuses a call without making an attempt. */
 static void refuse_without_attempt(forward_t *forward, Caraway__CallRequest *request, void *cookie,
 				   const endpoints_t *endpoints)
@@ -276,7 +333,7 @@
 		     now_ms + forward_timeout_ms(forward, &endpoints, caller_timeout_ms));
 	call->state.max_arrivals = endpoints.route->max_attempts;
 	call->useful_until_ms = forward_useful_until_ms(forward, call, caller_timeout_ms, now_ms);
-	step_call(forward, call, (cw_call_event_t){.type = CW_CALL_EV_START}, NULL);
+	admit_by_allotment(forward, call);
 }
 
 /* Cancels a call whose caller has disconnected; attempts are revoked, running ones aborted. */
@@ -404,10 +461,18 @@
 		handle_reply(forward, message->call_reply, address);
 	else if (message->body_case == CARAWAY__MESSAGE__BODY_REVOKE_REPLY)
 		handle_revoke_reply(forward, message->revoke_reply, address);
+	else if (message->body_case == CARAWAY__MESSAGE__BODY_ALLOTMENT_GRANT)
+		allotments_handle_grant(forward->allotments, message->allotment_grant);
 	else
 		counter_add(COUNTER_MESSAGE_UNEXPECTED, 1);
 }
 
+/* Returns the answer to another proxy's request for tokens of client accounts. */
+Caraway__Message *forward_answer_allotment(forward_t *forward, const Caraway__AllotmentRequest *request)
+{
+	return allotments_answer(forward->allotments, request);
+}
+
 /* Returns whether a call in flight has an attempt at an address. */
 static bool address_in_use(const void *data, const char *address)
 {
@@ -436,7 +501,9 @@
 		forward_call_t *call = g_ptr_array_index(forward->calls, i - 1);
 		int64_t due_ms = cw_call_next_tick_ms(&call->state);
 
-		if (due_ms <= now_ms)
+		if (due_ms <= now_ms && call->awaits_token)
+			refuse_waiting_call(forward, call, CW_REASON_DEADLINE, 0);
+		else if (due_ms <= now_ms)
 			step_call(forward, call, (cw_call_event_t){.type = CW_CALL_EV_TICK}, NULL);
 		else
 			forward->next_tick_ms = MIN(forward->next_tick_ms, due_ms);
@@ -452,6 +519,7 @@
 		return;
 	endpoint_links_update(view, forward->incarnation, forward->clients, address_in_use, forward);
 	forward->has_routes = view->route_count > 0;
+	allotments_set_view(forward->allotments, view);
 	forward->callbacks.view_changed(forward->callbacks.data, view);
 	view_unref(view);
 }
@@ -462,6 +530,7 @@
 	int64_t now_ms = clock_now_ms();
 
 	apply_new_view(forward);
+	allotments_run(forward->allotments);
 	if (now_ms >= forward->next_tick_ms)
 		tick_calls(forward, now_ms);
 	if (now_ms >= forward->next_expiry_ms) {
@@ -473,7 +542,7 @@
 /* Returns by when forward_run() must be called next; INT64_MAX for no deadline. */
 int64_t forward_next_tick_ms(const forward_t *forward)
 {
-	return forward->next_tick_ms;
+	return MIN(forward->next_tick_ms, allotments_next_tick_ms(forward->allotments));
 }
 
 /* Returns the number of calls without an outcome yet. */
--- a/daemon/forward_internal.h
+++ b/daemon/forward_internal.h
@@ -2,6 +2,7 @@
 #ifndef FORWARD_INTERNAL_H
 #define FORWARD_INTERNAL_H
 
+#include "allotments.h"
 #include "endpoints.h"
 #include "forward.h"
 
@@ -21,6 +22,7 @@
 	endpoints_t endpoints;
 	const view_account_t *account; /* of the caller, in the view; NULL: none */
 	uint32_t priority;	       /* of the account, or else of the route */
+	bool awaits_token;	       /* of the account's allotment; no attempt has been made */
 	bool has_own_endpoint;	       /* one of the endpoints is this proxy */
 	int64_t useful_until_ms;       /* an answer after this is worth less to the caller */
 	uint32_t wait_ms;    /* shortest queueing delay reported by a receiver that did not answer; 0: none */
@@ -45,8 +47,9 @@
 	uint64_t seen_serial; /* of the last view applied */
 	bool has_routes;      /* in the last view applied */
 	forward_callbacks_t callbacks;
-	cw_pick_t *pick;     /* load balancer: chooses the endpoint of an attempt */
-	GHashTable *budgets; /* cw_budget_t * by service, so that services have separate retry budgets */
+	allotments_t *allotments; /* of client accounts */
+	cw_pick_t *pick;	  /* load balancer: chooses the endpoint of an attempt */
+	GHashTable *budgets;	  /* cw_budget_t * by service, so that services have separate retry budgets */
 	uint64_t last_sequence;
 	GPtrArray *calls;	     /* forward_call_t * */
 	GHashTable *by_sequence;     /* forward_call_t * by the sequence of each attempt */
--- a/daemon/settings.h
+++ b/daemon/settings.h
@@ -63,6 +63,8 @@
 	header_names_t headers;
 	/* Keys of client accounts count for this long after the configuration was confirmed; 0: always. */
 	uint32_t key_lease_ms;
+	uint32_t allotment_window_ms; /* over which the rates of client accounts hold; 0: a token bucket */
+	uint32_t allotment_overage_permille; /* by which a window may exceed the limit of an account */
 	uint32_t grace_ms;	/* from the signal of a planned stop until the process is killed */
 	uint32_t retry_percent; /* retry budget, as a percentage of calls */
 } proxy_settings_t;
--- a/daemon/settings_rules.c
+++ b/daemon/settings_rules.c
@@ -72,6 +72,10 @@
 	{"headers", "account", VALUE_HEADER, OFFSET(proxy.headers.account), "Caraway-Account", 0, 0},
 	{"headers", "target-id", VALUE_HEADER, OFFSET(proxy.headers.target_id), "", 0, 0},
 	{"proxy", "key-lease-s", VALUE_SECONDS, OFFSET(proxy.key_lease_ms), "0", 0, 600000},
+	{"proxy", "allotment-window-s", VALUE_SECONDS, OFFSET(proxy.allotment_window_ms), "0", 0,
+	 CW_ALLOTMENT_MAX_WINDOW_MS},
+	/* A fraction, kept in thousandths. */
+	{"proxy", "allotment-overage", VALUE_SECONDS, OFFSET(proxy.allotment_overage_permille), "0", 0, 1000},
 	{"proxy", "grace-s", VALUE_SECONDS, OFFSET(proxy.grace_ms), "12", 0, 600000},
 	{"proxy", "retry-percent", VALUE_NUMBER, OFFSET(proxy.retry_percent), "10", 0, 100},
 };
--- a/daemon/traffic.c
+++ b/daemon/traffic.c
@@ -103,6 +103,13 @@
 	http_frontend_respond(traffic->http_frontend, cookie, outcome);
 }
 
+/* Answers a request for tokens; takes ownership of the arguments. */
+static void answer_allotment(traffic_t *traffic, Caraway__Message *message, GBytes *peer)
+{
+	send_reply(traffic, peer, forward_answer_allotment(traffic->forward, message->allotment_request));
+	cw_message_free(message);
+}
+
 /* Reads messages of other proxies' sending sides. */
 static void read_server(traffic_t *traffic)
 {
@@ -111,7 +118,10 @@
 
 	for (int i = 0; i < MAX_BATCH_MESSAGES && (message = link_server_receive(traffic->server, &peer));
 	     i++)
-		receiver_handle_message(traffic->receiver, message, peer);
+		if (message->body_case == CARAWAY__MESSAGE__BODY_ALLOTMENT_REQUEST)
+			answer_allotment(traffic, message, peer);
+		else
+			receiver_handle_message(traffic->receiver, message, peer);
 }
 
 /* Reads replies of other proxies. */
--- a/libcaraway/caraway_calls.h
+++ b/libcaraway/caraway_calls.h
@@ -344,6 +344,108 @@
 /* The same, only while the bucket is more than half full. */
 bool cw_budget_take_optional(cw_budget_t *budget);
 
+/* ---- allotments: the rates of client accounts, over all proxies together --------------------------- */
+
+enum {
+	CW_ALLOTMENT_OWNERS = 2, /* the owner of an account, and its substitute */
+	/* A token is spent within this time after its origin asked for it, or not at all. */
+	CW_ALLOTMENT_TOKEN_MS = 250,
+	CW_ALLOTMENT_MAX_WINDOW_MS = 10000
+};
+
+/*
+ * Selects the owner of an account and its substitute by rendezvous hashing over the VMs of proxies: stores
+ * their indexes in ranked[], and returns how many there are.
+ */
+size_t cw_allotment_rank(uint64_t account, const char *const *vms, size_t count,
+			 size_t ranked[CW_ALLOTMENT_OWNERS]);
+
+/*
+ * The limit of an account: with a window, no more than the rate gives in it plus the burst in any window of that
+ * length; without, a token bucket, which allows the burst only after a time below the rate.
+ */
+typedef struct {
+	double rate_per_s;
+	double burst;
+	uint32_t window_ms;	   /* 0: none; at most CW_ALLOTMENT_MAX_WINDOW_MS */
+	uint32_t overage_permille; /* by which a window may exceed the limit */
+} cw_allotment_limit_t;
+
+/* What entitles a proxy to grant tokens of an account. */
+typedef enum {
+	CW_ALLOTMENT_OWNER,	 /* it is the owner, in a confirmed configuration */
+	CW_ALLOTMENT_SUBSTITUTE, /* it is not first by rank; another proxy may grant as well */
+	CW_ALLOTMENT_UNCONFIRMED /* it may have been replaced without knowing it */
+} cw_allotment_title_t;
+
+typedef struct {
+	uint32_t tokens;
+	uint32_t retry_after_ms; /* with fewer tokens than asked: until there may be some */
+} cw_allotment_grant_t;
+
+typedef struct cw_allotment_owner cw_allotment_owner_t;
+
+cw_allotment_owner_t *cw_allotment_owner_new(void);
+void cw_allotment_owner_free(cw_allotment_owner_t *owner);
+/*
+ * Grants up to the number of tokens asked for from the token bucket of an account.  Before since_ms another proxy
+ * may have granted tokens.
+ */
+cw_allotment_grant_t cw_allotment_owner_grant(cw_allotment_owner_t *owner, uint64_t account,
+					      const cw_allotment_limit_t *limit, cw_allotment_title_t title,
+					      int64_t since_ms, uint32_t asked, int64_t now_ms);
+/* Removes the buckets that nobody has asked for since before_ms. */
+void cw_allotment_owner_expire(cw_allotment_owner_t *owner, int64_t before_ms);
+size_t cw_allotment_owner_count(const cw_allotment_owner_t *owner);
+
+/* What becomes of a call of an account. */
+typedef enum {
+	CW_ALLOTMENT_TAKEN,  /* a token was spent on it */
+	CW_ALLOTMENT_WAIT,   /* it waits for a grant; take again after each event */
+	CW_ALLOTMENT_REFUSED /* the account has used its allotment */
+} cw_allotment_verdict_t;
+
+typedef struct cw_allotment_origin cw_allotment_origin_t;
+
+/* A request for tokens to send. */
+typedef struct {
+	uint64_t account;
+	uint64_t request; /* number of the request, to be passed to cw_allotment_origin_granted() */
+	uint32_t tokens;
+	uint32_t rank; /* 0: to the owner, 1: to the substitute */
+} cw_allotment_ask_t;
+
+cw_allotment_origin_t *cw_allotment_origin_new(void);
+void cw_allotment_origin_free(cw_allotment_origin_t *origin);
+/*
+ * Spends a token on a call; first_try is false for a call that has waited.  With CW_ALLOTMENT_REFUSED,
+ * *retry_after_ms is when there may be tokens.
+ */
+cw_allotment_verdict_t cw_allotment_origin_take(cw_allotment_origin_t *origin, uint64_t account,
+						bool first_try, int64_t now_ms, uint32_t *retry_after_ms);
+/* Notes that a call that waited for a token was given up. */
+void cw_allotment_origin_leave(cw_allotment_origin_t *origin, uint64_t account);
+/* Stores the next request for tokens that is due; returns false when there is none. */
+bool cw_allotment_origin_next_ask(cw_allotment_origin_t *origin, int64_t now_ms, cw_allotment_ask_t *ask);
+/* Records the answer to a request; late and crossed ones have no effect. */
+void cw_allotment_origin_granted(cw_allotment_origin_t *origin, uint64_t account, uint64_t request,
+				 const cw_allotment_grant_t *grant, int64_t now_ms);
+/*
+ * Records that a request could not be sent, or that its receiver does not grant tokens of the account.  It is
+ * sent again soon, as a connection may be opening or a configuration on its way, until it times out.
+ */
+void cw_allotment_origin_failed(cw_allotment_origin_t *origin, uint64_t account, uint64_t request,
+				int64_t now_ms);
+/*
+ * Ends requests without an answer.  Returns an account none of whose proxies answers, whose calls are to be
+ * refused as CW_REASON_ALLOTMENT_UNAVAILABLE; 0: none.  To be called until it returns 0.
+ */
+uint64_t cw_allotment_origin_tick(cw_allotment_origin_t *origin, int64_t now_ms);
+/* Returns when cw_allotment_origin_tick() is due; INT64_MAX: never. */
+int64_t cw_allotment_origin_next_tick_ms(const cw_allotment_origin_t *origin);
+/* Removes accounts without calls since before_ms. */
+void cw_allotment_origin_expire(cw_allotment_origin_t *origin, int64_t before_ms);
+
 /* ---- one call at its origin, the sending proxy -------------------------------------------------------- */
 
 enum { CW_CALL_MAX_ATTEMPTS = 8 };
--- a/libcaraway/gen/caraway.pb-c.c
+++ b/libcaraway/gen/caraway.pb-c.c
@@ -8776,24 +8776,36 @@
   (ProtobufCMessageInit) caraway__revoke_reply__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor caraway__allotment_need__field_descriptors[2] =
+static const ProtobufCFieldDescriptor caraway__allotment_need__field_descriptors[3] =
 {
   {
     "account",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_FIXED64,
     0,   /* quantifier_offset */
     offsetof(Caraway__AllotmentNeed, account),
     NULL,
-    &protobuf_c_empty_string,
+    NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "tokens",
+    "request",
     2,
     PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Caraway__AllotmentNeed, request),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "tokens",
+    3,
+    PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
     offsetof(Caraway__AllotmentNeed, tokens),
@@ -8805,12 +8817,13 @@
 };
 static const unsigned caraway__allotment_need__field_indices_by_name[] = {
   0,   /* field[0] = account */
-  1,   /* field[1] = tokens */
+  1,   /* field[1] = request */
+  2,   /* field[2] = tokens */
 };
 static const ProtobufCIntRange caraway__allotment_need__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor caraway__allotment_need__descriptor =
 {
@@ -8820,30 +8833,18 @@
   "Caraway__AllotmentNeed",
   "caraway",
   sizeof(Caraway__AllotmentNeed),
-  2,
+  3,
   caraway__allotment_need__field_descriptors,
   caraway__allotment_need__field_indices_by_name,
   1,  caraway__allotment_need__number_ranges,
   (ProtobufCMessageInit) caraway__allotment_need__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor caraway__allotment_request__field_descriptors[4] =
+static const ProtobufCFieldDescriptor caraway__allotment_request__field_descriptors[3] =
 {
-  {
-    "request",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Caraway__AllotmentRequest, request),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
   {
     "owner",
-    2,
+    1,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_FIXED64,
     0,   /* quantifier_offset */
@@ -8855,7 +8856,7 @@
   },
   {
     "substitute",
-    3,
+    2,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
@@ -8867,7 +8868,7 @@
   },
   {
     "needs",
-    4,
+    3,
     PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_MESSAGE,
     offsetof(Caraway__AllotmentRequest, n_needs),
@@ -8879,15 +8880,14 @@
   },
 };
 static const unsigned caraway__allotment_request__field_indices_by_name[] = {
-  3,   /* field[3] = needs */
-  1,   /* field[1] = owner */
-  0,   /* field[0] = request */
-  2,   /* field[2] = substitute */
+  2,   /* field[2] = needs */
+  0,   /* field[0] = owner */
+  1,   /* field[1] = substitute */
 };
 static const ProtobufCIntRange caraway__allotment_request__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor caraway__allotment_request__descriptor =
 {
@@ -8897,31 +8897,43 @@
   "Caraway__AllotmentRequest",
   "caraway",
   sizeof(Caraway__AllotmentRequest),
-  4,
+  3,
   caraway__allotment_request__field_descriptors,
   caraway__allotment_request__field_indices_by_name,
   1,  caraway__allotment_request__number_ranges,
   (ProtobufCMessageInit) caraway__allotment_request__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor caraway__allotment_share__field_descriptors[4] =
+static const ProtobufCFieldDescriptor caraway__allotment_share__field_descriptors[5] =
 {
   {
     "account",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_FIXED64,
     0,   /* quantifier_offset */
     offsetof(Caraway__AllotmentShare, account),
     NULL,
-    &protobuf_c_empty_string,
+    NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "tokens",
+    "request",
     2,
     PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Caraway__AllotmentShare, request),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "tokens",
+    3,
+    PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
     offsetof(Caraway__AllotmentShare, tokens),
@@ -8932,7 +8944,7 @@
   },
   {
     "retry_after_ms",
-    3,
+    4,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
@@ -8943,12 +8955,12 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "refused",
-    4,
+    "declined",
+    5,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Caraway__AllotmentShare, refused),
+    offsetof(Caraway__AllotmentShare, declined),
     NULL,
     NULL,
     0,             /* flags */
@@ -8957,14 +8969,15 @@
 };
 static const unsigned caraway__allotment_share__field_indices_by_name[] = {
   0,   /* field[0] = account */
-  3,   /* field[3] = refused */
-  2,   /* field[2] = retry_after_ms */
-  1,   /* field[1] = tokens */
+  4,   /* field[4] = declined */
+  1,   /* field[1] = request */
+  3,   /* field[3] = retry_after_ms */
+  2,   /* field[2] = tokens */
 };
 static const ProtobufCIntRange caraway__allotment_share__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor caraway__allotment_share__descriptor =
 {
@@ -8974,30 +8987,18 @@
   "Caraway__AllotmentShare",
   "caraway",
   sizeof(Caraway__AllotmentShare),
-  4,
+  5,
   caraway__allotment_share__field_descriptors,
   caraway__allotment_share__field_indices_by_name,
   1,  caraway__allotment_share__number_ranges,
   (ProtobufCMessageInit) caraway__allotment_share__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor caraway__allotment_grant__field_descriptors[2] =
+static const ProtobufCFieldDescriptor caraway__allotment_grant__field_descriptors[1] =
 {
-  {
-    "request",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Caraway__AllotmentGrant, request),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
   {
     "shares",
-    2,
+    1,
     PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_MESSAGE,
     offsetof(Caraway__AllotmentGrant, n_shares),
@@ -9009,13 +9010,12 @@
   },
 };
 static const unsigned caraway__allotment_grant__field_indices_by_name[] = {
-  0,   /* field[0] = request */
-  1,   /* field[1] = shares */
+  0,   /* field[0] = shares */
 };
 static const ProtobufCIntRange caraway__allotment_grant__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 1 }
 };
 const ProtobufCMessageDescriptor caraway__allotment_grant__descriptor =
 {
@@ -9025,7 +9025,7 @@
   "Caraway__AllotmentGrant",
   "caraway",
   sizeof(Caraway__AllotmentGrant),
-  2,
+  1,
   caraway__allotment_grant__field_descriptors,
   caraway__allotment_grant__field_indices_by_name,
   1,  caraway__allotment_grant__number_ranges,
--- a/libcaraway/gen/caraway.pb-c.h
+++ b/libcaraway/gen/caraway.pb-c.h
@@ -1525,12 +1525,19 @@
 struct  Caraway__AllotmentNeed
 {
   ProtobufCMessage base;
-  char *account;
+  /*
+   * hash of its name
+   */
+  uint64_t account;
+  /*
+   * number given by the sender, repeated in the answer
+   */
+  uint64_t request;
   uint32_t tokens;
 };
 #define CARAWAY__ALLOTMENT_NEED__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&caraway__allotment_need__descriptor) \
-    , (char *)protobuf_c_empty_string, 0 }
+    , 0, 0, 0 }
 
 
 /*
@@ -1539,13 +1546,12 @@
 struct  Caraway__AllotmentRequest
 {
   ProtobufCMessage base;
-  uint64_t request;
   /*
    * incarnation of the proxy that it is sent to
    */
   uint64_t owner;
   /*
-   * the sender cannot reach the owner that comes before this one
+   * that proxy is only the substitute of the owner, which has not answered
    */
   protobuf_c_boolean substitute;
   size_t n_needs;
@@ -1553,38 +1559,38 @@
 };
 #define CARAWAY__ALLOTMENT_REQUEST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&caraway__allotment_request__descriptor) \
-    , 0, 0, 0, 0,NULL }
+    , 0, 0, 0,NULL }
 
 
 struct  Caraway__AllotmentShare
 {
   ProtobufCMessage base;
-  char *account;
+  uint64_t account;
+  uint64_t request;
   uint32_t tokens;
   /*
-   * until there may be further tokens
+   * with fewer tokens than asked for: until there may be some
    */
   uint32_t retry_after_ms;
   /*
-   * this proxy is not the owner at present
+   * this proxy does not grant tokens of the account
    */
-  protobuf_c_boolean refused;
+  protobuf_c_boolean declined;
 };
 #define CARAWAY__ALLOTMENT_SHARE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&caraway__allotment_share__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0 }
+    , 0, 0, 0, 0, 0 }
 
 
 struct  Caraway__AllotmentGrant
 {
   ProtobufCMessage base;
-  uint64_t request;
   size_t n_shares;
   Caraway__AllotmentShare **shares;
 };
 #define CARAWAY__ALLOTMENT_GRANT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&caraway__allotment_grant__descriptor) \
-    , 0, 0,NULL }
+    , 0,NULL }
 
 
 struct  Caraway__ChangesQuery
