--- a/tests/unit/test_allotment.c
+++ b/tests/unit/test_allotment.c
@@ -258,7 +258,7 @@
 	double seconds = (double)run->now_ms / MS_PER_S;
 	double allowed = run->limit.window_ms
 				 ? (run->limit.rate_per_s * WINDOW_MS / MS_PER_S + run->limit.burst) *
-					   seconds / (WINDOW_MS / MS_PER_S)
+					   seconds * MS_PER_S / WINDOW_MS
 				 : run->limit.rate_per_s * seconds + run->limit.burst;
 	double tolerated = (run->limit.rate_per_s * WINDOW_MS / MS_PER_S + run->limit.burst) * 1.1 + 20;
 
