Allotments: probes of owners, credit while one is silent, spare and scarce tokens

Requests for tokens took 100 ms and more for one in ten, and 200 to 500 ms for one in a hundred, behind uploads of 60 to 360 KB on links of 6.8 Mbit/s; a substitute took a connection that was open for an owner that lived.

A substitute now asks the owner itself and grants once it has had no answer for 150 ms. A call of an account that was within its limit of late goes on without a grant after 60 ms, once a second and origin, and the next grant settles it. Accounts with few origins and room in their window get spare tokens, so that calls find one. Tokens that expire unspent go back to the window; those of an account that uses all of its limit are valid for 200 ms only, so that the window need not count them for longer.

--- a/daemon/allotments.c
+++ b/daemon/allotments.c
@@ -8,8 +8,8 @@
 #include "log.h"
 
 enum {
-	/* A substitute grants once it has failed for this long to connect to the owner itself. */
-	OWNER_DOWN_MS = 200,
+	OWNER_HEARD_MS = 200,	 /* an owner that has granted tokens to this proxy of late is up */
+	PROBE_INTERVAL_MS = 500, /* between probes of one that does not answer */
 	MAX_PREOPENED_OWNERS = 128,
 	KEEP_MS = 60 * 1000, /* buckets and balances that nobody uses */
 	EXPIRY_INTERVAL_MS = 10 * 1000
@@ -20,7 +20,9 @@
 	const char *vm; /* of the view */
 	const char *address;
 	uint64_t incarnation;
-	int64_t down_since_ms; /* when this proxy, as a substitute, first found no connection; 0: it has not */
+	int64_t granted_ms; /* when it last granted tokens to this proxy, or answered its probe */
+	int64_t probed_ms;  /* since when it has not answered a probe of this proxy; 0: none is unanswered */
+	int64_t last_probe_ms;
 } candidate_t;
 
 struct allotments {
@@ -91,16 +93,19 @@
 	return (left->incarnation < right->incarnation) - (left->incarnation > right->incarnation);
 }
 
-/* Returns since when a proxy has been found without a connection, 0: it has not. */
-static int64_t known_down_since_ms(const GArray *candidates, const candidate_t *candidate)
+/* Copies what is known of the state of a proxy, by its VM: a process that was started again is found out by probes. */
+static void copy_state(candidate_t *candidate, const GArray *known)
 {
-	for (guint i = 0; i < candidates->len; i++) {
-		const candidate_t *known = &g_array_index(candidates, candidate_t, i);
-
-		if (known->incarnation == candidate->incarnation && !strcmp(known->vm, candidate->vm))
-			return known->down_since_ms;
+	for (guint i = 0; i < known->len; i++) {
+		const candidate_t *other = &g_array_index(known, candidate_t, i);
+
+		if (strcmp(other->vm, candidate->vm) != 0)
+			continue;
+		candidate->granted_ms = other->granted_ms;
+		candidate->probed_ms = other->probed_ms;
+		candidate->last_probe_ms = other->last_probe_ms;
+		return;
 	}
-	return 0;
 }
 
 /* Lists the proxies of a view, one for each VM. */
@@ -114,7 +119,6 @@
 					 .address = endpoint->call_address,
 					 .incarnation = endpoint->incarnation};
 
-		candidate.down_since_ms = known_down_since_ms(allotments->candidates, &candidate);
 		g_array_append_val(candidates, candidate);
 	}
 	g_array_sort(candidates, compare_candidates);
@@ -122,6 +126,8 @@
 		if (!strcmp(g_array_index(candidates, candidate_t, i - 1).vm,
 			    g_array_index(candidates, candidate_t, i - 2).vm))
 			g_array_remove_index(candidates, i - 1);
+	for (guint i = 0; i < candidates->len; i++)
+		copy_state(&g_array_index(candidates, candidate_t, i), allotments->candidates);
 	return candidates;
 }
 
@@ -193,25 +199,55 @@
 	connect_owners(allotments);
 }
 
+/* Asks a proxy for no tokens of an account, to learn whether it would grant any. */
+static void probe(allotments_t *allotments, candidate_t *candidate, uint64_t account, int64_t now_ms)
+{
+	Caraway__Message message = CARAWAY__MESSAGE__INIT;
+	Caraway__AllotmentRequest request = CARAWAY__ALLOTMENT_REQUEST__INIT;
+	Caraway__AllotmentNeed need = CARAWAY__ALLOTMENT_NEED__INIT;
+	Caraway__AllotmentNeed *needs[] = {&need};
+
+	need.account = account;
+	request.owner = candidate->incarnation;
+	request.n_needs = G_N_ELEMENTS(needs);
+	request.needs = needs;
+	message.body_case = CARAWAY__MESSAGE__BODY_ALLOTMENT_REQUEST;
+	message.allotment_request = &request;
+	candidate->last_probe_ms = now_ms;
+	if (!candidate->probed_ms)
+		candidate->probed_ms = now_ms;
+	/* One that cannot be sent counts as unanswered. */
+	link_clients_send(allotments->clients, candidate->address, &message);
+}
+
 /*
- * Returns whether this proxy cannot connect to the owner either: a caller's proxy may only be cut off from it.
- * The first question opens the connection, where none is open.
+ * Returns whether the owner of an account does not answer this proxy either: an origin that cannot reach it may only
+ * be cut off from it.
  */
-static bool is_owner_down(const allotments_t *allotments, candidate_t *owner, int64_t now_ms)
+static bool is_owner_down(allotments_t *allotments, candidate_t *owner, uint64_t account, int64_t now_ms)
 {
-	if (link_clients_is_connected(allotments->clients, owner->address)) {
-		owner->down_since_ms = 0;
+	if (!owner->probed_ms && now_ms < owner->granted_ms + OWNER_HEARD_MS)
 		return false;
+	if (now_ms >= owner->last_probe_ms + PROBE_INTERVAL_MS)
+		probe(allotments, owner, account, now_ms);
+	return owner->probed_ms && now_ms >= owner->probed_ms + CW_ALLOTMENT_PROBE_MS;
+}
+
+/* Notes that a proxy has granted tokens, or answered a probe. */
+static void note_granted(const allotments_t *allotments, const char *address)
+{
+	for (guint i = 0; address && i < allotments->candidates->len; i++) {
+		candidate_t *candidate = &g_array_index(allotments->candidates, candidate_t, i);
+
+		if (strcmp(candidate->address, address) != 0)
+			continue;
+		candidate->granted_ms = clock_now_ms();
+		candidate->probed_ms = 0;
 	}
-	if (!owner->down_since_ms) {
-		owner->down_since_ms = now_ms;
-		link_clients_connect(allotments->clients, owner->address);
-	}
-	return now_ms >= owner->down_since_ms + OWNER_DOWN_MS;
 }
 
 /* Finds what entitles this proxy to grant tokens of an account; returns false when nothing does. */
-static bool find_title(const allotments_t *allotments, uint64_t account, bool substitute, int64_t now_ms,
+static bool find_title(allotments_t *allotments, uint64_t account, bool substitute, int64_t now_ms,
 		       cw_allotment_title_t *title)
 {
 	candidate_t *owner = ranked_candidate(allotments, account, 0);
@@ -221,7 +257,7 @@
 		return false;
 	if (!is_self(allotments, owner)) {
 		*title = CW_ALLOTMENT_SUBSTITUTE;
-		if (substitute && !is_owner_down(allotments, owner, now_ms))
+		if (substitute && !is_owner_down(allotments, owner, account, now_ms))
 			return false;
 	}
 	if (now_ms >= published_view_current_until_ms(allotments->published_view))
@@ -230,8 +266,8 @@
 }
 
 /* Grants tokens of an account; returns false when this proxy may not. */
-static bool grant(allotments_t *allotments, uint64_t account_id, uint32_t tokens, bool substitute,
-		  cw_allotment_grant_t *granted)
+static bool grant(allotments_t *allotments, uint64_t account_id, const cw_allotment_need_t *need,
+		  bool substitute, cw_allotment_grant_t *granted)
 {
 	const view_account_t *account = g_hash_table_lookup(allotments->accounts, &account_id);
 	int64_t now_ms = clock_now_ms();
@@ -246,17 +282,18 @@
 				       .burst = account->burst,
 				       .window_ms = allotments->settings->allotment_window_ms,
 				       .overage_permille = allotments->settings->allotment_overage_permille};
-	*granted = (cw_allotment_grant_t){.tokens = tokens};
+	*granted = (cw_allotment_grant_t){.tokens = need->tokens};
 	if (limit.rate_per_s > 0)
 		*granted = cw_allotment_owner_grant(allotments->owner, account_id, &limit, title,
-						    allotments->candidates_since_ms, tokens, now_ms);
-	counter_add(COUNTER_ALLOTMENT_GRANTED, granted->tokens);
-	counter_add(COUNTER_ALLOTMENT_WITHHELD, tokens - granted->tokens);
+						    allotments->candidates_since_ms, need, now_ms);
+	counter_add(COUNTER_ALLOTMENT_GRANTED, granted->tokens + granted->spare_tokens);
+	counter_add(COUNTER_ALLOTMENT_WITHHELD, need->tokens - granted->tokens);
 	return true;
 }
 
 /* Returns the answer to a request of another proxy. */
-Caraway__Message *allotments_answer(allotments_t *allotments, const Caraway__AllotmentRequest *request)
+Caraway__Message *allotments_answer(allotments_t *allotments, const Caraway__AllotmentRequest *request,
+				    uint64_t origin)
 {
 	Caraway__Message *message = g_new(Caraway__Message, 1);
 	Caraway__AllotmentGrant *answer = g_new(Caraway__AllotmentGrant, 1);
@@ -269,15 +306,17 @@
 	for (size_t i = 0; i < request->n_needs; i++) {
 		const Caraway__AllotmentNeed *need = request->needs[i];
 		Caraway__AllotmentShare *share = g_new(Caraway__AllotmentShare, 1);
+		const cw_allotment_need_t asked = {
+			.origin = origin, .tokens = need->tokens, .unspent = need->unspent};
 		cw_allotment_grant_t granted = {0};
 
 		caraway__allotment_share__init(share);
 		share->account = need->account;
 		share->request = need->request;
-		share->declined =
-			request->owner != allotments->incarnation ||
-			!grant(allotments, need->account, need->tokens, request->substitute, &granted);
+		share->declined = !grant(allotments, need->account, &asked, request->substitute, &granted);
 		share->tokens = granted.tokens;
+		share->spare_tokens = granted.spare_tokens;
+		share->scarce = granted.scarce;
 		share->retry_after_ms = granted.retry_after_ms;
 		answer->shares[answer->n_shares++] = share;
 	}
@@ -344,21 +383,26 @@
 }
 
 /* Handles the answer to a request of this proxy. */
-void allotments_handle_grant(allotments_t *allotments, const Caraway__AllotmentGrant *answer)
+void allotments_handle_grant(allotments_t *allotments, const Caraway__AllotmentGrant *answer,
+			     const char *address)
 {
 	int64_t now_ms = clock_now_ms();
 
 	for (size_t i = 0; i < answer->n_shares; i++) {
 		const Caraway__AllotmentShare *share = answer->shares[i];
 		const cw_allotment_grant_t granted = {.tokens = share->tokens,
+						      .spare_tokens = share->spare_tokens,
+						      .scarce = share->scarce,
 						      .retry_after_ms = share->retry_after_ms};
 
-		if (share->declined)
+		if (share->declined) {
 			cw_allotment_origin_failed(allotments->origin, share->account, share->request,
-						   now_ms);
-		else
+						   CW_ALLOTMENT_DECLINED, now_ms);
+		} else {
+			note_granted(allotments, address);
 			cw_allotment_origin_granted(allotments->origin, share->account, share->request,
 						    &granted, now_ms);
+		}
 		serve_waiting(allotments, share->account);
 	}
 }
@@ -389,13 +433,16 @@
 /* Grants tokens of an account that this proxy owns to itself. */
 static void grant_to_self(allotments_t *allotments, const cw_allotment_ask_t *ask)
 {
+	const cw_allotment_need_t need = {
+		.origin = allotments->incarnation, .tokens = ask->tokens, .unspent = ask->unspent};
 	cw_allotment_grant_t granted;
 	int64_t now_ms = clock_now_ms();
 
-	if (grant(allotments, ask->account, ask->tokens, ask->rank > 0, &granted))
+	if (grant(allotments, ask->account, &need, ask->rank > 0, &granted))
 		cw_allotment_origin_granted(allotments->origin, ask->account, ask->request, &granted, now_ms);
 	else
-		cw_allotment_origin_failed(allotments->origin, ask->account, ask->request, now_ms);
+		cw_allotment_origin_failed(allotments->origin, ask->account, ask->request,
+					   CW_ALLOTMENT_DECLINED, now_ms);
 	serve_waiting(allotments, ask->account);
 }
 
@@ -406,7 +453,8 @@
 	Caraway__AllotmentNeed *need;
 
 	if (!candidate) {
-		cw_allotment_origin_failed(allotments->origin, ask->account, ask->request, clock_now_ms());
+		cw_allotment_origin_failed(allotments->origin, ask->account, ask->request,
+					   CW_ALLOTMENT_UNSENT, clock_now_ms());
 		return;
 	}
 	if (is_self(allotments, candidate)) {
@@ -418,6 +466,7 @@
 	need->account = ask->account;
 	need->request = ask->request;
 	need->tokens = ask->tokens;
+	need->unspent = ask->unspent;
 	g_ptr_array_add(get_batch(batches, candidate, ask->rank > 0)->needs, need);
 }
 
@@ -439,7 +488,8 @@
 	for (guint i = 0; i < batch->needs->len; i++) {
 		const Caraway__AllotmentNeed *need = batch->needs->pdata[i];
 
-		cw_allotment_origin_failed(allotments->origin, need->account, need->request, clock_now_ms());
+		cw_allotment_origin_failed(allotments->origin, need->account, need->request,
+					   CW_ALLOTMENT_UNSENT, clock_now_ms());
 	}
 }
 
@@ -495,10 +545,22 @@
 /* Sends the requests that are due and ends those without an answer. */
 void allotments_run(allotments_t *allotments)
 {
-	uint64_t account;
+	cw_allotment_event_t event;
 
-	while ((account = cw_allotment_origin_tick(allotments->origin, clock_now_ms())))
-		refuse_waiting(allotments, account);
+	do {
+		event = cw_allotment_origin_tick(allotments->origin, clock_now_ms());
+		switch (event.type) {
+		case CW_ALLOTMENT_NO_EVENT:
+			break;
+		case CW_ALLOTMENT_CREDIT:
+			counter_add(COUNTER_ALLOTMENT_CREDIT, 1);
+			serve_waiting(allotments, event.account);
+			break;
+		case CW_ALLOTMENT_UNAVAILABLE:
+			refuse_waiting(allotments, event.account);
+			break;
+		}
+	} while (event.type != CW_ALLOTMENT_NO_EVENT);
 	send_asks(allotments);
 	expire(allotments, clock_now_ms());
 }
--- a/daemon/allotments.h
+++ b/daemon/allotments.h
@@ -33,10 +33,12 @@
 				       uint32_t *retry_after_ms);
 /* Forgets a call that waits; there is no callback about it. */
 void allotments_cancel(allotments_t *allotments, uint64_t account, const void *cookie);
-/* Returns the answer to a request of another proxy. */
-Caraway__Message *allotments_answer(allotments_t *allotments, const Caraway__AllotmentRequest *request);
-/* Handles the answer to a request of this proxy. */
-void allotments_handle_grant(allotments_t *allotments, const Caraway__AllotmentGrant *grant);
+/* Returns the answer to a request of another proxy; origin is any number that tells proxies apart. */
+Caraway__Message *allotments_answer(allotments_t *allotments, const Caraway__AllotmentRequest *request,
+				    uint64_t origin);
+/* Handles the answer to a request of this proxy; address is that of the proxy that sent it. */
+void allotments_handle_grant(allotments_t *allotments, const Caraway__AllotmentGrant *grant,
+			     const char *address);
 /* Sends the requests that are due and ends those without an answer. */
 void allotments_run(allotments_t *allotments);
 /* Returns by when allotments_run() must be called next; INT64_MAX for no deadline. */
--- a/daemon/counters.h
+++ b/daemon/counters.h
@@ -93,6 +93,8 @@
 	X(ALLOTMENT_GRANTED, "allotment-granted")                                                                       \
 	X(ALLOTMENT_WITHHELD, "allotment-withheld")                                                                     \
 	X(ALLOTMENT_DECLINED, "allotment-declined")                                                                     \
+	/* calls that went on without a grant while the owner was silent */                                             \
+	X(ALLOTMENT_CREDIT, "allotment-credit")                                                                         \
 	/* connections opened to targets; answers to another request, to no request, and invalid ones */                \
 	X(TARGET_CONNECTION, "target-connection")                                                                       \
 	X(ANSWER_CROSSED, "answer-crossed")                                                                             \
--- a/daemon/forward.c
+++ b/daemon/forward.c
@@ -462,15 +462,16 @@
 	else if (message->body_case == CARAWAY__MESSAGE__BODY_REVOKE_REPLY)
 		handle_revoke_reply(forward, message->revoke_reply, address);
 	else if (message->body_case == CARAWAY__MESSAGE__BODY_ALLOTMENT_GRANT)
-		allotments_handle_grant(forward->allotments, message->allotment_grant);
+		allotments_handle_grant(forward->allotments, message->allotment_grant, address);
 	else
 		counter_add(COUNTER_MESSAGE_UNEXPECTED, 1);
 }
 
 /* Returns the answer to another proxy's request for tokens of client accounts. */
-Caraway__Message *forward_answer_allotment(forward_t *forward, const Caraway__AllotmentRequest *request)
+Caraway__Message *forward_answer_allotment(forward_t *forward, const Caraway__AllotmentRequest *request,
+					   uint64_t origin)
 {
-	return allotments_answer(forward->allotments, request);
+	return allotments_answer(forward->allotments, request, origin);
 }
 
 /* Returns whether a call in flight has an attempt at an address. */
--- a/daemon/forward.h
+++ b/daemon/forward.h
@@ -46,7 +46,8 @@
 /* Cancels a call whose caller has disconnected; attempts are revoked, running ones aborted. */
 void forward_cancel_call(forward_t *forward, forward_call_t *call);
 /* Returns the answer to another proxy's request for tokens of client accounts. */
-Caraway__Message *forward_answer_allotment(forward_t *forward, const Caraway__AllotmentRequest *request);
+Caraway__Message *forward_answer_allotment(forward_t *forward, const Caraway__AllotmentRequest *request,
+					   uint64_t origin);
 /* Handles a reply; address is that of the proxy that sent it, NULL for this proxy. */
 void forward_handle_message(forward_t *forward, const Caraway__Message *message, const char *address);
 /* Applies a new view and runs expired timers. */
--- a/daemon/link.c
+++ b/daemon/link.c
@@ -277,12 +277,6 @@
 	g_hash_table_remove(clients->sockets, address);
 }
 
-/* Returns whether the connection to an address is established; not known of encrypted ones. */
-bool link_clients_is_connected(const link_clients_t *clients, const char *address)
-{
-	return clients->stream && stream_clients_is_connected(clients->stream, address);
-}
-
 /* Returns the number of connections, including those being opened or waiting to reconnect. */
 size_t link_clients_count(const link_clients_t *clients)
 {
--- a/daemon/link.h
+++ b/daemon/link.h
@@ -51,8 +51,6 @@
 /* Opens the connection to an address before its first message. */
 void link_clients_connect(link_clients_t *clients, const char *address);
 void link_clients_disconnect(link_clients_t *clients, const char *address);
-/* Returns whether the connection to an address is established; false where that is not known. */
-bool link_clients_is_connected(const link_clients_t *clients, const char *address);
 /* Returns the number of connections, including those being opened or waiting to reconnect. */
 size_t link_clients_count(const link_clients_t *clients);
 /* Closes the connections to addresses for which keep() returns false; keep() must not use the clients. */
--- a/daemon/stream.h
+++ b/daemon/stream.h
@@ -37,7 +37,6 @@
 cw_status_t stream_clients_send(stream_clients_t *clients, const char *address,
 				const Caraway__Message *message);
 /* Opens the connection to an address before its first message. */
-bool stream_clients_is_connected(const stream_clients_t *clients, const char *address);
 void stream_clients_connect(stream_clients_t *clients, const char *address);
 /* Closes the connection to an address; messages received from it or queued for it are dropped. */
 void stream_clients_disconnect(stream_clients_t *clients, const char *address);
--- a/daemon/stream_clients.c
+++ b/daemon/stream_clients.c
@@ -217,14 +217,6 @@
 	get_client(clients, address);
 }
 
-/* Returns whether the connection to an address is established. */
-bool stream_clients_is_connected(const stream_clients_t *clients, const char *address)
-{
-	const client_t *client = g_hash_table_lookup(clients->by_address, address);
-
-	return client && stream_connection_is_established(client->connection);
-}
-
 /* Closes the connection to an address; messages received from it or queued for it are dropped. */
 void stream_clients_disconnect(stream_clients_t *clients, const char *address)
 {
--- a/daemon/traffic.c
+++ b/daemon/traffic.c
@@ -106,7 +106,10 @@
 /* Answers a request for tokens; takes ownership of the arguments. */
 static void answer_allotment(traffic_t *traffic, Caraway__Message *message, GBytes *peer)
 {
-	send_reply(traffic, peer, forward_answer_allotment(traffic->forward, message->allotment_request));
+	uint64_t origin = g_bytes_hash(peer) + 1;
+
+	send_reply(traffic, peer,
+		   forward_answer_allotment(traffic->forward, message->allotment_request, origin));
 	cw_message_free(message);
 }
 
--- a/libcaraway/allotment.c
+++ b/libcaraway/allotment.c
@@ -16,14 +16,27 @@
 
 enum {
 	MS_PER_S = 1000,
-	SLOT_MS = CW_ALLOTMENT_TOKEN_MS, /* grants are counted by slots of this time */
-	MAX_SLOTS = CW_ALLOTMENT_MAX_WINDOW_MS / SLOT_MS + 2,
+	SLOT_MS = 250, /* grants are counted by slots of this time */
+	MAX_SLOTS = (CW_ALLOTMENT_MAX_WINDOW_MS + CW_ALLOTMENT_SPARE_MS) / SLOT_MS + 2,
+	ACTIVE_MS = 1000,	/* an origin that has asked within this time counts as active */
+	MAX_ACTIVE = 16,	/* origins counted; with more of them there are no spare tokens */
+	MAX_SPARE = 8,		/* of one grant */
 	START_MS = 250,		/* a new bucket has what the rate gives in this time */
 	MIN_CAPACITY_MS = 250,	/* a bucket holds at least what the rate gives in this time */
 	DEMAND_WINDOW_MS = 500, /* time constant of the demand that is expected to continue */
 	PREFETCH_MS = 150,	/* an origin asks for the demand of this time in advance */
-	ANSWER_TIMEOUT_MS = 150,
-	RESEND_MS = 5,
+	/*
+	 * While an owner is silent, which a long message on its link is enough for, an account that was within its
+	 * limit of late may make a call without a grant: no more than one per origin and interval.
+	 */
+	CREDIT_AFTER_MS = 60,
+	CREDIT_INTERVAL_MS = 1000,
+	WITHIN_LIMIT_MS = 2000,
+	OWNER_TIMEOUT_MS = 300,
+	/* A substitute first finds out whether the owner answers it, which takes CW_ALLOTMENT_PROBE_MS. */
+	SUBSTITUTE_TIMEOUT_MS = 300,
+	RESEND_UNSENT_MS = 5,
+	RESEND_DECLINED_MS = 40,
 	AVOID_OWNER_MS = 1000, /* after the owner has not answered, the substitute is asked first */
 	MIN_EMPTY_MS = 50,     /* an origin that was told of an empty bucket asks again after this time */
 	MAX_EMPTY_MS = 150,
@@ -36,6 +49,10 @@
 /* Part of the rate that is granted by proxies that may not be the only ones to grant. */
 static const double substitute_ratio = 0.5;
 static const double unconfirmed_ratio = 0.1;
+/* Part of what is left in the window that all active origins together get as spare tokens. */
+static const double spare_ratio = 0.25;
+/* Calls a second that make an origin ask again as it spends its last token. */
+static const double steady_demand_per_s = 2;
 /* Part of the overage that is granted; the rest is for moments with two owners. */
 static const double overage_use = 0.8;
 
@@ -73,10 +90,17 @@
 	double tokens;
 	int64_t since_ms; /* before, another proxy may have granted tokens */
 	int64_t updated_ms;
-	int64_t last_slot;	     /* time of the last update in slots */
-	uint32_t granted[MAX_SLOTS]; /* by slot, modulo the size */
-	double window_limit;	     /* of the last update */
-	double demand_per_s;	     /* tokens asked for, over DEMAND_WINDOW_MS */
+	int64_t last_slot; /* time of the last update in slots */
+	/* Tokens granted, by how long they are valid and by slot, modulo the size. */
+	uint32_t granted[MAX_SLOTS];
+	uint32_t spare[MAX_SLOTS];
+	uint32_t scarce[MAX_SLOTS];
+	struct {
+		uint64_t origin;
+		int64_t asked_ms;
+	} active[MAX_ACTIVE]; /* origins that have asked of late */
+	double window_limit;  /* of the last update */
+	double demand_per_s;  /* tokens asked for, over DEMAND_WINDOW_MS */
 } bucket_t;
 
 struct cw_allotment_owner {
@@ -164,21 +188,32 @@
 	int64_t slot = now_ms / SLOT_MS;
 
 	for (int64_t i = MAX(bucket->last_slot, slot - MAX_SLOTS) + 1; i <= slot; i++)
-		bucket->granted[i % MAX_SLOTS] = 0;
+		bucket->granted[i % MAX_SLOTS] = bucket->spare[i % MAX_SLOTS] =
+			bucket->scarce[i % MAX_SLOTS] = 0;
 	bucket->last_slot = MAX(bucket->last_slot, slot);
 }
 
-/* Returns how many tokens the window leaves, which begins CW_ALLOTMENT_TOKEN_MS earlier for those not spent yet. */
-static double left_in_window(const bucket_t *bucket, const cw_allotment_limit_t *limit)
+/* Returns the sum of the newest slots that a time and its last, incomplete slot cover. */
+static double sum_slots(const bucket_t *bucket, const uint32_t *counts, int64_t time_ms)
 {
-	int64_t slots = MIN(limit->window_ms / SLOT_MS + 2, MAX_SLOTS);
-	double granted = 0;
+	int64_t slots = MIN(time_ms / SLOT_MS + 1, MAX_SLOTS);
+	double sum = 0;
 
+	for (int64_t i = MAX(bucket->last_slot - slots + 1, 0); i <= bucket->last_slot; i++)
+		sum += counts[i % MAX_SLOTS];
+	return sum;
+}
+
+/* Returns how many tokens the window leaves; what was granted before it may be spent in it. */
+static double left_in_window(const bucket_t *bucket, const cw_allotment_limit_t *limit)
+{
 	if (!limit->window_ms)
 		return HUGE_VAL;
-	for (int64_t i = MAX(bucket->last_slot - slots + 1, 0); i <= bucket->last_slot; i++)
-		granted += bucket->granted[i % MAX_SLOTS];
-	return MAX(window_limit(limit) - granted, 0);
+	return MAX(window_limit(limit) -
+			   sum_slots(bucket, bucket->granted, limit->window_ms + CW_ALLOTMENT_TOKEN_MS) -
+			   sum_slots(bucket, bucket->scarce, limit->window_ms + CW_ALLOTMENT_SCARCE_MS) -
+			   sum_slots(bucket, bucket->spare, limit->window_ms + CW_ALLOTMENT_SPARE_MS),
+		   0);
 }
 
 /* Applies a lower limit than before: what was granted under the other one does not count against it. */
@@ -186,6 +221,8 @@
 {
 	if (window_limit(limit) < bucket->window_limit) {
 		memset(bucket->granted, 0, sizeof(bucket->granted));
+		memset(bucket->spare, 0, sizeof(bucket->spare));
+		memset(bucket->scarce, 0, sizeof(bucket->scarce));
 		bucket->tokens = MIN(bucket->tokens, tokens_of(limit->rate_per_s, START_MS));
 	}
 	bucket->window_limit = window_limit(limit);
@@ -215,22 +252,87 @@
 	return (uint32_t)CLAMP(MS_PER_S * excess, MS_PER_S / limit->rate_per_s, MAX_RETRY_AFTER_MS);
 }
 
+/* Notes that an origin is active; returns how many are, at least MAX_ACTIVE + 1 when they are too many to count. */
+static size_t note_active(bucket_t *bucket, uint64_t origin, int64_t now_ms)
+{
+	size_t oldest = 0, active = 0;
+	bool known = false;
+
+	for (size_t i = 0; i < MAX_ACTIVE; i++) {
+		bool is_self = bucket->active[i].origin == origin;
+
+		if (is_self)
+			bucket->active[i].asked_ms = now_ms;
+		known = known || is_self;
+		active += bucket->active[i].origin && now_ms < bucket->active[i].asked_ms + ACTIVE_MS;
+		if (bucket->active[i].asked_ms < bucket->active[oldest].asked_ms)
+			oldest = i;
+	}
+	if (known)
+		return active;
+	bucket->active[oldest].origin = origin;
+	bucket->active[oldest].asked_ms = now_ms;
+	return active + 1;
+}
+
+/* Takes the spare tokens of one origin out of the bucket. */
+static uint32_t take_spare(bucket_t *bucket, const cw_allotment_limit_t *limit, size_t active)
+{
+	double left = MIN(left_in_window(bucket, limit), bucket->tokens);
+	uint32_t tokens = (uint32_t)MIN(spare_ratio * left / (double)active, MAX_SPARE);
+
+	bucket->tokens -= tokens;
+	bucket->spare[bucket->last_slot % MAX_SLOTS] += tokens;
+	return tokens;
+}
+
+/* Takes tokens that were never spent out of the slots in which they may have been granted; returns the rest. */
+static uint32_t take_back(const bucket_t *bucket, uint32_t *counts, int64_t valid_ms, uint32_t tokens)
+{
+	int64_t newest = bucket->last_slot - valid_ms / SLOT_MS;
+
+	for (int64_t i = newest; tokens && i > 0 && i > bucket->last_slot - MAX_SLOTS; i--) {
+		uint32_t taken = MIN(counts[i % MAX_SLOTS], tokens);
+
+		counts[i % MAX_SLOTS] -= taken;
+		tokens -= taken;
+	}
+	return tokens;
+}
+
+/* Counts what an origin has not spent as not granted. */
+static void return_unspent(bucket_t *bucket, uint32_t unspent)
+{
+	uint32_t rest = take_back(bucket, bucket->spare, CW_ALLOTMENT_SPARE_MS, unspent);
+
+	rest = take_back(bucket, bucket->granted, CW_ALLOTMENT_TOKEN_MS, rest);
+	bucket->tokens += unspent - rest;
+}
+
 /* Grants up to the number of tokens asked for. */
 cw_allotment_grant_t cw_allotment_owner_grant(cw_allotment_owner_t *owner, uint64_t account,
 					      const cw_allotment_limit_t *limit, cw_allotment_title_t title,
-					      int64_t since_ms, uint32_t asked, int64_t now_ms)
+					      int64_t since_ms, const cw_allotment_need_t *need,
+					      int64_t now_ms)
 {
 	bucket_t *bucket = get_bucket(owner, account, limit, CLAMP(since_ms, 0, now_ms));
 	cw_allotment_grant_t grant = {.retry_after_ms = MS_PER_S};
+	size_t active;
+	double left;
 
 	if (!bucket)
 		return grant;
-	update_bucket(bucket, limit, title, asked, now_ms);
-	grant.tokens =
-		(uint32_t)MIN(floor(MIN(bucket->tokens, left_in_window(bucket, limit))), (double)asked);
+	update_bucket(bucket, limit, title, need->tokens, now_ms);
+	return_unspent(bucket, need->unspent);
+	left = MIN(bucket->tokens, left_in_window(bucket, limit));
+	grant.tokens = (uint32_t)MIN(floor(left), (double)need->tokens);
+	grant.scarce = left < tokens_of(limit->rate_per_s, SLOT_MS);
 	bucket->tokens -= grant.tokens;
-	bucket->granted[bucket->last_slot % MAX_SLOTS] += grant.tokens;
-	grant.retry_after_ms = grant.tokens < asked ? retry_after_ms(bucket, limit) : 0;
+	(grant.scarce ? bucket->scarce : bucket->granted)[bucket->last_slot % MAX_SLOTS] += grant.tokens;
+	grant.retry_after_ms = grant.tokens < need->tokens ? retry_after_ms(bucket, limit) : 0;
+	active = note_active(bucket, need->origin, now_ms);
+	if (title == CW_ALLOTMENT_OWNER && need->tokens && !grant.scarce && active <= MAX_ACTIVE)
+		grant.spare_tokens = take_spare(bucket, limit, active);
 	return grant;
 }
 
@@ -265,6 +367,7 @@
 typedef struct {
 	uint64_t account;
 	lot_t lots[MAX_LOTS];
+	uint32_t unspent;    /* tokens that have expired since the last request */
 	uint32_t waiting;    /* calls that wait for a token */
 	double demand_per_s; /* calls, over DEMAND_WINDOW_MS */
 	int64_t demand_ms;   /* when that was updated */
@@ -276,6 +379,10 @@
 	int64_t answer_by_ms; /* when the proxy is given up; 0: it has answered */
 	int64_t avoid_owner_until_ms;
 	int64_t empty_until_ms; /* the bucket is known to be empty until then */
+	bool is_spent;		/* the last token was spent, and another call is expected soon */
+	int64_t full_grant_ms;	/* when all that was asked for was granted */
+	int64_t credit_ms;	/* when the last token was given on credit */
+	uint32_t debt;		/* tokens given on credit, which the next grants settle */
 	int64_t retry_at_ms;	/* when refused callers are to return, as the owner said */
 } balance_t;
 
@@ -332,8 +439,10 @@
 	uint32_t tokens = 0;
 
 	for (int i = 0; i < MAX_LOTS; i++) {
-		if (balance->lots[i].expires_ms <= now_ms)
+		if (balance->lots[i].expires_ms <= now_ms) {
+			balance->unspent += balance->lots[i].tokens;
 			balance->lots[i].tokens = 0;
+		}
 		tokens += balance->lots[i].tokens;
 	}
 	return tokens;
@@ -361,6 +470,7 @@
 	for (int i = 1; i < MAX_LOTS; i++)
 		if (balance->lots[i].tokens < fewest->tokens)
 			fewest = &balance->lots[i];
+	balance->unspent += fewest->tokens;
 	*fewest = (lot_t){.tokens = tokens, .expires_ms = expires_ms};
 }
 
@@ -399,14 +509,18 @@
 						bool first_try, int64_t now_ms, uint32_t *retry_after_ms)
 {
 	balance_t *balance = get_balance(origin, account);
+	bool is_steady;
 
 	*retry_after_ms = MS_PER_S;
 	if (!balance)
 		return CW_ALLOTMENT_REFUSED;
+	update_demand(balance, 0, now_ms);
+	is_steady = balance->demand_per_s > steady_demand_per_s;
 	update_demand(balance, first_try ? 1 : 0, now_ms);
 	mark_due(origin, balance);
 	if (spend_token(balance, now_ms)) {
 		stop_waiting(balance, !first_try);
+		balance->is_spent = is_steady && balance->full_grant_ms && !count_tokens(balance, now_ms);
 		return CW_ALLOTMENT_TAKEN;
 	}
 	if (now_ms < balance->empty_until_ms) {
@@ -437,10 +551,33 @@
 		return 0;
 	if (balance->waiting)
 		return balance->waiting + expected;
+	if (balance->is_spent)
+		return MAX(expected, 1);
 	/* In advance: when less than half of what is expected is left. */
 	return expected > 1 && tokens < expected / 2 ? expected - tokens : 0;
 }
 
+/* Returns when a waiting call may go on without a grant; INT64_MAX: never. */
+static int64_t credit_tick_ms(const balance_t *balance)
+{
+	int64_t due_ms = MAX(balance->asked_ms + CREDIT_AFTER_MS, balance->credit_ms + CREDIT_INTERVAL_MS);
+
+	if (!balance->waiting || !balance->full_grant_ms ||
+	    due_ms >= balance->full_grant_ms + WITHIN_LIMIT_MS)
+		return INT64_MAX;
+	return due_ms;
+}
+
+/* Returns when something is due about a request in flight or to be sent again; INT64_MAX: nothing is. */
+static int64_t balance_tick_ms(const balance_t *balance)
+{
+	int64_t due_ms = MIN(balance->answer_by_ms, credit_tick_ms(balance));
+
+	if (!balance->answer_by_ms)
+		return INT64_MAX;
+	return balance->resend_ms ? MIN(balance->resend_ms, due_ms) : due_ms;
+}
+
 /* Stores the next request for tokens that is due. */
 bool cw_allotment_origin_next_ask(cw_allotment_origin_t *origin, int64_t now_ms, cw_allotment_ask_t *ask)
 {
@@ -456,12 +593,15 @@
 		balance->request = ++origin->last_request;
 		balance->asked_ms = now_ms;
 		if (!balance->answer_by_ms)
-			balance->answer_by_ms = now_ms + ANSWER_TIMEOUT_MS;
-		origin->next_tick_ms = MIN(origin->next_tick_ms, balance->answer_by_ms);
+			balance->answer_by_ms =
+				now_ms + (balance->rank ? SUBSTITUTE_TIMEOUT_MS : OWNER_TIMEOUT_MS);
+		origin->next_tick_ms = MIN(origin->next_tick_ms, balance_tick_ms(balance));
 		*ask = (cw_allotment_ask_t){.account = balance->account,
 					    .request = balance->request,
 					    .tokens = tokens,
+					    .unspent = balance->unspent,
 					    .rank = balance->rank};
+		balance->unspent = 0;
 		return true;
 	}
 	return false;
@@ -472,6 +612,7 @@
 				 const cw_allotment_grant_t *grant, int64_t now_ms)
 {
 	balance_t *balance = find_balance(origin, account);
+	uint32_t settled;
 
 	if (!balance || !request || balance->request != request)
 		return;
@@ -480,8 +621,14 @@
 	balance->failed_ranks = 0;
 	if (balance->rank == 0)
 		balance->avoid_owner_until_ms = 0;
-	add_tokens(balance, grant->tokens, balance->asked_ms + CW_ALLOTMENT_TOKEN_MS);
+	settled = MIN(grant->tokens, balance->debt);
+	balance->debt -= settled;
+	add_tokens(balance, grant->tokens - settled,
+		   balance->asked_ms + (grant->scarce ? CW_ALLOTMENT_SCARCE_MS : CW_ALLOTMENT_TOKEN_MS));
+	add_tokens(balance, grant->spare_tokens, balance->asked_ms + CW_ALLOTMENT_SPARE_MS);
+	balance->is_spent = false;
 	balance->empty_until_ms = 0;
+	balance->full_grant_ms = grant->retry_after_ms ? 0 : now_ms;
 	if (grant->retry_after_ms) {
 		balance->empty_until_ms =
 			now_ms + CLAMP((int64_t)grant->retry_after_ms, MIN_EMPTY_MS, MAX_EMPTY_MS);
@@ -489,6 +636,20 @@
 	}
 }
 
+/* Records that a request has failed. */
+void cw_allotment_origin_failed(cw_allotment_origin_t *origin, uint64_t account, uint64_t request,
+				cw_allotment_failure_t failure, int64_t now_ms)
+{
+	balance_t *balance = find_balance(origin, account);
+	int64_t delay_ms = failure == CW_ALLOTMENT_UNSENT ? RESEND_UNSENT_MS : RESEND_DECLINED_MS;
+
+	if (!balance || !request || balance->request != request)
+		return;
+	balance->request = 0;
+	balance->resend_ms = MIN(now_ms + delay_ms, balance->answer_by_ms);
+	origin->next_tick_ms = MIN(origin->next_tick_ms, balance->resend_ms);
+}
+
 /* Ends a request without tokens: the other proxy is asked, or, after both, calls are refused for a while. */
 static bool fail_request(cw_allotment_origin_t *origin, balance_t *balance, int64_t now_ms)
 {
@@ -504,57 +665,53 @@
 		return false;
 	}
 	balance->failed_ranks = 0;
-	balance->avoid_owner_until_ms = 0;
 	balance->waiting = 0;
 	return true;
 }
 
-/* Records that a request could not be sent or was declined. */
-void cw_allotment_origin_failed(cw_allotment_origin_t *origin, uint64_t account, uint64_t request,
-				int64_t now_ms)
-{
-	balance_t *balance = find_balance(origin, account);
-
-	if (!balance || !request || balance->request != request)
-		return;
-	balance->request = 0;
-	balance->resend_ms = MIN(now_ms + RESEND_MS, balance->answer_by_ms);
-	origin->next_tick_ms = MIN(origin->next_tick_ms, balance->resend_ms);
-}
-
-/* Returns when something is due about a request in flight or to be sent again; INT64_MAX: nothing is. */
-static int64_t balance_tick_ms(const balance_t *balance)
+/* Runs the timers of a balance. */
+static cw_allotment_event_type_t tick_balance(cw_allotment_origin_t *origin, balance_t *balance,
+					      int64_t now_ms)
 {
 	if (!balance->answer_by_ms)
-		return INT64_MAX;
-	return balance->resend_ms ? MIN(balance->resend_ms, balance->answer_by_ms) : balance->answer_by_ms;
+		return CW_ALLOTMENT_NO_EVENT;
+	if (now_ms >= credit_tick_ms(balance)) {
+		balance->credit_ms = now_ms;
+		balance->debt++;
+		add_tokens(balance, 1, now_ms + CW_ALLOTMENT_TOKEN_MS);
+		return CW_ALLOTMENT_CREDIT;
+	}
+	if (now_ms >= balance->answer_by_ms)
+		return fail_request(origin, balance, now_ms) ? CW_ALLOTMENT_UNAVAILABLE
+							     : CW_ALLOTMENT_NO_EVENT;
+	if (balance->resend_ms && now_ms >= balance->resend_ms) {
+		balance->resend_ms = 0;
+		mark_due(origin, balance);
+	}
+	return CW_ALLOTMENT_NO_EVENT;
 }
 
-/* Ends requests without an answer; returns an account whose waiting calls are to be refused, or 0. */
-uint64_t cw_allotment_origin_tick(cw_allotment_origin_t *origin, int64_t now_ms)
+/* Runs the timers of requests. */
+cw_allotment_event_t cw_allotment_origin_tick(cw_allotment_origin_t *origin, int64_t now_ms)
 {
 	GHashTableIter iter;
 	gpointer value;
 
 	if (now_ms < origin->next_tick_ms)
-		return 0;
+		return (cw_allotment_event_t){.type = CW_ALLOTMENT_NO_EVENT};
 	origin->next_tick_ms = INT64_MAX;
 	g_hash_table_iter_init(&iter, origin->balances);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		balance_t *balance = value;
+		cw_allotment_event_type_t type = tick_balance(origin, balance, now_ms);
 
-		if (balance->resend_ms && now_ms >= balance->resend_ms && now_ms < balance->answer_by_ms) {
-			balance->resend_ms = 0;
-			mark_due(origin, balance);
-		}
-		if (now_ms < balance_tick_ms(balance)) {
-			origin->next_tick_ms = MIN(origin->next_tick_ms, balance_tick_ms(balance));
-		} else if (fail_request(origin, balance, now_ms)) {
-			origin->next_tick_ms = now_ms; /* others may have ended too */
-			return balance->account;
+		if (type != CW_ALLOTMENT_NO_EVENT) {
+			origin->next_tick_ms = now_ms; /* something may be due of others too */
+			return (cw_allotment_event_t){.type = type, .account = balance->account};
 		}
+		origin->next_tick_ms = MIN(origin->next_tick_ms, balance_tick_ms(balance));
 	}
-	return 0;
+	return (cw_allotment_event_t){.type = CW_ALLOTMENT_NO_EVENT};
 }
 
 /* Returns when cw_allotment_origin_tick() is due. */
--- a/libcaraway/caraway_calls.h
+++ b/libcaraway/caraway_calls.h
@@ -349,8 +349,14 @@
 enum {
 	CW_ALLOTMENT_OWNERS = 2, /* the owner of an account, and its substitute */
 	/* A token is spent within this time after its origin asked for it, or not at all. */
-	CW_ALLOTMENT_TOKEN_MS = 250,
-	CW_ALLOTMENT_MAX_WINDOW_MS = 10000
+	CW_ALLOTMENT_TOKEN_MS = 500,
+	/* The same while an account uses all of its limit, and all tokens are spent at once. */
+	CW_ALLOTMENT_SCARCE_MS = 200,
+	/* The same for the spare tokens that come with a grant while the account is well within its limit. */
+	CW_ALLOTMENT_SPARE_MS = 1000,
+	CW_ALLOTMENT_MAX_WINDOW_MS = 10000,
+	/* A substitute grants tokens once the owner has not answered it for this time. */
+	CW_ALLOTMENT_PROBE_MS = 150
 };
 
 /*
@@ -378,8 +384,17 @@
 	CW_ALLOTMENT_UNCONFIRMED /* it may have been replaced without knowing it */
 } cw_allotment_title_t;
 
+/* What an origin asks for. */
 typedef struct {
+	uint64_t origin; /* any number that tells origins apart, not 0 */
 	uint32_t tokens;
+	uint32_t unspent; /* tokens of earlier grants that have expired since it asked last */
+} cw_allotment_need_t;
+
+typedef struct {
+	uint32_t tokens;
+	uint32_t spare_tokens;	 /* beyond what was asked for */
+	bool scarce;		 /* the tokens are valid for CW_ALLOTMENT_SCARCE_MS */
 	uint32_t retry_after_ms; /* with fewer tokens than asked: until there may be some */
 } cw_allotment_grant_t;
 
@@ -388,12 +403,13 @@
 cw_allotment_owner_t *cw_allotment_owner_new(void);
 void cw_allotment_owner_free(cw_allotment_owner_t *owner);
 /*
- * Grants up to the number of tokens asked for from the token bucket of an account.  Before since_ms another proxy
- * may have granted tokens.
+ * Grants up to the number of tokens that an origin asks for from the token bucket of an account.  Before since_ms
+ * another proxy may have granted tokens.
  */
 cw_allotment_grant_t cw_allotment_owner_grant(cw_allotment_owner_t *owner, uint64_t account,
 					      const cw_allotment_limit_t *limit, cw_allotment_title_t title,
-					      int64_t since_ms, uint32_t asked, int64_t now_ms);
+					      int64_t since_ms, const cw_allotment_need_t *need,
+					      int64_t now_ms);
 /* Removes the buckets that nobody has asked for since before_ms. */
 void cw_allotment_owner_expire(cw_allotment_owner_t *owner, int64_t before_ms);
 size_t cw_allotment_owner_count(const cw_allotment_owner_t *owner);
@@ -412,6 +428,7 @@
 	uint64_t account;
 	uint64_t request; /* number of the request, to be passed to cw_allotment_origin_granted() */
 	uint32_t tokens;
+	uint32_t unspent;
 	uint32_t rank; /* 0: to the owner, 1: to the substitute */
 } cw_allotment_ask_t;
 
@@ -430,17 +447,29 @@
 /* Records the answer to a request; late and crossed ones have no effect. */
 void cw_allotment_origin_granted(cw_allotment_origin_t *origin, uint64_t account, uint64_t request,
 				 const cw_allotment_grant_t *grant, int64_t now_ms);
-/*
- * Records that a request could not be sent, or that its receiver does not grant tokens of the account.  It is
- * sent again soon, as a connection may be opening or a configuration on its way, until it times out.
- */
+/* Why a request for tokens has brought none. */
+typedef enum {
+	CW_ALLOTMENT_UNSENT,  /* there is no connection: one may be opening */
+	CW_ALLOTMENT_DECLINED /* the receiver does not grant tokens of the account at present */
+} cw_allotment_failure_t;
+
+/* Records that a request has failed.  It is sent again soon, until it times out. */
 void cw_allotment_origin_failed(cw_allotment_origin_t *origin, uint64_t account, uint64_t request,
-				int64_t now_ms);
-/*
- * Ends requests without an answer.  Returns an account none of whose proxies answers, whose calls are to be
- * refused as CW_REASON_ALLOTMENT_UNAVAILABLE; 0: none.  To be called until it returns 0.
- */
-uint64_t cw_allotment_origin_tick(cw_allotment_origin_t *origin, int64_t now_ms);
+				cw_allotment_failure_t failure, int64_t now_ms);
+/* What a timer of an origin leads to. */
+typedef enum {
+	CW_ALLOTMENT_NO_EVENT,
+	CW_ALLOTMENT_CREDIT,	 /* a waiting call of the account may go on without a grant: take again */
+	CW_ALLOTMENT_UNAVAILABLE /* no proxy grants tokens of the account: its waiting calls are to be refused */
+} cw_allotment_event_type_t;
+
+typedef struct {
+	cw_allotment_event_type_t type;
+	uint64_t account;
+} cw_allotment_event_t;
+
+/* Runs the timers of requests; to be called until it returns CW_ALLOTMENT_NO_EVENT. */
+cw_allotment_event_t cw_allotment_origin_tick(cw_allotment_origin_t *origin, int64_t now_ms);
 /* Returns when cw_allotment_origin_tick() is due; INT64_MAX: never. */
 int64_t cw_allotment_origin_next_tick_ms(const cw_allotment_origin_t *origin);
 /* Removes accounts without calls since before_ms. */
--- a/libcaraway/gen/caraway.pb-c.c
+++ b/libcaraway/gen/caraway.pb-c.c
@@ -8776,7 +8776,7 @@
   (ProtobufCMessageInit) caraway__revoke_reply__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor caraway__allotment_need__field_descriptors[3] =
+static const ProtobufCFieldDescriptor caraway__allotment_need__field_descriptors[4] =
 {
   {
     "account",
@@ -8814,16 +8814,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "unspent",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Caraway__AllotmentNeed, unspent),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned caraway__allotment_need__field_indices_by_name[] = {
   0,   /* field[0] = account */
   1,   /* field[1] = request */
   2,   /* field[2] = tokens */
+  3,   /* field[3] = unspent */
 };
 static const ProtobufCIntRange caraway__allotment_need__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor caraway__allotment_need__descriptor =
 {
@@ -8833,7 +8846,7 @@
   "Caraway__AllotmentNeed",
   "caraway",
   sizeof(Caraway__AllotmentNeed),
-  3,
+  4,
   caraway__allotment_need__field_descriptors,
   caraway__allotment_need__field_indices_by_name,
   1,  caraway__allotment_need__number_ranges,
@@ -8904,7 +8917,7 @@
   (ProtobufCMessageInit) caraway__allotment_request__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor caraway__allotment_share__field_descriptors[5] =
+static const ProtobufCFieldDescriptor caraway__allotment_share__field_descriptors[7] =
 {
   {
     "account",
@@ -8966,18 +8979,44 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "spare_tokens",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Caraway__AllotmentShare, spare_tokens),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "scarce",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Caraway__AllotmentShare, scarce),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned caraway__allotment_share__field_indices_by_name[] = {
   0,   /* field[0] = account */
   4,   /* field[4] = declined */
   1,   /* field[1] = request */
   3,   /* field[3] = retry_after_ms */
+  6,   /* field[6] = scarce */
+  5,   /* field[5] = spare_tokens */
   2,   /* field[2] = tokens */
 };
 static const ProtobufCIntRange caraway__allotment_share__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor caraway__allotment_share__descriptor =
 {
@@ -8987,7 +9026,7 @@
   "Caraway__AllotmentShare",
   "caraway",
   sizeof(Caraway__AllotmentShare),
-  5,
+  7,
   caraway__allotment_share__field_descriptors,
   caraway__allotment_share__field_indices_by_name,
   1,  caraway__allotment_share__number_ranges,
--- a/libcaraway/gen/caraway.pb-c.h
+++ b/libcaraway/gen/caraway.pb-c.h
@@ -1534,10 +1534,14 @@
    */
   uint64_t request;
   uint32_t tokens;
+  /*
+   * tokens of earlier grants that expired since the last request
+   */
+  uint32_t unspent;
 };
 #define CARAWAY__ALLOTMENT_NEED__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&caraway__allotment_need__descriptor) \
-    , 0, 0, 0 }
+    , 0, 0, 0, 0 }
 
 
 /*
@@ -1547,7 +1551,7 @@
 {
   ProtobufCMessage base;
   /*
-   * incarnation of the proxy that it is sent to
+   * incarnation of the proxy that it is sent to, as far as the sender knows
    */
   uint64_t owner;
   /*
@@ -1576,10 +1580,18 @@
    * this proxy does not grant tokens of the account
    */
   protobuf_c_boolean declined;
+  /*
+   * beyond what was asked for, and longer valid
+   */
+  uint32_t spare_tokens;
+  /*
+   * the tokens that were asked for are valid for a shorter time
+   */
+  protobuf_c_boolean scarce;
 };
 #define CARAWAY__ALLOTMENT_SHARE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&caraway__allotment_share__descriptor) \
-    , 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Caraway__AllotmentGrant
--- a/tests/unit/test_allotment.c
+++ b/tests/unit/test_allotment.c
@@ -136,6 +136,8 @@
 {
 	cw_allotment_title_t title = message.ask.rank ? CW_ALLOTMENT_SUBSTITUTE : CW_ALLOTMENT_OWNER;
 
+	const cw_allotment_need_t need = {
+		.origin = message.origin + 1, .tokens = message.ask.tokens, .unspent = message.ask.unspent};
 	/* A new owner may have a predecessor; at the start there is none. */
 	int64_t since_ms = run->now_ms < run->dead_from_ms ? 0 : START_MS + run->dead_from_ms;
 
@@ -143,11 +145,12 @@
 		return;
 	message.at_ms = run->now_ms + LINK_MS;
 	message.is_answer = true;
-	if (message.ask.rank && (owner_is_up(run) || run->substitute_hears_owner))
+	if (message.ask.rank && (owner_is_up(run) || run->substitute_hears_owner ||
+				 run->now_ms < run->dead_from_ms + CW_ALLOTMENT_PROBE_MS))
 		message.grant.retry_after_ms = UINT32_MAX; /* declined */
 	else
 		message.grant = cw_allotment_owner_grant(run->owners[message.ask.rank], ACCOUNT, &run->limit,
-							 title, since_ms, message.ask.tokens, clock_ms(run));
+							 title, since_ms, &need, clock_ms(run));
 	g_array_append_val(run->messages, message);
 }
 
@@ -157,7 +160,8 @@
 	cw_allotment_origin_t *origin = run->origins[message->origin];
 
 	if (message->grant.retry_after_ms == UINT32_MAX)
-		cw_allotment_origin_failed(origin, ACCOUNT, message->ask.request, clock_ms(run));
+		cw_allotment_origin_failed(origin, ACCOUNT, message->ask.request, CW_ALLOTMENT_DECLINED,
+					   clock_ms(run));
 	else
 		cw_allotment_origin_granted(origin, ACCOUNT, message->ask.request, &message->grant,
 					    clock_ms(run));
@@ -186,8 +190,14 @@
 static void run_origin(run_t *run, size_t origin)
 {
 	message_t message = {.at_ms = run->now_ms + LINK_MS, .origin = origin};
+	cw_allotment_event_t event;
 
-	while (cw_allotment_origin_tick(run->origins[origin], clock_ms(run))) {
+	while ((event = cw_allotment_origin_tick(run->origins[origin], clock_ms(run))).type !=
+	       CW_ALLOTMENT_NO_EVENT) {
+		if (event.type == CW_ALLOTMENT_CREDIT) {
+			serve_waiting(run, origin);
+			continue;
+		}
 		run->unavailable += run->waiting[origin]->len;
 		g_array_set_size(run->waiting[origin], 0);
 	}
