Accounts in change files, by digests of keys; client accounts in separate processes

A change file had no section for accounts, and [account NAME] would have been read as a target. Keys are given as digests, which carawayctl digest prints, so that a key never leaves the operator.

--- a/cli/arguments.c
+++ b/cli/arguments.c
@@ -63,6 +63,7 @@
 	[SUBCOMMAND_CHANGES] = {"changes", 0, 0, "j"},	  [SUBCOMMAND_SHOW] = {"show", 1, 1, "j"},
 	[SUBCOMMAND_IN_FORCE] = {"inforce", 0, 0, "jsS"}, [SUBCOMMAND_STATUS] = {"status", 0, 0, "ja"},
 	[SUBCOMMAND_COUNTERS] = {"counters", 0, 0, "ja"}, [SUBCOMMAND_KEY] = {"key", 1, 1, ""},
+	[SUBCOMMAND_DIGEST] = {"digest", 2, 2, ""},
 };
 
 /* The values collected by the argp parser, validated together at the end. */
@@ -227,7 +228,7 @@
 	else
 		arguments->keys = keys_new_insecure();
 	if (!arguments->control_addresses->len && !arguments->at_addresses->len &&
-	    arguments->subcommand != SUBCOMMAND_KEY)
+	    arguments->subcommand != SUBCOMMAND_KEY && arguments->subcommand != SUBCOMMAND_DIGEST)
 		argp_error(state, "--control or --config is required");
 }
 
@@ -260,12 +261,13 @@
 
 static const char args_doc[] = "book FILE --number N --due TIME\n"
 			       "review N\nwithdraw N\nlabel VM KEY=VALUE...\n"
-			       "changes\nshow N\ninforce\nstatus\ncounters\nkey FILE";
+			       "changes\nshow N\ninforce\nstatus\ncounters\nkey FILE\ndigest SALT FILE";
 
 static const char help_text[] =
 	"Books, reviews and withdraws changes, labels VMs, and shows what is in force where.\v"
 	"Commands: book, review, withdraw, label.  Queries: changes, show, inforce, status, counters.\n"
-	"key generates a key pair: it writes the secret key to a new FILE and prints the public key.\n\n"
+	"key generates a key pair: it writes the secret key to a new FILE and prints the public key.\n"
+	"digest prints the digest of the client account's key in FILE, for the key-digests of a change file.\n\n"
 	"Examples:\n"
 	"  carawayctl -C 10.0.0.1:7101,10.0.0.2:7101 book pass.ini --number 12 --due 2026-12-24T06:00:00Z\n"
 	"  carawayctl -c /etc/caraway/ctl.ini review 12 --wait\n"
--- a/cli/carawayctl.c
+++ b/cli/carawayctl.c
@@ -29,6 +29,7 @@
 	case SUBCOMMAND_COUNTERS:
 		return query_counters(session, arguments);
 	case SUBCOMMAND_KEY:
+	case SUBCOMMAND_DIGEST:
 	case SUBCOMMAND_COUNT:
 		break;
 	}
@@ -96,12 +97,42 @@
 	return status;
 }
 
+/* Prints the digest of the key in a file, with a salt. */
+static cw_status_t print_digest(const arguments_t *arguments)
+{
+	g_autoptr(GError) error = NULL;
+	g_autofree char *key = NULL;
+	char text[CW_KEY_DIGEST_TEXT_BYTES];
+	cw_key_digest_t salt, digest;
+
+	if (!cw_key_digest_parse(g_ptr_array_index(arguments->operands, 0), &salt))
+		return cw_fail(CW_ERR_USAGE, "the salt must have 32 hexadecimal digits");
+	if (!g_file_get_contents(g_ptr_array_index(arguments->operands, 1), &key, NULL, &error))
+		return cw_fail(CW_ERR_NOT_FOUND, "%s", error->message);
+	digest = cw_account_key_digest(salt.words, g_strstrip(key));
+	cw_key_digest_format(&digest, text);
+	printf("%s\n", text);
+	return CW_OK;
+}
+
+/* Runs a subcommand. */
+static cw_status_t run(const arguments_t *arguments)
+{
+	switch (arguments->subcommand) {
+	case SUBCOMMAND_KEY:
+		return generate_key(arguments);
+	case SUBCOMMAND_DIGEST:
+		return print_digest(arguments);
+	default:
+		return run_with_session(arguments);
+	}
+}
+
 /* Runs the subcommand; the exit code is its status. */
 int main(int argc, char **argv)
 {
 	arguments_t *arguments = arguments_parse(argc, argv);
-	cw_status_t status = arguments->subcommand == SUBCOMMAND_KEY ? generate_key(arguments)
-								     : run_with_session(arguments);
+	cw_status_t status = run(arguments);
 
 	if (status != CW_OK)
 		print_failure(status);
--- a/cli/render.c
+++ b/cli/render.c
@@ -87,7 +87,7 @@
 	g_string_append_c(out, '\n');
 }
 
-/* Appends the services, routes, targets and limits of a change. */
+/* Appends the services, routes, targets, accounts and limits of a change. */
 static void render_content(const Caraway__Content *content, GString *out)
 {
 	for (size_t i = 0; i < content->n_services; i++) {
@@ -113,6 +113,15 @@
 		else
 			render_route(route, out);
 	}
+	for (size_t i = 0; i < content->n_accounts; i++) {
+		const Caraway__ClientAccount *account = content->accounts[i];
+		if (account->removed)
+			g_string_append_printf(out, "account %s, removed\n", account->name);
+		else
+			g_string_append_printf(out, "account %s: %zu keys, %g calls a second, burst %g\n",
+					       account->name, account->n_key_digests / 2, account->rate_per_s,
+					       account->burst);
+	}
 	for (size_t i = 0; i < content->n_limits; i++) {
 		const Caraway__CallerLimits *limits = content->limits[i];
 		if (limits->removed)
--- a/cli/render_json.c
+++ b/cli/render_json.c
@@ -61,6 +61,8 @@
 		return json_integer(*(const uint32_t *)value);
 	case PROTOBUF_C_TYPE_INT32:
 		return json_integer(*(const int32_t *)value);
+	case PROTOBUF_C_TYPE_DOUBLE:
+		return json_real(*(const double *)value);
 	case PROTOBUF_C_TYPE_BYTES:
 		return bytes_to_json(value);
 	default:
@@ -78,6 +80,7 @@
 	case PROTOBUF_C_TYPE_FIXED64:
 	case PROTOBUF_C_TYPE_UINT64:
 	case PROTOBUF_C_TYPE_INT64:
+	case PROTOBUF_C_TYPE_DOUBLE:
 		return sizeof(uint64_t);
 	case PROTOBUF_C_TYPE_BYTES:
 		return sizeof(ProtobufCBinaryData);
--- a/libcaraway/account.c
+++ b/libcaraway/account.c
@@ -102,6 +102,31 @@
 	return digest;
 }
 
+/* Writes a digest as hexadecimal digits. */
+void cw_key_digest_format(const cw_key_digest_t *digest, char text[CW_KEY_DIGEST_TEXT_BYTES])
+{
+	g_snprintf(text, CW_KEY_DIGEST_TEXT_BYTES, "%016" G_GINT64_MODIFIER "x%016" G_GINT64_MODIFIER "x",
+		   digest->words[0], digest->words[1]);
+}
+
+/* Reads a digest that cw_key_digest_format() has written. */
+bool cw_key_digest_parse(const char *text, cw_key_digest_t *digest)
+{
+	enum { WORD_DIGITS = 16, HEX_BASE = 16 };
+
+	if (strlen(text) != DIGEST_WORDS * WORD_DIGITS)
+		return false;
+	for (int i = 0; i < DIGEST_WORDS; i++) {
+		g_autofree char *word = g_strndup(text + i * WORD_DIGITS, WORD_DIGITS);
+		guint64 value;
+
+		if (!g_ascii_string_to_unsigned(word, HEX_BASE, 0, G_MAXUINT64, &value, NULL))
+			return false;
+		digest->words[i] = value;
+	}
+	return true;
+}
+
 /* Returns a copy of an account with the digests of its keys in place of the keys. */
 Caraway__ClientAccount *cw_account_seal(const Caraway__ClientAccount *account, const uint64_t salt[2])
 {
--- a/libcaraway/caraway_changes.h
+++ b/libcaraway/caraway_changes.h
@@ -37,6 +37,11 @@
 
 /* Returns the digest of a key; the salt is that of the account. */
 cw_key_digest_t cw_account_key_digest(const uint64_t salt[2], const char *key);
+enum { CW_KEY_DIGEST_TEXT_BYTES = 33 };
+
+/* Writes a digest, or a salt, as hexadecimal digits, and reads it back; false when the text is not one. */
+void cw_key_digest_format(const cw_key_digest_t *digest, char text[CW_KEY_DIGEST_TEXT_BYTES]);
+bool cw_key_digest_parse(const char *text, cw_key_digest_t *digest);
 /* Returns a copy of an account with the digests of its keys in place of the keys. */
 Caraway__ClientAccount *cw_account_seal(const Caraway__ClientAccount *account, const uint64_t salt[2]);
 cw_status_t cw_vm_check(const Caraway__Vm *vm);
--- a/libcaraway/change.c
+++ b/libcaraway/change.c
@@ -15,10 +15,12 @@
 static const char *const change_keys[] = {"title", "selector", NULL};
 static const char *const service_keys[] = {"timeout-ms", "health-path", "max-connections", "remove", NULL};
 static const char *const route_keys[] = {
-	"path",	    "service",	    "target", "idempotent", "host", "timeout-ms", "target-latency-ms",
-	"priority", "max-attempts", "split",  "remove",	    NULL};
+	"path",	    "service",	    "target", "idempotent", "host",   "timeout-ms", "target-latency-ms",
+	"priority", "max-attempts", "split",  "access",	    "remove", NULL};
 static const char *const limits_keys[] = {"max-header-bytes", "max-body-bytes", "header-timeout-ms",
 					  "idle-timeout-ms",  "remove",		NULL};
+static const char *const account_keys[] = {"key-salt", "key-digests", "priority", "rate-per-s",
+					   "burst",    "remove",      NULL};
 static const char *const target_keys[] = {"service", "selector", "remove", NULL};
 
 /* Fails with a message about a key of the current section. */
@@ -143,6 +145,52 @@
 	return CW_OK;
 }
 
+/* Reads "public" or "account"; the default applies when the key is missing. */
+static cw_status_t read_access(const reader_t *reader, Caraway__Access *access)
+{
+	g_autofree char *value = g_key_file_get_string(reader->keys, reader->group, "access", NULL);
+
+	if (!value)
+		return CW_OK;
+	*access = !strcmp(value, "public") ? CARAWAY__ACCESS__ACCESS_PUBLIC : CARAWAY__ACCESS__ACCESS_ACCOUNT;
+	if (*access == CARAWAY__ACCESS__ACCESS_PUBLIC || !strcmp(value, "account"))
+		return CW_OK;
+	return bad_key(reader, "access", "must be public or account");
+}
+
+/* Reads a number of 0 or more; *present is false when the key is missing. */
+static cw_status_t read_amount(const reader_t *reader, const char *key, protobuf_c_boolean *present,
+			       double *amount)
+{
+	g_autofree char *value = g_key_file_get_string(reader->keys, reader->group, key, NULL);
+	char *end = NULL;
+
+	*present = value != NULL;
+	*amount = value ? g_ascii_strtod(value, &end) : 0;
+	if (value && (end == value || *end || !(*amount >= 0)))
+		return bad_key(reader, key, "must be a number of 0 or more");
+	return CW_OK;
+}
+
+/* Reads the digests of an account's keys, separated by commas, each of 32 hexadecimal digits. */
+static cw_status_t read_digests(const reader_t *reader, const char *key, size_t *count, uint64_t **words)
+{
+	g_autofree char *value = g_key_file_get_string(reader->keys, reader->group, key, NULL);
+	g_auto(GStrv) parts = value ? g_strsplit(value, ",", -1) : NULL;
+	guint length = parts ? g_strv_length(parts) : 0;
+
+	*words = calloc(2 * (size_t)length + 1, sizeof(**words));
+	for (guint i = 0; i < length; i++) {
+		cw_key_digest_t digest;
+
+		if (!cw_key_digest_parse(g_strstrip(parts[i]), &digest))
+			return bad_key(reader, key, "must have 32 hexadecimal digits");
+		memcpy(&(*words)[*count], digest.words, sizeof(digest.words));
+		*count += 2;
+	}
+	return CW_OK;
+}
+
 /* Reads [change]. */
 static cw_status_t read_change(const reader_t *reader, Caraway__Content *content)
 {
@@ -198,7 +246,26 @@
 		status = read_number(reader, "priority", &route->priority);
 	if (!status)
 		status = read_number(reader, "max-attempts", &route->max_attempts);
-	return status;
+	return status ? status : read_access(reader, &route->access);
+}
+
+/* Reads [account NAME]; a removal needs no other key. */
+static cw_status_t read_account(const reader_t *reader, Caraway__ClientAccount *account)
+{
+	cw_status_t status = reject_unknown_keys(reader, account_keys);
+
+	if (!status)
+		status = read_flag(reader, "remove", &account->removed);
+	if (!status)
+		status = read_digests(reader, "key-salt", &account->n_key_salt, &account->key_salt);
+	if (!status)
+		status = read_digests(reader, "key-digests", &account->n_key_digests, &account->key_digests);
+	if (!status)
+		status = read_amount(reader, "rate-per-s", &account->has_rate, &account->rate_per_s);
+	if (!status)
+		status = read_amount(reader, "burst", &account->has_burst, &account->burst);
+	account->has_priority = g_key_file_has_key(reader->keys, reader->group, "priority", NULL);
+	return status ? status : read_number(reader, "priority", &account->priority);
 }
 
 /* Reads [limits NAME]; a removal needs no other key. */
@@ -264,6 +331,14 @@
 		content->limits[content->n_limits++] = limits;
 		return read_limits(reader, limits);
 	}
+	case SECTION_ACCOUNT: {
+		Caraway__ClientAccount *account = malloc(sizeof(*account));
+
+		caraway__client_account__init(account);
+		account->name = strdup(name);
+		content->accounts[content->n_accounts++] = account;
+		return read_account(reader, account);
+	}
 	default: {
 		Caraway__Target *target = malloc(sizeof(*target));
 
@@ -296,7 +371,7 @@
 	}
 	return cw_fail(CW_ERR_CHANGE_FILE,
 		       "%s: [%s] is not a known section; use [change], [service NAME], [route NAME], "
-		       "[target NAME] or [limits NAME]",
+		       "[target NAME], [limits NAME] or [account NAME]",
 		       reader->file, reader->group);
 }
 
@@ -317,6 +392,7 @@
 	content->routes = cw_message_array(count);
 	content->targets = cw_message_array(count);
 	content->limits = cw_message_array(count);
+	content->accounts = cw_message_array(count);
 	qsort(groups, count, sizeof(char *), compare_strings);
 	for (size_t i = 0; i < count && !status; i++) {
 		reader->group = groups[i];
--- a/tests/unit/cluster.c
+++ b/tests/unit/cluster.c
@@ -47,6 +47,7 @@
 	GHashTable *processes;		       /* name -> pid, until reaped */
 	GArray *reserved_sockets;	       /* int; bound sockets that reserve ports */
 	char *preload;			       /* path of the library to preload; NULL: none */
+	char *proxy_settings;		       /* further lines of the [proxy] sections; NULL: none */
 	bool starts_with_full_disk;	       /* the process that is being started */
 };
 
@@ -233,6 +234,7 @@
 	if (!cluster->keep_folder)
 		remove_folder(cluster->folder);
 	g_free(cluster->folder);
+	g_free(cluster->proxy_settings);
 	g_free(cluster->build);
 	g_free(cluster);
 }
@@ -429,13 +431,13 @@
 void cluster_start_proxy(cluster_t *cluster, const char *name)
 {
 	const proxy_t *proxy = find_proxy(cluster, name);
-	g_autofree char *sections =
-		g_strdup_printf("[proxy]\nvm=%s\nzone=%s\nregion=eszak\nservice=%s\nlisten=127.0.0.1:%d\n"
-				"call-listen=127.0.0.1:%d\nfeed-listen=127.0.0.1:%d\ntarget=127.0.0.1:%d\n"
-				"call-announce=127.0.0.1:%d\nfeed-announce=127.0.0.1:%d\nreport-ms=1000\n",
-				proxy->name, proxy->zone, proxy->service, proxy->ports[HTTP_PORT],
-				proxy->ports[CALL_PORT], proxy->ports[FEED_PORT], proxy->ports[TARGET_PORT],
-				proxy->announced_ports[CALL_PORT], proxy->announced_ports[FEED_PORT]);
+	g_autofree char *sections = g_strdup_printf(
+		"[proxy]\nvm=%s\nzone=%s\nregion=eszak\nservice=%s\nlisten=127.0.0.1:%d\n"
+		"call-listen=127.0.0.1:%d\nfeed-listen=127.0.0.1:%d\ntarget=127.0.0.1:%d\n"
+		"call-announce=127.0.0.1:%d\nfeed-announce=127.0.0.1:%d\nreport-ms=1000\n%s",
+		proxy->name, proxy->zone, proxy->service, proxy->ports[HTTP_PORT], proxy->ports[CALL_PORT],
+		proxy->ports[FEED_PORT], proxy->ports[TARGET_PORT], proxy->announced_ports[CALL_PORT],
+		proxy->announced_ports[FEED_PORT], cluster->proxy_settings ? cluster->proxy_settings : "");
 	g_autofree char *settings = write_settings_file(cluster, name, "proxy", sections);
 	const char *arguments[] = {"--config", settings, NULL};
 
@@ -601,11 +603,22 @@
 		g_string_append_printf(out, " %.*s", (int)strcspn(value, "\r\n"), value);
 }
 
+void cluster_set_proxy_settings(cluster_t *cluster, const char *lines)
+{
+	g_free(cluster->proxy_settings);
+	cluster->proxy_settings = g_strdup(lines);
+}
+
 char *cluster_http_get(cluster_t *cluster, const char *proxy, const char *path)
+{
+	return cluster_http_get_with(cluster, proxy, path, "");
+}
+
+char *cluster_http_get_with(cluster_t *cluster, const char *proxy, const char *path, const char *headers)
 {
 	struct sockaddr_in address = {.sin_family = AF_INET, .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
-	g_autofree char *request =
-		g_strdup_printf("GET %s HTTP/1.1\r\nHost: mesh\r\nConnection: close\r\n\r\n", path);
+	g_autofree char *request = g_strdup_printf(
+		"GET %s HTTP/1.1\r\nHost: mesh\r\n%sConnection: close\r\n\r\n", path, headers);
 	char response[RESPONSE_BYTES] = "";
 	GString *out = g_string_new(NULL);
 	int fd = socket(AF_INET, SOCK_STREAM, 0);
--- a/tests/unit/cluster.h
+++ b/tests/unit/cluster.h
@@ -50,6 +50,8 @@
  * of the file's first record, or zeros.
  */
 void cluster_append_torn_record(cluster_t *cluster, int id, size_t length, bool zeros);
+/* Sets lines that the [proxy] sections of proxies started from now on have besides, each with its end of line. */
+void cluster_set_proxy_settings(cluster_t *cluster, const char *lines);
 /* Adds a proxy, which cluster_start_proxy() starts, and starts its target. */
 void cluster_add_proxy(cluster_t *cluster, const char *name, const char *zone, const char *service);
 /* Starts the target of a proxy, also again after it has ended, on the same port. */
@@ -91,6 +93,8 @@
  * "503 not-run no-config", or "no " without a response; the caller frees it.
  */
 char *cluster_http_get(cluster_t *cluster, const char *proxy, const char *path);
+/* The same with header lines besides, each with its end of line. */
+char *cluster_http_get_with(cluster_t *cluster, const char *proxy, const char *path, const char *headers);
 /* Returns the configuration versions that a proxy has logged since it was first started (uint64_t). */
 GArray *cluster_logged_versions(const cluster_t *cluster, const char *proxy);
 /* Returns whether a process has logged an event since it was first started. */
--- a/tests/unit/test_change.c
+++ b/tests/unit/test_change.c
@@ -23,6 +23,16 @@
 				       route->name, route->path, route->service, route->target,
 				       route->idempotence, route->removed ? " removed" : "");
 	}
+	for (size_t i = 0; i < content->n_accounts; i++) {
+		const Caraway__ClientAccount *account = content->accounts[i];
+		g_autofree char *priority =
+			account->has_priority ? g_strdup_printf("%u", account->priority) : g_strdup("none");
+
+		g_string_append_printf(out, "account %s keys %zu priority %s rate %g burst %g%s\n",
+				       account->name, account->n_key_digests / 2, priority,
+				       account->rate_per_s, account->burst,
+				       account->removed ? " removed" : "");
+	}
 	for (size_t i = 0; i < content->n_targets; i++) {
 		const Caraway__Target *target = content->targets[i];
 
