Fair shares of client accounts when room at a target is short

Cause: the receiver's queue knew no accounts. An account at 7.5 times its usual rate got the same share of its demand as all others, and calls of 210 ms, a quarter of the slowest route's mean, were at times exempt from refusal and made most answers late.

A call of an account that does not fit displaces queued calls of accounts above their share, and a call of the account with most slot time follows those that it would make late. Calls of accounts are not exempt as short calls. The receiver passes CallRequest.account on. Without accounts every decision is as before.

Ruled out, with figures in fair-shares.md: overtaking within a priority, weights by size, a decay of 1 or 2 s, a limit on displaced calls, displacing only calls ahead.

--- a/daemon/receiver.c
+++ b/daemon/receiver.c
@@ -234,6 +234,7 @@
 	const cw_admit_call_t call = {.id = call_id(request->id),
 				      .cookie = cookie,
 				      .route = request->route,
+				      .account = request->account,
 				      .priority = request->priority,
 				      .deadline_ms = job->start_by_ms,
 				      .useful_until_ms = now_ms + request->useful_ms - job->transit_ms,
--- a/libcaraway/admit.c
+++ b/libcaraway/admit.c
@@ -12,7 +12,12 @@
  * too often is refused at the head of the queue, if calls behind it can still be
  * answered in time.
  * Service times are measured per route.
+ *
+ * An account that sends many times its usual rate must not take the room of others: when not all calls of a
+ * priority can be answered in time, those of accounts above their share (fair_share.c) are refused, also ones that
+ * are queued already.  Calls without an account are never refused for others.
  */
+#include "fair_share.h"
 #include "internal.h"
 
 #include <math.h>
@@ -62,13 +67,23 @@
 	double limit_ms;    /* its likely maximum */
 } queued_call_t;
 
+/* A running call of an account. */
+typedef struct {
+	cw_call_id_t id;
+	cw_fair_call_t charged;
+} running_call_t;
+
 struct cw_admit {
 	cw_admit_options_t options;
 	cw_records_t *records;
-	GPtrArray *queue;   /* of queued_call_t, the earliest due first */
-	GHashTable *routes; /* route -> route_stats_t */
-	uint32_t running;   /* calls that have started and not ended */
-	int64_t started_ms; /* when the last one started */
+	GPtrArray *queue; /* of queued_call_t, the earliest due first */
+	GPtrArray
+		*displaced; /* of queued_call_t, refused in favour of others; cw_admit_next() returns them */
+	cw_fair_share_t *shares;
+	GArray *running_calls; /* of running_call_t: those of accounts */
+	GHashTable *routes;    /* route -> route_stats_t */
+	uint32_t running;      /* calls that have started and not ended */
+	int64_t started_ms;    /* when the last one started */
 	bool draining;
 	int64_t start_until_ms; /* queued calls that have not started by then are refused; INT64_MAX: never */
 	bool warm;		/* the target has answered since it was last unreachable */
@@ -86,6 +101,9 @@
 	admit->start_until_ms = INT64_MAX;
 	admit->records = cw_records_new(MAX_ORIGINS);
 	admit->queue = g_ptr_array_new_with_free_func(g_free);
+	admit->displaced = g_ptr_array_new_with_free_func(g_free);
+	admit->shares = cw_fair_share_new();
+	admit->running_calls = g_array_new(FALSE, FALSE, sizeof(running_call_t));
 	admit->routes = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
 	return admit;
 }
@@ -94,6 +112,9 @@
 void cw_admit_free(cw_admit_t *admit)
 {
 	g_ptr_array_unref(admit->queue);
+	g_ptr_array_unref(admit->displaced);
+	cw_fair_share_free(admit->shares);
+	g_array_unref(admit->running_calls);
 	g_hash_table_destroy(admit->routes);
 	cw_records_free(admit->records);
 	g_free(admit);
@@ -204,7 +225,7 @@
 	return CW_ADMIT_REFUSE;
 }
 
-/* Returns whether a call is so short that refusing it would free too little capacity. */
+/* Returns whether a service time is so short that refusing the call would free too little capacity. */
 static bool is_short_call(const cw_admit_t *admit, double expected_ms)
 {
 	return expected_ms < short_call_ratio * admit->slowest_ms;
@@ -216,13 +237,23 @@
 	return is_short_call(admit, cw_admit_service_ms(admit, route));
 }
 
+/*
+ * Returns whether a call is short and therefore never refused as crowded.  Calls of accounts are not exempt: one of
+ * another account can be refused instead, and routes whose mean is near the limit made most calls late when they
+ * were exempt at times.
+ */
+static bool is_exempt(const cw_admit_t *admit, const queued_call_t *queued)
+{
+	return !queued->call.account && is_short_call(admit, queued->expected_ms);
+}
+
 /* Returns whether a call that waits for so long is likely answered by its useful_until_ms. */
 static bool fits(const cw_admit_t *admit, const queued_call_t *queued, double wait_ms, int64_t now_ms)
 {
 	double slack_ms = (double)(queued->call.useful_until_ms - now_ms);
 
 	return wait_ms + queued->limit_ms <= slack_ms || wait_ms <= short_wait_ratio * slack_ms ||
-	       is_short_call(admit, queued->expected_ms);
+	       is_exempt(admit, queued);
 }
 
 /* Returns whether a call has a lower priority than another. */
@@ -243,20 +274,59 @@
 	       wait_ms + service_ms > slack_ms;
 }
 
+/* Returns a call as its account is charged for it. */
+static cw_fair_call_t fair_call(const queued_call_t *queued)
+{
+	return (cw_fair_call_t){.account = queued->call.account,
+				.priority = queued->call.priority,
+				.weight = queued->call.account_weight,
+				.cost_ms = queued->expected_ms};
+}
+
+/* Returns whether two calls are of the same priority and of different accounts, neither of which is none. */
+static bool share_priority(const queued_call_t *queued, const queued_call_t *other)
+{
+	return queued->call.account && other->call.account && queued->call.account != other->call.account &&
+	       queued->call.priority == other->call.priority;
+}
+
+/* Returns by how much the account of a queued call is above its share if a new call of another one is accepted. */
+static double excess(const cw_admit_t *admit, const queued_call_t *queued, const queued_call_t *added,
+		     int64_t now_ms)
+{
+	const cw_fair_call_t charged = fair_call(queued);
+	const cw_fair_call_t uncharged = fair_call(added);
+
+	return cw_fair_share_excess(admit->shares, &charged, &uncharged, now_ms);
+}
+
+/* Returns whether the account of a new call is above its share: none with queued calls of the priority has more. */
+static bool is_above_share(const cw_admit_t *admit, const queued_call_t *added, int64_t now_ms)
+{
+	for (guint i = 0; i < admit->queue->len; i++)
+		if (share_priority(admit->queue->pdata[i], added) &&
+		    excess(admit, admit->queue->pdata[i], added, now_ms) > 0)
+			return false;
+	return true;
+}
+
 /*
  * Returns the position of a new call, which is first that by the objectives.  It overtakes calls of lower
- * priority as far as it needs to fit, and follows calls of higher priority that it would make late.
+ * priority as far as it needs to fit, and follows calls of higher priority, or of accounts with a better claim to their
+ * share, that it would make late.
  */
 static guint choose_position(const cw_admit_t *admit, const queued_call_t *added, int64_t now_ms)
 {
 	guint position = insert_position(admit, &added->call);
 	double added_ms = added->expected_ms / cw_admit_limit(admit, now_ms);
+	bool above_share = added->call.account && is_above_share(admit, added, now_ms);
 
 	while (position > 0 && is_less_urgent(admit->queue->pdata[position - 1], added) &&
 	       !fits(admit, added, queue_wait_ms(admit, position, added->expected_ms, now_ms), now_ms))
 		position--;
 	for (guint i = position; i < admit->queue->len; i++)
-		if (is_less_urgent(added, admit->queue->pdata[i]) &&
+		if ((is_less_urgent(added, admit->queue->pdata[i]) ||
+		     (above_share && share_priority(admit->queue->pdata[i], added))) &&
 		    misses_objective(admit, admit->queue->pdata[i],
 				     queue_wait_ms(admit, i, added->expected_ms, now_ms) + added_ms, now_ms))
 			position = i + 1;
@@ -276,12 +346,139 @@
 	return fits(admit, added, wait_ms, now_ms) ? CW_REASON_NONE : CW_REASON_CROWDED;
 }
 
-/* Marks a call as started. */
-static void start_call(cw_admit_t *admit, const cw_call_id_t *id, int64_t now_ms)
+/* Charges a call that has been accepted to its account, if it has one. */
+static void charge_call(cw_admit_t *admit, const queued_call_t *queued, int64_t now_ms)
+{
+	const cw_fair_call_t charged = fair_call(queued);
+
+	if (charged.account)
+		cw_fair_share_charge(admit->shares, &charged, now_ms);
+}
+
+/* Refunds the charge of a call that does not run, or its difference from the time that it took. */
+static void refund_charge(cw_admit_t *admit, const cw_fair_call_t *charged, double took_ms, int64_t now_ms)
 {
+	cw_fair_call_t refund = *charged;
+
+	refund.cost_ms = took_ms - charged->cost_ms;
+	if (refund.account)
+		cw_fair_share_charge(admit->shares, &refund, now_ms);
+}
+
+/* Refunds the charge of a call that leaves the queue without having started. */
+static void refund_queued(cw_admit_t *admit, const queued_call_t *queued, int64_t now_ms)
+{
+	const cw_fair_call_t charged = fair_call(queued);
+
+	refund_charge(admit, &charged, 0, now_ms);
+}
+
+/* Marks a call, which has been charged, as started. */
+static void start_call(cw_admit_t *admit, const queued_call_t *queued, int64_t now_ms)
+{
+	const running_call_t running = {.id = queued->call.id, .charged = fair_call(queued)};
+
 	admit->running++;
 	admit->started_ms = now_ms;
-	cw_records_set(admit->records, id, CW_RECORD_STARTED, now_ms);
+	cw_records_set(admit->records, &queued->call.id, CW_RECORD_STARTED, now_ms);
+	if (running.charged.account)
+		g_array_append_val(admit->running_calls, running);
+}
+
+/* Replaces the charge of a started call by the time that it took; 0: it did not run. */
+static void settle_charge(cw_admit_t *admit, const cw_call_id_t *id, double took_ms, int64_t now_ms)
+{
+	for (guint i = 0; i < admit->running_calls->len; i++) {
+		const running_call_t *running = &g_array_index(admit->running_calls, running_call_t, i);
+
+		if (running->id.origin != id->origin || running->id.sequence != id->sequence)
+			continue;
+		refund_charge(admit, &running->charged, took_ms, now_ms);
+		g_array_remove_index_fast(admit->running_calls, i);
+		return;
+	}
+}
+
+/* Returns whether two calls of one account differ only in when they are due, and the queued one is due later. */
+static bool is_later_call(const queued_call_t *queued, const queued_call_t *added)
+{
+	return queued->call.route == added->call.route && due_ms(&queued->call) > due_ms(&added->call);
+}
+
+/*
+ * Returns the position of the queued call that is refused first so that a call of an account can be accepted: one of
+ * the same priority and of the account that is most above its share, and of its calls the last in the queue.
+ * Taking only calls ahead of the accepted one answered less in time under overload, as it keeps the longest calls.
+ * If there is none, a call of the same account and route that is due later, so that callers who come back
+ * after a refusal keep their turn.  The length of the queue if there is neither.
+ */
+static guint find_displaceable(const cw_admit_t *admit, const queued_call_t *added, int64_t now_ms)
+{
+	guint found = admit->queue->len;
+	double most = 0;
+
+	for (guint i = admit->queue->len; i-- > 0;) {
+		const queued_call_t *queued = admit->queue->pdata[i];
+		double above = share_priority(queued, added) ? excess(admit, queued, added, now_ms) : 0;
+		bool is_turn = found == admit->queue->len && queued->call.account == added->call.account &&
+			       queued->call.priority == added->call.priority && is_later_call(queued, added);
+
+		if (above > most || is_turn) {
+			most = above;
+			found = i;
+		}
+	}
+	return found;
+}
+
+/* Puts calls back into the queue from which they were taken, the last one first. */
+static void restore_queue(cw_admit_t *admit, GPtrArray *taken, const GArray *positions, int64_t now_ms)
+{
+	while (taken->len) {
+		queued_call_t *queued = g_ptr_array_steal_index(taken, taken->len - 1);
+
+		charge_call(admit, queued, now_ms);
+		g_ptr_array_insert(admit->queue, (gint)g_array_index(positions, guint, taken->len), queued);
+	}
+}
+
+/* Refuses calls that were taken from the queue; cw_admit_next() returns them. */
+static void displace(cw_admit_t *admit, GPtrArray *taken, int64_t now_ms)
+{
+	for (guint i = 0; i < taken->len; i++) {
+		const queued_call_t *queued = taken->pdata[i];
+
+		cw_records_set(admit->records, &queued->call.id, CW_RECORD_REFUSED, now_ms);
+	}
+	g_ptr_array_extend_and_steal(admit->displaced, taken);
+}
+
+/*
+ * Displaces queued calls of accounts above their share until a call of an account can be accepted.  Returns the
+ * reason to refuse it if that is not enough; the queue is then as before.
+ */
+static cw_reason_t make_room(cw_admit_t *admit, const queued_call_t *added, guint *position,
+			     cw_reason_t refusal, int64_t now_ms)
+{
+	g_autoptr(GPtrArray) taken = g_ptr_array_new_with_free_func(g_free);
+	g_autoptr(GArray) positions = g_array_new(FALSE, FALSE, sizeof(guint));
+	cw_reason_t cause = refusal;
+	guint found;
+
+	while (cause != CW_REASON_NONE &&
+	       (found = find_displaceable(admit, added, now_ms)) < admit->queue->len) {
+		refund_queued(admit, admit->queue->pdata[found], now_ms);
+		g_ptr_array_add(taken, g_ptr_array_steal_index(admit->queue, found));
+		g_array_append_val(positions, found);
+		*position = choose_position(admit, added, now_ms);
+		cause = arrival_refusal(admit, added, *position, now_ms);
+	}
+	if (cause == CW_REASON_NONE) {
+		displace(admit, g_steal_pointer(&taken), now_ms);
+		return CW_REASON_NONE;
+	}
+	restore_queue(admit, taken, positions, now_ms);
+	return refusal;
 }
 
 /* Queues a call, or refuses it. */
@@ -295,8 +492,11 @@
 	added.limit_ms = service_limit_ms(admit, call, added.expected_ms, deviation_factor);
 	position = choose_position(admit, &added, now_ms);
 	cause = arrival_refusal(admit, &added, position, now_ms);
+	if (cause != CW_REASON_NONE && call->account)
+		cause = make_room(admit, &added, &position, cause, now_ms);
 	if (cause != CW_REASON_NONE)
 		return refuse(admit, &call->id, now_ms, cause, reason);
+	charge_call(admit, &added, now_ms);
 	g_ptr_array_insert(admit->queue, (gint)position, g_memdup2(&added, sizeof(added)));
 	cw_records_set(admit->records, &call->id, CW_RECORD_WAITING, now_ms);
 	return CW_ADMIT_QUEUE;
@@ -330,17 +530,21 @@
 	if (call->lacks_memory)
 		return refuse(admit, &call->id, now_ms, CW_REASON_QUEUE_FULL, reason);
 	if (admit->running < cw_admit_limit(admit, now_ms) && !admit->queue->len) {
-		start_call(admit, &call->id, now_ms);
+		const queued_call_t started = {.call = *call,
+					       .expected_ms = expected_service_ms(admit, call, now_ms)};
+
+		charge_call(admit, &started, now_ms);
+		start_call(admit, &started, now_ms);
 		return CW_ADMIT_START;
 	}
 	return enqueue(admit, call, now_ms, reason);
 }
 
-/* Returns whether a call started now is expected to be answered by its useful_until_ms or is a short call. */
+/* Returns whether a call started now is expected to be answered by its useful_until_ms or is exempt. */
 static bool meets_objective(const cw_admit_t *admit, const queued_call_t *queued, int64_t now_ms)
 {
 	return (double)now_ms + queued->expected_ms <= (double)queued->call.useful_until_ms ||
-	       is_short_call(admit, queued->expected_ms);
+	       is_exempt(admit, queued);
 }
 
 /* Returns whether the head of the queue delays a call that can still meet its latency objective. */
@@ -382,6 +586,13 @@
 	guint position = find_expired(admit, now_ms);
 	const queued_call_t *queued;
 
+	if (admit->displaced->len) {
+		*verdict = CW_ADMIT_REFUSE;
+		*reason = CW_REASON_CROWDED;
+		*cookie = ((const queued_call_t *)admit->displaced->pdata[0])->call.cookie;
+		g_ptr_array_remove_index(admit->displaced, 0);
+		return true;
+	}
 	if (!admit->queue->len)
 		return false;
 	if (position == admit->queue->len)
@@ -390,8 +601,9 @@
 	*reason = queued_refusal(admit, queued, now_ms);
 	if (*reason != CW_REASON_NONE) {
 		*verdict = refuse(admit, &queued->call.id, now_ms, *reason, reason);
+		refund_queued(admit, queued, now_ms);
 	} else if (admit->running < cw_admit_limit(admit, now_ms)) {
-		start_call(admit, &queued->call.id, now_ms);
+		start_call(admit, queued, now_ms);
 		*verdict = CW_ADMIT_START;
 	} else {
 		return false;
@@ -451,8 +663,10 @@
 		   int64_t started_ms, int64_t now_ms)
 {
 	double took_ms = (double)(now_ms - started_ms);
+	bool has_run = result != CW_ADMIT_DECLINED && result != CW_ADMIT_NOT_STARTED;
 
 	admit->running--;
+	settle_charge(admit, id, has_run ? took_ms : 0, now_ms);
 	switch (result) {
 	case CW_ADMIT_ANSWERED:
 		start_ramp_up(admit, now_ms);
@@ -475,13 +689,13 @@
 	}
 }
 
-/* Returns the position of a call in the queue; the length of the queue when it is not queued. */
-static guint find_queued(const cw_admit_t *admit, const cw_call_id_t *id)
+/* Returns the position of a call in an array of queued calls; its length when the call is not there. */
+static guint find_call(const GPtrArray *calls, const cw_call_id_t *id)
 {
 	guint position;
 
-	for (position = 0; position < admit->queue->len; position++) {
-		const cw_call_id_t *queued = &((const queued_call_t *)admit->queue->pdata[position])->call.id;
+	for (position = 0; position < calls->len; position++) {
+		const cw_call_id_t *queued = &((const queued_call_t *)calls->pdata[position])->call.id;
 
 		if (queued->origin == id->origin && queued->sequence == id->sequence)
 			break;
@@ -489,19 +703,29 @@
 	return position;
 }
 
-/* Removes a call from the queue; returns its cookie, or 0 when it is not queued. */
-static uint64_t remove_queued(cw_admit_t *admit, const cw_call_id_t *id)
+/* Removes a call from an array of queued calls; returns its cookie, or 0 when it is not there. */
+static uint64_t remove_call(GPtrArray *calls, const cw_call_id_t *id)
 {
-	guint position = find_queued(admit, id);
+	guint position = find_call(calls, id);
 	uint64_t cookie;
 
-	if (position == admit->queue->len)
+	if (position == calls->len)
 		return 0;
-	cookie = ((const queued_call_t *)admit->queue->pdata[position])->call.cookie;
-	g_ptr_array_remove_index(admit->queue, position);
+	cookie = ((const queued_call_t *)calls->pdata[position])->call.cookie;
+	g_ptr_array_remove_index(calls, position);
 	return cookie;
 }
 
+/* Removes a call from the queue and refunds its charge; returns its cookie, or 0 when it is not queued. */
+static uint64_t remove_queued(cw_admit_t *admit, const cw_call_id_t *id, int64_t now_ms)
+{
+	guint position = find_call(admit->queue, id);
+
+	if (position < admit->queue->len)
+		refund_queued(admit, admit->queue->pdata[position], now_ms);
+	return remove_call(admit->queue, id);
+}
+
 /*
  * Returns whether no call has started for so long that the target may be frozen, which the means of earlier
  * calls do not tell.  For a queued call, whose expected service time stands in before the first measurement.
@@ -519,7 +743,7 @@
  */
 bool cw_admit_is_expected(const cw_admit_t *admit, const cw_call_id_t *id, int64_t now_ms)
 {
-	guint position = find_queued(admit, id);
+	guint position = find_call(admit->queue, id);
 	const queued_call_t *queued;
 	double end_ms;
 
@@ -546,10 +770,12 @@
 	case CW_RECORD_FORGOTTEN:
 		return false;
 	case CW_RECORD_WAITING:
-		*cookie = remove_queued(admit, id);
+		*cookie = remove_queued(admit, id, now_ms);
 		break;
-	case CW_RECORD_NONE:
 	case CW_RECORD_REFUSED:
+		*cookie = remove_call(admit->displaced, id);
+		break;
+	case CW_RECORD_NONE:
 		break;
 	}
 	return cw_records_set(admit->records, id, CW_RECORD_REFUSED, now_ms) == CW_OK;
@@ -597,17 +823,22 @@
 			  overtaken_ms / cw_admit_limit(admit, now_ms));
 }
 
-/* Returns the number of running and queued calls. */
+/* Returns the number of running and queued calls, and of those that cw_admit_next() has to refuse. */
 uint32_t cw_admit_load(const cw_admit_t *admit)
 {
-	return admit->running + admit->queue->len;
+	return admit->running + admit->queue->len + admit->displaced->len;
 }
 
-/* Returns when the first queued call has to be refused; INT64_MAX when the queue is empty. */
+/*
+ * Returns when the first queued call has to be refused: 0 if one has been displaced, and INT64_MAX when the
+ * queue is empty.
+ */
 int64_t cw_admit_next_check_ms(const cw_admit_t *admit)
 {
 	int64_t deadline_ms = admit->queue->len ? admit->start_until_ms : INT64_MAX;
 
+	if (admit->displaced->len)
+		return 0;
 	for (guint i = 0; i < admit->queue->len; i++)
 		deadline_ms =
 			MIN(deadline_ms, ((const queued_call_t *)admit->queue->pdata[i])->call.deadline_ms);
--- a/libcaraway/caraway_calls.h
+++ b/libcaraway/caraway_calls.h
@@ -110,6 +110,7 @@
 	uint64_t cookie;	 /* opaque handle of the embedding program, not 0 */
 	uint64_t route;		 /* service times are measured per route */
 	uint64_t account;	 /* hash of the name of the client account; 0: none */
+	double account_weight;	 /* of its share, such as its rate; 0: unknown */
 	uint32_t priority;	 /* 0 is the highest */
 	int64_t deadline_ms;	 /* latest start; a call expected to end later is not queued */
 	int64_t useful_until_ms; /* end of the latency objective: later answers are worth less */
--- a/tests/unit/test_admission.c
+++ b/tests/unit/test_admission.c
@@ -33,7 +33,7 @@
 	g_string_append_c(out, '\n');
 }
 
-/* "arrive ID DEADLINE [USEFUL [PRIORITY [ROUTE]]]": submits a call; cookies count from 1. */
+/* "arrive ID DEADLINE [USEFUL [PRIORITY [ROUTE [ACCOUNT [WEIGHT]]]]]": submits a call; cookies count from 1. */
 static void run_arrive(run_t *run, int argc, char **argv, GString *out)
 {
 	cw_admit_call_t call = {.id = read_id(argv[1]),
@@ -41,7 +41,9 @@
 				.deadline_ms = atoll(argv[2]),
 				.useful_until_ms = argc > 3 ? atoll(argv[3]) : atoll(argv[2]),
 				.priority = argc > 4 ? (uint32_t)atoi(argv[4]) : 0,
-				.route = argc > 5 ? (uint64_t)atoll(argv[5]) : 0};
+				.route = argc > 5 ? (uint64_t)atoll(argv[5]) : 0,
+				.account = argc > 6 ? (uint64_t)atoll(argv[6]) : 0,
+				.account_weight = argc > 7 ? atof(argv[7]) : 0};
 	cw_reason_t reason;
 	cw_admit_verdict_t verdict = cw_admit_arrive(run->admit, &call, run->now_ms, &reason);
 
--- a/tests/unit/test_fair_load.c
+++ b/tests/unit/test_fair_load.c
@@ -30,6 +30,8 @@
 
 static const double zipf_exponent = 1.2;
 static const double hot_factor = 7.5;
+/* Shares that differ by less are equal: the small accounts send a few dozen requests. */
+static const double margin = 0.02;
 
 /* A kind of call. */
 typedef struct {
@@ -69,7 +71,8 @@
 	GPtrArray *by_cookie; /* request_t * by cookie - 1 */
 	uint64_t sequence;
 	int64_t now_ms;
-	got_t accounts[ACCOUNTS], priorities[PRIORITIES], all;
+	got_t accounts[ACCOUNTS], all;
+	got_t hot[PRIORITIES], others[PRIORITIES]; /* the hot account and all others, by priority */
 } run_t;
 
 /* Counts an ended request in a group. */
@@ -90,7 +93,9 @@
 	if (request->arrival_ms < WARM_UP_MS)
 		return;
 	count_request(run, request, &run->accounts[request->account]);
-	count_request(run, request, &run->priorities[request->priority]);
+	count_request(run, request,
+		      request->account == HOT ? &run->hot[request->priority]
+					      : &run->others[request->priority]);
 	count_request(run, request, &run->all);
 }
 
@@ -262,10 +267,16 @@
 	return worst;
 }
 
+/* Returns the share of a group's requests that were answered in time. */
+static double in_time_share(const got_t *got)
+{
+	return got->in_time / got->sent;
+}
+
 /* Prints the shares of a group's requests that were answered in time, and at all. */
 static void print_group(const got_t *got)
 {
-	printf(" %.2f / %.2f |", got->in_time / got->sent, got->answered / got->sent);
+	printf(" %.2f / %.2f |", in_time_share(got), got->answered / got->sent);
 }
 
 /* Prints a line of the table in docs/design/fair-shares.md. */
@@ -280,22 +291,45 @@
 	print_group(&run->accounts[0]);
 	print_group(&tenth);
 	print_group(&worst);
-	for (int i = 0; i < PRIORITIES; i++)
-		print_group(&run->priorities[i]);
+	for (int i = 0; i < PRIORITIES; i++) {
+		print_group(&run->hot[i]);
+		print_group(&run->others[i]);
+	}
 	printf("\n");
 }
 
-static const double ratios[] = {0.9, 1.0, 1.1, 1.2, 1.35, 1.5};
+/* A load as a ratio of the capacity, and what accounts other than the hot one get at least in time. */
+typedef struct {
+	double ratio, tenth, worst;
+} case_t;
+
+static const case_t cases[] = {{0.9, 0.94, 0.9}, {1.0, 0.92, 0.88}, {1.1, 0.88, 0.82},
+			       {1.2, 0.8, 0.72}, {1.35, 0.72, 0.6}, {1.5, 0.64, 0.48}};
 
-/* Guards against an account that sends many times its usual rate and takes the capacity of others. */
+/*
+ * Guards against an account that sends many times its usual rate and takes the room of others, against an account
+ * that is served less than a quarter as often as all, and against more urgent calls that are served less often.
+ */
 START_TEST(test_hot_account)
 {
+	const case_t *test_case = &cases[_i];
+	got_t tenth, worst;
 	run_t run;
 
-	play(&run, ratios[_i]);
+	play(&run, test_case->ratio);
 	end_run(&run);
+	tenth = worst_accounts(&run, WORST);
+	worst = worst_accounts(&run, 1);
 	if (g_getenv("LOAD_VERBOSE"))
-		print_run(&run, ratios[_i]);
+		print_run(&run, test_case->ratio);
+	ck_assert_double_ge(in_time_share(&tenth), test_case->tenth);
+	ck_assert_double_ge(in_time_share(&worst), test_case->worst);
+	ck_assert_double_ge(in_time_share(&run.accounts[HOT]), in_time_share(&run.all) / 4);
+	for (int i = 0; i < PRIORITIES; i++)
+		ck_assert_double_le(in_time_share(&run.hot[i]), in_time_share(&run.others[i]) + margin);
+	for (int i = 1; i < PRIORITIES; i++)
+		ck_assert_double_ge(in_time_share(&run.others[i - 1]) + margin,
+				    in_time_share(&run.others[i]));
 }
 END_TEST
 
@@ -306,7 +340,7 @@
 	TCase *tcase = tcase_create("fair_load");
 
 	tcase_set_timeout(tcase, TEST_TIMEOUT_S);
-	tcase_add_loop_test(tcase, test_hot_account, 0, G_N_ELEMENTS(ratios));
+	tcase_add_loop_test(tcase, test_hot_account, 0, G_N_ELEMENTS(cases));
 	suite_add_tcase(suite, tcase);
 	return script_run_suite(suite);
 }
