carawayctl accounts: calls and tokens of each client account of a proxy

Cause: counters tell how many calls were refused for a reason, but not of which client account, so a 429 or 503 could not be led back to its account.

Change: proxies count calls taken, answered and refused by reason, and tokens granted, for up to 10,000 accounts. The query AccountsQuery returns the 1,000 with most calls; carawayctl accounts prints them as text or JSON.

Ruled out: an atomic for each account and reason, as accounts are added while calls run; a mutex that is held only for an addition, or for a copy without sorting, is enough.

Measured: test_accounts has 12,000 accounts, of which a reply has 1,000; test_cli has the output.

--- a/cli/arguments.c
+++ b/cli/arguments.c
@@ -58,11 +58,17 @@
 } subcommand_spec_t;
 
 static const subcommand_spec_t subcommand_specs[SUBCOMMAND_COUNT] = {
-	[SUBCOMMAND_BOOK] = {"book", 1, 1, "ondwj"},	  [SUBCOMMAND_REVIEW] = {"review", 1, 1, "owj"},
-	[SUBCOMMAND_WITHDRAW] = {"withdraw", 1, 1, "oj"}, [SUBCOMMAND_LABEL] = {"label", 2, G_MAXUINT, "owj"},
-	[SUBCOMMAND_CHANGES] = {"changes", 0, 0, "j"},	  [SUBCOMMAND_SHOW] = {"show", 1, 1, "j"},
-	[SUBCOMMAND_IN_FORCE] = {"inforce", 0, 0, "jsS"}, [SUBCOMMAND_STATUS] = {"status", 0, 0, "ja"},
-	[SUBCOMMAND_COUNTERS] = {"counters", 0, 0, "ja"}, [SUBCOMMAND_KEY] = {"key", 1, 1, ""},
+	[SUBCOMMAND_BOOK] = {"book", 1, 1, "ondwj"},
+	[SUBCOMMAND_REVIEW] = {"review", 1, 1, "owj"},
+	[SUBCOMMAND_WITHDRAW] = {"withdraw", 1, 1, "oj"},
+	[SUBCOMMAND_LABEL] = {"label", 2, G_MAXUINT, "owj"},
+	[SUBCOMMAND_CHANGES] = {"changes", 0, 0, "j"},
+	[SUBCOMMAND_SHOW] = {"show", 1, 1, "j"},
+	[SUBCOMMAND_IN_FORCE] = {"inforce", 0, 0, "jsS"},
+	[SUBCOMMAND_STATUS] = {"status", 0, 0, "ja"},
+	[SUBCOMMAND_COUNTERS] = {"counters", 0, 0, "ja"},
+	[SUBCOMMAND_ACCOUNTS] = {"accounts", 0, 0, "ja"},
+	[SUBCOMMAND_KEY] = {"key", 1, 1, ""},
 };
 
 /* The values collected by the argp parser, validated together at the end. */
@@ -222,6 +228,8 @@
 	arguments->subcommand = find_subcommand(parse->subcommand_name, state);
 	check_subcommand(parse, state);
 	check_book_options(parse, state);
+	if (arguments->subcommand == SUBCOMMAND_ACCOUNTS && !arguments->at_addresses->len)
+		argp_error(state, "accounts requires --at: only proxies have accounts of callers");
 	if (parse->config_file)
 		load_config(parse);
 	else
@@ -260,11 +268,11 @@
 
 static const char args_doc[] = "book FILE --number N --due TIME\n"
 			       "review N\nwithdraw N\nlabel VM KEY=VALUE...\n"
-			       "changes\nshow N\ninforce\nstatus\ncounters\nkey FILE";
+			       "changes\nshow N\ninforce\nstatus\ncounters\naccounts --at LIST\nkey FILE";
 
 static const char help_text[] =
 	"Books, reviews and withdraws changes, labels VMs, and shows what is in force where.\v"
-	"Commands: book, review, withdraw, label.  Queries: changes, show, inforce, status, counters.\n"
+	"Commands: book, review, withdraw, label.  Queries: changes, show, inforce, status, counters, accounts.\n"
 	"key generates a key pair: it writes the secret key to a new FILE and prints the public key.\n\n"
 	"Examples:\n"
 	"  carawayctl -C 10.0.0.1:7101,10.0.0.2:7101 book pass.ini --number 12 --due 2026-12-24T06:00:00Z\n"
--- a/cli/carawayctl.c
+++ b/cli/carawayctl.c
@@ -28,6 +28,8 @@
 		return query_status(session, arguments);
 	case SUBCOMMAND_COUNTERS:
 		return query_counters(session, arguments);
+	case SUBCOMMAND_ACCOUNTS:
+		return query_accounts(session, arguments);
 	case SUBCOMMAND_KEY:
 	case SUBCOMMAND_COUNT:
 		break;
--- a/cli/queries.c
+++ b/cli/queries.c
@@ -1,4 +1,4 @@
-/* Read-only subcommands: changes, show, inforce, status, counters. */
+/* Read-only subcommands: changes, show, inforce, status, counters, accounts. */
 #include "queries.h"
 
 #include <stdio.h>
@@ -171,3 +171,14 @@
 	request.counters = &query;
 	return query_and_print(session, arguments, &request, render_counters);
 }
+
+/* Prints the client accounts of the proxies named with --at. */
+cw_status_t query_accounts(session_t *session, const arguments_t *arguments)
+{
+	Caraway__OperatorRequest request = CARAWAY__OPERATOR_REQUEST__INIT;
+	Caraway__AccountsQuery query = CARAWAY__ACCOUNTS_QUERY__INIT;
+
+	request.body_case = CARAWAY__OPERATOR_REQUEST__BODY_ACCOUNTS;
+	request.accounts = &query;
+	return query_and_print(session, arguments, &request, render_accounts);
+}
--- a/cli/render.c
+++ b/cli/render.c
@@ -295,3 +295,42 @@
 	table_render(table, out);
 	table_free(table);
 }
+
+/* Returns the refused calls of an account as "REASON=COUNT" separated by spaces. */
+static char *refused_cell(const Caraway__AccountCounts *account)
+{
+	g_autoptr(GString) text = g_string_new(NULL);
+
+	for (size_t i = 0; i < account->n_refused; i++)
+		g_string_append_printf(text, "%s%s=%" PRIu64, i ? " " : "", account->refused[i]->name,
+				       account->refused[i]->value);
+	return text_cell(text->str);
+}
+
+/* Appends the client accounts of each process that replied. */
+void render_accounts(const process_reply_t *replies, size_t count, GString *out)
+{
+	const char *const headings[] = {"PROCESS", "ACCOUNT", "TAKEN", "ANSWERED",
+					"GRANTED", "REFUSED", NULL};
+	table_t *table = table_new(headings);
+
+	for (size_t i = 0; i < count; i++) {
+		const Caraway__OperatorReply *reply = replies[i].reply;
+
+		if (!reply)
+			table_add(table, make_row(text_cell(replies[i].address), text_cell("no answer"),
+						  text_cell("-"), text_cell("-"), text_cell("-"),
+						  text_cell("-"), NULL));
+		for (size_t j = 0; reply && j < reply->n_accounts; j++) {
+			const Caraway__AccountCounts *account = reply->accounts[j];
+
+			table_add(table,
+				  make_row(text_cell(replies[i].address),
+					   text_cell(*account->name ? account->name : "(others)"),
+					   number_cell(account->taken), number_cell(account->answered),
+					   number_cell(account->granted), refused_cell(account), NULL));
+		}
+	}
+	table_render(table, out);
+	table_free(table);
+}
--- a/cli/render.h
+++ b/cli/render.h
@@ -16,5 +16,6 @@
 void render_in_force(const Caraway__OperatorReply *reply, GString *out);
 void render_status(const process_reply_t *replies, size_t count, GString *out);
 void render_counters(const process_reply_t *replies, size_t count, GString *out);
+void render_accounts(const process_reply_t *replies, size_t count, GString *out);
 
 #endif
--- a/daemon/allotments.c
+++ b/daemon/allotments.c
@@ -3,6 +3,7 @@
 
 #include <string.h>
 
+#include "account_counts.h"
 #include "clock.h"
 #include "counters.h"
 #include "log.h"
@@ -251,6 +252,7 @@
 		*granted = cw_allotment_owner_grant(allotments->owner, account_id, &limit, title,
 						    allotments->candidates_since_ms, tokens, now_ms);
 	counter_add(COUNTER_ALLOTMENT_GRANTED, granted->tokens);
+	account_counts_granted(account, granted->tokens);
 	counter_add(COUNTER_ALLOTMENT_WITHHELD, tokens - granted->tokens);
 	return true;
 }
--- a/daemon/forward.c
+++ b/daemon/forward.c
@@ -1,6 +1,7 @@
 /* The sending side of calls: sends attempts to the endpoints of a route until the outcome is known. */
 #include "forward_internal.h"
 
+#include "account_counts.h"
 #include "accounts.h"
 #include "call_counters.h"
 #include "clock.h"
@@ -122,6 +123,9 @@
 	void *cookie = call->cookie;
 
 	histogram_add(HISTOGRAM_CALL, clock_now_ms() - call->state.start_ms);
+	account_counts_ended(call->account, outcome->outcome == CARAWAY__CALL_OUTCOME__OUTCOME_ANSWERED
+						    ? CW_REASON_NONE
+						    : outcome->reason);
 	if (outcome->outcome == CARAWAY__CALL_OUTCOME__OUTCOME_ANSWERED)
 		counter_add(COUNTER_CALL_ANSWERED, 1);
 	else
@@ -320,6 +324,7 @@
 	call->request = request;
 	call->endpoints = endpoints;
 	call->account = account;
+	account_counts_taken(account);
 	call->priority = account && account->has_priority ? account->priority : endpoints.route->priority;
 	call->has_own_endpoint =
 		endpoints_mark_own(&call->endpoints, forward->settings->vm, forward->incarnation);
--- a/daemon/proxy_query.c
+++ b/daemon/proxy_query.c
@@ -1,6 +1,7 @@
-/* Operators' queries to the feed port of a proxy: its counters and its status. */
+/* Operators' queries to the feed port of a proxy: its counters, its status and its client accounts. */
 #include <string.h>
 
+#include "account_counts.h"
 #include "clock.h"
 #include "counters.h"
 #include "operator_reply.h"
@@ -21,7 +22,7 @@
 	reply->report = report;
 }
 
-/* Replies to queries for counters and status; only control replicas handle other requests. */
+/* Replies to queries for counters, status and accounts; only control replicas handle other requests. */
 void proxy_answer_query(proxy_t *proxy, GBytes *peer, const Caraway__OperatorRequest *request)
 {
 	Caraway__OperatorReply *reply = g_new(Caraway__OperatorReply, 1);
@@ -35,6 +36,9 @@
 	case CARAWAY__OPERATOR_REQUEST__BODY_STATUS:
 		fill_status(proxy, reply);
 		break;
+	case CARAWAY__OPERATOR_REQUEST__BODY_ACCOUNTS:
+		account_counts_fill(reply);
+		break;
 	default:
 		counter_add(COUNTER_MESSAGE_UNEXPECTED, 1);
 		reply->status = CW_ERR_STATE;
--- a/libcaraway/gen/caraway.pb-c.c
+++ b/libcaraway/gen/caraway.pb-c.c
@@ -3067,6 +3067,51 @@
   assert(message->base.descriptor == &caraway__counters_query__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   caraway__accounts_query__init
+                     (Caraway__AccountsQuery         *message)
+{
+  static const Caraway__AccountsQuery init_value = CARAWAY__ACCOUNTS_QUERY__INIT;
+  *message = init_value;
+}
+size_t caraway__accounts_query__get_packed_size
+                     (const Caraway__AccountsQuery *message)
+{
+  assert(message->base.descriptor == &caraway__accounts_query__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t caraway__accounts_query__pack
+                     (const Caraway__AccountsQuery *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &caraway__accounts_query__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t caraway__accounts_query__pack_to_buffer
+                     (const Caraway__AccountsQuery *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &caraway__accounts_query__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Caraway__AccountsQuery *
+       caraway__accounts_query__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Caraway__AccountsQuery *)
+     protobuf_c_message_unpack (&caraway__accounts_query__descriptor,
+                                allocator, len, data);
+}
+void   caraway__accounts_query__free_unpacked
+                     (Caraway__AccountsQuery *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &caraway__accounts_query__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   caraway__operator_request__init
                      (Caraway__OperatorRequest         *message)
 {
@@ -3292,6 +3337,51 @@
   assert(message->base.descriptor == &caraway__counter__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   caraway__account_counts__init
+                     (Caraway__AccountCounts         *message)
+{
+  static const Caraway__AccountCounts init_value = CARAWAY__ACCOUNT_COUNTS__INIT;
+  *message = init_value;
+}
+size_t caraway__account_counts__get_packed_size
+                     (const Caraway__AccountCounts *message)
+{
+  assert(message->base.descriptor == &caraway__account_counts__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t caraway__account_counts__pack
+                     (const Caraway__AccountCounts *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &caraway__account_counts__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t caraway__account_counts__pack_to_buffer
+                     (const Caraway__AccountCounts *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &caraway__account_counts__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Caraway__AccountCounts *
+       caraway__account_counts__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Caraway__AccountCounts *)
+     protobuf_c_message_unpack (&caraway__account_counts__descriptor,
+                                allocator, len, data);
+}
+void   caraway__account_counts__free_unpacked
+                     (Caraway__AccountCounts *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &caraway__account_counts__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   caraway__operator_reply__init
                      (Caraway__OperatorReply         *message)
 {
@@ -9175,7 +9265,25 @@
   (ProtobufCMessageInit) caraway__counters_query__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor caraway__operator_request__field_descriptors[11] =
+#define caraway__accounts_query__field_descriptors NULL
+#define caraway__accounts_query__field_indices_by_name NULL
+#define caraway__accounts_query__number_ranges NULL
+const ProtobufCMessageDescriptor caraway__accounts_query__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "caraway.AccountsQuery",
+  "AccountsQuery",
+  "Caraway__AccountsQuery",
+  "caraway",
+  sizeof(Caraway__AccountsQuery),
+  0,
+  caraway__accounts_query__field_descriptors,
+  caraway__accounts_query__field_indices_by_name,
+  0,  caraway__accounts_query__number_ranges,
+  (ProtobufCMessageInit) caraway__accounts_query__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor caraway__operator_request__field_descriptors[12] =
 {
   {
     "request",
@@ -9309,8 +9417,21 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "accounts",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Caraway__OperatorRequest, body_case),
+    offsetof(Caraway__OperatorRequest, accounts),
+    &caraway__accounts_query__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned caraway__operator_request__field_indices_by_name[] = {
+  11,   /* field[11] = accounts */
   2,   /* field[2] = book */
   6,   /* field[6] = changes */
   10,   /* field[10] = counters */
@@ -9326,7 +9447,7 @@
 static const ProtobufCIntRange caraway__operator_request__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor caraway__operator_request__descriptor =
 {
@@ -9336,7 +9457,7 @@
   "Caraway__OperatorRequest",
   "caraway",
   sizeof(Caraway__OperatorRequest),
-  11,
+  12,
   caraway__operator_request__field_descriptors,
   caraway__operator_request__field_indices_by_name,
   1,  caraway__operator_request__number_ranges,
@@ -9807,7 +9928,97 @@
   (ProtobufCMessageInit) caraway__counter__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor caraway__operator_reply__field_descriptors[8] =
+static const ProtobufCFieldDescriptor caraway__account_counts__field_descriptors[5] =
+{
+  {
+    "name",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Caraway__AccountCounts, name),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "taken",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Caraway__AccountCounts, taken),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "answered",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Caraway__AccountCounts, answered),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "granted",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Caraway__AccountCounts, granted),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "refused",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Caraway__AccountCounts, n_refused),
+    offsetof(Caraway__AccountCounts, refused),
+    &caraway__counter__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned caraway__account_counts__field_indices_by_name[] = {
+  2,   /* field[2] = answered */
+  3,   /* field[3] = granted */
+  0,   /* field[0] = name */
+  4,   /* field[4] = refused */
+  1,   /* field[1] = taken */
+};
+static const ProtobufCIntRange caraway__account_counts__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor caraway__account_counts__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "caraway.AccountCounts",
+  "AccountCounts",
+  "Caraway__AccountCounts",
+  "caraway",
+  sizeof(Caraway__AccountCounts),
+  5,
+  caraway__account_counts__field_descriptors,
+  caraway__account_counts__field_indices_by_name,
+  1,  caraway__account_counts__number_ranges,
+  (ProtobufCMessageInit) caraway__account_counts__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor caraway__operator_reply__field_descriptors[9] =
 {
   {
     "request",
@@ -9905,8 +10116,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "accounts",
+    9,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Caraway__OperatorReply, n_accounts),
+    offsetof(Caraway__OperatorReply, accounts),
+    &caraway__account_counts__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned caraway__operator_reply__field_indices_by_name[] = {
+  8,   /* field[8] = accounts */
   4,   /* field[4] = changes */
   7,   /* field[7] = counters */
   3,   /* field[3] = leader_address */
@@ -9919,7 +10143,7 @@
 static const ProtobufCIntRange caraway__operator_reply__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor caraway__operator_reply__descriptor =
 {
@@ -9929,7 +10153,7 @@
   "Caraway__OperatorReply",
   "caraway",
   sizeof(Caraway__OperatorReply),
-  8,
+  9,
   caraway__operator_reply__field_descriptors,
   caraway__operator_reply__field_indices_by_name,
   1,  caraway__operator_reply__number_ranges,
--- a/libcaraway/gen/caraway.pb-c.h
+++ b/libcaraway/gen/caraway.pb-c.h
@@ -83,11 +83,13 @@
 typedef struct Caraway__InForceQuery Caraway__InForceQuery;
 typedef struct Caraway__StatusQuery Caraway__StatusQuery;
 typedef struct Caraway__CountersQuery Caraway__CountersQuery;
+typedef struct Caraway__AccountsQuery Caraway__AccountsQuery;
 typedef struct Caraway__OperatorRequest Caraway__OperatorRequest;
 typedef struct Caraway__VmInForce Caraway__VmInForce;
 typedef struct Caraway__ReplicaStatus Caraway__ReplicaStatus;
 typedef struct Caraway__StatusReport Caraway__StatusReport;
 typedef struct Caraway__Counter Caraway__Counter;
+typedef struct Caraway__AccountCounts Caraway__AccountCounts;
 typedef struct Caraway__OperatorReply Caraway__OperatorReply;
 typedef struct Caraway__Message Caraway__Message;
 
@@ -1641,6 +1643,15 @@
      }
 
 
+struct  Caraway__AccountsQuery
+{
+  ProtobufCMessage base;
+};
+#define CARAWAY__ACCOUNTS_QUERY__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&caraway__accounts_query__descriptor) \
+     }
+
+
 typedef enum {
   CARAWAY__OPERATOR_REQUEST__BODY__NOT_SET = 0,
   CARAWAY__OPERATOR_REQUEST__BODY_BOOK = 3,
@@ -1651,7 +1662,8 @@
   CARAWAY__OPERATOR_REQUEST__BODY_SHOW = 8,
   CARAWAY__OPERATOR_REQUEST__BODY_IN_FORCE = 9,
   CARAWAY__OPERATOR_REQUEST__BODY_STATUS = 10,
-  CARAWAY__OPERATOR_REQUEST__BODY_COUNTERS = 11
+  CARAWAY__OPERATOR_REQUEST__BODY_COUNTERS = 11,
+  CARAWAY__OPERATOR_REQUEST__BODY_ACCOUNTS = 12
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(CARAWAY__OPERATOR_REQUEST__BODY__CASE)
 } Caraway__OperatorRequest__BodyCase;
 
@@ -1671,6 +1683,7 @@
     Caraway__InForceQuery *in_force;
     Caraway__StatusQuery *status;
     Caraway__CountersQuery *counters;
+    Caraway__AccountsQuery *accounts;
   };
 };
 #define CARAWAY__OPERATOR_REQUEST__INIT \
@@ -1771,6 +1784,33 @@
     , (char *)protobuf_c_empty_string, 0 }
 
 
+/*
+ * The calls of a client account that a proxy has taken since it started.
+ */
+struct  Caraway__AccountCounts
+{
+  ProtobufCMessage base;
+  /*
+   * empty: of all accounts for which the proxy has no space
+   */
+  char *name;
+  uint64_t taken;
+  uint64_t answered;
+  /*
+   * tokens of its allotment, if this proxy owns the account
+   */
+  uint64_t granted;
+  /*
+   * calls that were refused or failed, by reason
+   */
+  size_t n_refused;
+  Caraway__Counter **refused;
+};
+#define CARAWAY__ACCOUNT_COUNTS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&caraway__account_counts__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL }
+
+
 struct  Caraway__OperatorReply
 {
   ProtobufCMessage base;
@@ -1791,10 +1831,15 @@
   Caraway__StatusReport *report;
   size_t n_counters;
   Caraway__Counter **counters;
+  /*
+   * those with most calls first
+   */
+  size_t n_accounts;
+  Caraway__AccountCounts **accounts;
 };
 #define CARAWAY__OPERATOR_REPLY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&caraway__operator_reply__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, 0,NULL, NULL, 0,NULL }
+    , 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, 0,NULL, NULL, 0,NULL, 0,NULL }
 
 
 typedef enum {
@@ -3130,6 +3175,25 @@
 void   caraway__counters_query__free_unpacked
                      (Caraway__CountersQuery *message,
                       ProtobufCAllocator *allocator);
+/* Caraway__AccountsQuery methods */
+void   caraway__accounts_query__init
+                     (Caraway__AccountsQuery         *message);
+size_t caraway__accounts_query__get_packed_size
+                     (const Caraway__AccountsQuery   *message);
+size_t caraway__accounts_query__pack
+                     (const Caraway__AccountsQuery   *message,
+                      uint8_t             *out);
+size_t caraway__accounts_query__pack_to_buffer
+                     (const Caraway__AccountsQuery   *message,
+                      ProtobufCBuffer     *buffer);
+Caraway__AccountsQuery *
+       caraway__accounts_query__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   caraway__accounts_query__free_unpacked
+                     (Caraway__AccountsQuery *message,
+                      ProtobufCAllocator *allocator);
 /* Caraway__OperatorRequest methods */
 void   caraway__operator_request__init
                      (Caraway__OperatorRequest         *message);
@@ -3225,6 +3289,25 @@
 void   caraway__counter__free_unpacked
                      (Caraway__Counter *message,
                       ProtobufCAllocator *allocator);
+/* Caraway__AccountCounts methods */
+void   caraway__account_counts__init
+                     (Caraway__AccountCounts         *message);
+size_t caraway__account_counts__get_packed_size
+                     (const Caraway__AccountCounts   *message);
+size_t caraway__account_counts__pack
+                     (const Caraway__AccountCounts   *message,
+                      uint8_t             *out);
+size_t caraway__account_counts__pack_to_buffer
+                     (const Caraway__AccountCounts   *message,
+                      ProtobufCBuffer     *buffer);
+Caraway__AccountCounts *
+       caraway__account_counts__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   caraway__account_counts__free_unpacked
+                     (Caraway__AccountCounts *message,
+                      ProtobufCAllocator *allocator);
 /* Caraway__OperatorReply methods */
 void   caraway__operator_reply__init
                      (Caraway__OperatorReply         *message);
@@ -3469,6 +3552,9 @@
 typedef void (*Caraway__CountersQuery_Closure)
                  (const Caraway__CountersQuery *message,
                   void *closure_data);
+typedef void (*Caraway__AccountsQuery_Closure)
+                 (const Caraway__AccountsQuery *message,
+                  void *closure_data);
 typedef void (*Caraway__OperatorRequest_Closure)
                  (const Caraway__OperatorRequest *message,
                   void *closure_data);
@@ -3484,6 +3570,9 @@
 typedef void (*Caraway__Counter_Closure)
                  (const Caraway__Counter *message,
                   void *closure_data);
+typedef void (*Caraway__AccountCounts_Closure)
+                 (const Caraway__AccountCounts *message,
+                  void *closure_data);
 typedef void (*Caraway__OperatorReply_Closure)
                  (const Caraway__OperatorReply *message,
                   void *closure_data);
@@ -3571,11 +3660,13 @@
 extern const ProtobufCMessageDescriptor caraway__in_force_query__descriptor;
 extern const ProtobufCMessageDescriptor caraway__status_query__descriptor;
 extern const ProtobufCMessageDescriptor caraway__counters_query__descriptor;
+extern const ProtobufCMessageDescriptor caraway__accounts_query__descriptor;
 extern const ProtobufCMessageDescriptor caraway__operator_request__descriptor;
 extern const ProtobufCMessageDescriptor caraway__vm_in_force__descriptor;
 extern const ProtobufCMessageDescriptor caraway__replica_status__descriptor;
 extern const ProtobufCMessageDescriptor caraway__status_report__descriptor;
 extern const ProtobufCMessageDescriptor caraway__counter__descriptor;
+extern const ProtobufCMessageDescriptor caraway__account_counts__descriptor;
 extern const ProtobufCMessageDescriptor caraway__operator_reply__descriptor;
 extern const ProtobufCMessageDescriptor caraway__message__descriptor;
 
--- a/tests/unit/test_accounts.c
+++ b/tests/unit/test_accounts.c
@@ -3,6 +3,7 @@
 #include <string.h>
 #include <urcu/urcu-memb.h>
 
+#include "account_counts.h"
 #include "accounts.h"
 #include "clock.h"
 
@@ -212,6 +213,39 @@
 }
 END_TEST
 
+/* Guards against a reply that grows with the number of accounts, and against one without the busiest of them. */
+START_TEST(test_counts_of_accounts)
+{
+	Caraway__OperatorReply *reply = g_new(Caraway__OperatorReply, 1);
+	const Caraway__AccountCounts *first;
+
+	for (uint64_t id = 1; id <= 12000; id++) {
+		g_autofree char *name = g_strdup_printf("account-%" G_GUINT64_FORMAT, id);
+		const view_account_t account = {.name = name, .id = id};
+
+		for (int i = 0; i < (id == 7 ? 3 : 1); i++)
+			account_counts_taken(&account);
+		account_counts_ended(&account, id == 7 ? CW_REASON_CROWDED : CW_REASON_NONE);
+		account_counts_granted(&account, 2);
+	}
+	caraway__operator_reply__init(reply);
+	account_counts_fill(reply);
+	ck_assert_uint_eq(reply->n_accounts, 1000);
+	/* The accounts beyond 10,000 are counted together. */
+	ck_assert_str_eq(reply->accounts[0]->name, "");
+	ck_assert_uint_eq(reply->accounts[0]->taken, 2000);
+	ck_assert_uint_eq(reply->accounts[0]->answered, 2000);
+	ck_assert_uint_eq(reply->accounts[0]->granted, 4000);
+	first = reply->accounts[1];
+	ck_assert_str_eq(first->name, "account-7");
+	ck_assert_uint_eq(first->taken, 3);
+	ck_assert_uint_eq(first->n_refused, 1);
+	ck_assert_str_eq(first->refused[0]->name, "crowded");
+	ck_assert_uint_eq(first->refused[0]->value, 1);
+	cw_message_free(reply);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("accounts");
@@ -222,6 +256,7 @@
 	tcase_add_test(tcase, test_only_the_ledger_has_keys);
 	tcase_add_test(tcase, test_replacement_without_keys_is_refused);
 	tcase_add_test(tcase, test_keys_of_requests);
+	tcase_add_test(tcase, test_counts_of_accounts);
 	suite_add_tcase(suite, tcase);
 	runner = srunner_create(suite);
 	srunner_run_all(runner, CK_ENV);
--- a/tests/unit/test_cli.c
+++ b/tests/unit/test_cli.c
@@ -227,6 +227,34 @@
 		render_json(&reply.base, out);
 }
 
+/* accounts table|json: renders two client accounts of a proxy and, in the table, a proxy without an answer. */
+static void run_accounts(const char *format, GString *out)
+{
+	Caraway__OperatorReply reply = CARAWAY__OPERATOR_REPLY__INIT;
+	Caraway__Counter refused[] = {CARAWAY__COUNTER__INIT, CARAWAY__COUNTER__INIT};
+	Caraway__Counter *refused_list[] = {&refused[0], &refused[1]};
+	Caraway__AccountCounts accounts[] = {CARAWAY__ACCOUNT_COUNTS__INIT, CARAWAY__ACCOUNT_COUNTS__INIT};
+	Caraway__AccountCounts *list[] = {&accounts[0], &accounts[1]};
+	const process_reply_t replies[] = {{"10.0.0.4:7201", &reply}, {"10.0.0.5:7201", NULL}};
+
+	refused[0].name = "crowded";
+	refused[0].value = 12;
+	refused[1].name = "over-allotment";
+	refused[1].value = 30;
+	accounts[0].name = "ferry-lines";
+	accounts[0].taken = 240;
+	accounts[0].answered = 198;
+	accounts[0].n_refused = G_N_ELEMENTS(refused);
+	accounts[0].refused = refused_list;
+	accounts[1].granted = 25;
+	reply.n_accounts = G_N_ELEMENTS(accounts);
+	reply.accounts = list;
+	if (!strcmp(format, "table"))
+		render_accounts(replies, G_N_ELEMENTS(replies), out);
+	else
+		render_json(&reply.base, out);
+}
+
 /* Executes one script command. */
 static void run_command(void *data, int argc, char **argv, GString *out)
 {
@@ -240,6 +268,8 @@
 		run_due(argv, out);
 	else if (!strcmp(argv[0], "inforce") && argc == 2)
 		run_inforce(argv[1], out);
+	else if (!strcmp(argv[0], "accounts") && argc == 2)
+		run_accounts(argv[1], out);
 	else
 		g_string_append_printf(out, "unknown command %s\n", argv[0]);
 }
