--- a/daemon/allotments.c
+++ b/daemon/allotments.c
@@ -3,6 +3,7 @@
 
 #include <string.h>
 
+#include "account_counts.h"
 #include "clock.h"
 #include "counters.h"
 #include "log.h"
@@ -287,6 +288,7 @@
 		*granted = cw_allotment_owner_grant(allotments->owner, account_id, &limit, title,
 						    allotments->candidates_since_ms, need, now_ms);
 	counter_add(COUNTER_ALLOTMENT_GRANTED, granted->tokens + granted->spare_tokens);
+	account_counts_granted(account, granted->tokens + granted->spare_tokens);
 	counter_add(COUNTER_ALLOTMENT_WITHHELD, need->tokens - granted->tokens);
 	return true;
 }
