--- a/libcaraway/libcaraway.h
+++ b/libcaraway/libcaraway.h
@@ -17,5 +17,6 @@
 #include "caraway_changes.h"
 #include "caraway_raft.h"
 #include "caraway_relay.h"
+#include "caraway_rollout.h"
 
 #endif
