Roll-outs in the log and the ledger

Cause: orders, steps and verdicts have to survive the loss of a leader, a disk or the power of all. States go forward only and name their order, so that there is one verdict. Ruled out: a history of all roll-outs, which grows without bound; a repeated order that starts a second roll-out after the verdict, since it may be a late repetition. Measured: test_ledger (new script), test_ledger_fuzz and test_ledger_random pass.

--- a/libcaraway/caraway_changes.h
+++ b/libcaraway/caraway_changes.h
@@ -157,6 +157,16 @@
 bool cw_ledger_account_salt(const cw_ledger_t *ledger, uint64_t salt[2]);
 /* The digest by which the ledger recognises a release that was accepted before. */
 uint64_t cw_release_digest(uint64_t release, uint64_t base, const Caraway__Content *complete);
+/* The newest roll-out of a service, borrowed; NULL when it never had one. */
+const Caraway__Rollout *cw_ledger_rollout(const cw_ledger_t *ledger, const char *service);
+GPtrArray *
+cw_ledger_rollouts(const cw_ledger_t *ledger); /* borrowed Caraway__Rollout *, ordered by service */
+/*
+ * Checks whether a roll-out can be ordered; see ledger_rollout.c.  *ordered: it is the same order as that of the
+ * service's newest roll-out, which is acknowledged again.
+ */
+cw_status_t cw_ledger_check_rollout(const cw_ledger_t *ledger, const Caraway__RolloutBegin *begin,
+				    bool *ordered);
 GBytes *cw_ledger_save(const cw_ledger_t *ledger);
 cw_status_t cw_ledger_load(cw_ledger_t *ledger, const void *data, size_t length);
 
--- a/libcaraway/gen/caraway.pb-c.c
+++ b/libcaraway/gen/caraway.pb-c.c
@@ -772,6 +772,141 @@
   assert(message->base.descriptor == &caraway__replace__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   caraway__rollout_begin__init
+                     (Caraway__RolloutBegin         *message)
+{
+  static const Caraway__RolloutBegin init_value = CARAWAY__ROLLOUT_BEGIN__INIT;
+  *message = init_value;
+}
+size_t caraway__rollout_begin__get_packed_size
+                     (const Caraway__RolloutBegin *message)
+{
+  assert(message->base.descriptor == &caraway__rollout_begin__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t caraway__rollout_begin__pack
+                     (const Caraway__RolloutBegin *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &caraway__rollout_begin__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t caraway__rollout_begin__pack_to_buffer
+                     (const Caraway__RolloutBegin *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &caraway__rollout_begin__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Caraway__RolloutBegin *
+       caraway__rollout_begin__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Caraway__RolloutBegin *)
+     protobuf_c_message_unpack (&caraway__rollout_begin__descriptor,
+                                allocator, len, data);
+}
+void   caraway__rollout_begin__free_unpacked
+                     (Caraway__RolloutBegin *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &caraway__rollout_begin__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   caraway__rollout_step__init
+                     (Caraway__RolloutStep         *message)
+{
+  static const Caraway__RolloutStep init_value = CARAWAY__ROLLOUT_STEP__INIT;
+  *message = init_value;
+}
+size_t caraway__rollout_step__get_packed_size
+                     (const Caraway__RolloutStep *message)
+{
+  assert(message->base.descriptor == &caraway__rollout_step__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t caraway__rollout_step__pack
+                     (const Caraway__RolloutStep *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &caraway__rollout_step__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t caraway__rollout_step__pack_to_buffer
+                     (const Caraway__RolloutStep *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &caraway__rollout_step__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Caraway__RolloutStep *
+       caraway__rollout_step__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Caraway__RolloutStep *)
+     protobuf_c_message_unpack (&caraway__rollout_step__descriptor,
+                                allocator, len, data);
+}
+void   caraway__rollout_step__free_unpacked
+                     (Caraway__RolloutStep *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &caraway__rollout_step__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   caraway__rollout_verdict__init
+                     (Caraway__RolloutVerdict         *message)
+{
+  static const Caraway__RolloutVerdict init_value = CARAWAY__ROLLOUT_VERDICT__INIT;
+  *message = init_value;
+}
+size_t caraway__rollout_verdict__get_packed_size
+                     (const Caraway__RolloutVerdict *message)
+{
+  assert(message->base.descriptor == &caraway__rollout_verdict__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t caraway__rollout_verdict__pack
+                     (const Caraway__RolloutVerdict *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &caraway__rollout_verdict__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t caraway__rollout_verdict__pack_to_buffer
+                     (const Caraway__RolloutVerdict *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &caraway__rollout_verdict__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Caraway__RolloutVerdict *
+       caraway__rollout_verdict__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Caraway__RolloutVerdict *)
+     protobuf_c_message_unpack (&caraway__rollout_verdict__descriptor,
+                                allocator, len, data);
+}
+void   caraway__rollout_verdict__free_unpacked
+                     (Caraway__RolloutVerdict *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &caraway__rollout_verdict__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   caraway__command__init
                      (Caraway__Command         *message)
 {
@@ -2077,6 +2212,51 @@
   assert(message->base.descriptor == &caraway__release__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   caraway__rollout__init
+                     (Caraway__Rollout         *message)
+{
+  static const Caraway__Rollout init_value = CARAWAY__ROLLOUT__INIT;
+  *message = init_value;
+}
+size_t caraway__rollout__get_packed_size
+                     (const Caraway__Rollout *message)
+{
+  assert(message->base.descriptor == &caraway__rollout__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t caraway__rollout__pack
+                     (const Caraway__Rollout *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &caraway__rollout__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t caraway__rollout__pack_to_buffer
+                     (const Caraway__Rollout *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &caraway__rollout__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Caraway__Rollout *
+       caraway__rollout__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Caraway__Rollout *)
+     protobuf_c_message_unpack (&caraway__rollout__descriptor,
+                                allocator, len, data);
+}
+void   caraway__rollout__free_unpacked
+                     (Caraway__Rollout *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &caraway__rollout__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   caraway__ledger_snapshot__init
                      (Caraway__LedgerSnapshot         *message)
 {
@@ -4847,7 +5027,199 @@
   (ProtobufCMessageInit) caraway__replace__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor caraway__command__field_descriptors[8] =
+static const ProtobufCFieldDescriptor caraway__rollout_begin__field_descriptors[4] =
+{
+  {
+    "operator_name",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Caraway__RolloutBegin, operator_name),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "service",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Caraway__RolloutBegin, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "target_version",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Caraway__RolloutBegin, target_version),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "duration_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Caraway__RolloutBegin, duration_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned caraway__rollout_begin__field_indices_by_name[] = {
+  3,   /* field[3] = duration_ms */
+  0,   /* field[0] = operator_name */
+  1,   /* field[1] = service */
+  2,   /* field[2] = target_version */
+};
+static const ProtobufCIntRange caraway__rollout_begin__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor caraway__rollout_begin__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "caraway.RolloutBegin",
+  "RolloutBegin",
+  "Caraway__RolloutBegin",
+  "caraway",
+  sizeof(Caraway__RolloutBegin),
+  4,
+  caraway__rollout_begin__field_descriptors,
+  caraway__rollout_begin__field_indices_by_name,
+  1,  caraway__rollout_begin__number_ranges,
+  (ProtobufCMessageInit) caraway__rollout_begin__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor caraway__rollout_step__field_descriptors[2] =
+{
+  {
+    "sequence",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Caraway__RolloutStep, sequence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "state",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_ENUM,
+    0,   /* quantifier_offset */
+    offsetof(Caraway__RolloutStep, state),
+    &caraway__rollout_state__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned caraway__rollout_step__field_indices_by_name[] = {
+  0,   /* field[0] = sequence */
+  1,   /* field[1] = state */
+};
+static const ProtobufCIntRange caraway__rollout_step__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor caraway__rollout_step__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "caraway.RolloutStep",
+  "RolloutStep",
+  "Caraway__RolloutStep",
+  "caraway",
+  sizeof(Caraway__RolloutStep),
+  2,
+  caraway__rollout_step__field_descriptors,
+  caraway__rollout_step__field_indices_by_name,
+  1,  caraway__rollout_step__number_ranges,
+  (ProtobufCMessageInit) caraway__rollout_step__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor caraway__rollout_verdict__field_descriptors[3] =
+{
+  {
+    "sequence",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Caraway__RolloutVerdict, sequence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "succeeded",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Caraway__RolloutVerdict, succeeded),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "reason",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Caraway__RolloutVerdict, reason),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned caraway__rollout_verdict__field_indices_by_name[] = {
+  2,   /* field[2] = reason */
+  0,   /* field[0] = sequence */
+  1,   /* field[1] = succeeded */
+};
+static const ProtobufCIntRange caraway__rollout_verdict__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor caraway__rollout_verdict__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "caraway.RolloutVerdict",
+  "RolloutVerdict",
+  "Caraway__RolloutVerdict",
+  "caraway",
+  sizeof(Caraway__RolloutVerdict),
+  3,
+  caraway__rollout_verdict__field_descriptors,
+  caraway__rollout_verdict__field_indices_by_name,
+  1,  caraway__rollout_verdict__number_ranges,
+  (ProtobufCMessageInit) caraway__rollout_verdict__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor caraway__command__field_descriptors[11] =
 {
   {
     "proposed_ms",
@@ -4945,6 +5317,42 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "rollout_begin",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Caraway__Command, body_case),
+    offsetof(Caraway__Command, rollout_begin),
+    &caraway__rollout_begin__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "rollout_step",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Caraway__Command, body_case),
+    offsetof(Caraway__Command, rollout_step),
+    &caraway__rollout_step__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "rollout_verdict",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Caraway__Command, body_case),
+    offsetof(Caraway__Command, rollout_verdict),
+    &caraway__rollout_verdict__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned caraway__command__field_indices_by_name[] = {
   6,   /* field[6] = activate */
@@ -4953,13 +5361,16 @@
   5,   /* field[5] = register_vm */
   7,   /* field[7] = replace */
   2,   /* field[2] = review */
+  8,   /* field[8] = rollout_begin */
+  9,   /* field[9] = rollout_step */
+  10,   /* field[10] = rollout_verdict */
   4,   /* field[4] = set_labels */
   3,   /* field[3] = withdraw */
 };
 static const ProtobufCIntRange caraway__command__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor caraway__command__descriptor =
 {
@@ -4969,7 +5380,7 @@
   "Caraway__Command",
   "caraway",
   sizeof(Caraway__Command),
-  8,
+  11,
   caraway__command__field_descriptors,
   caraway__command__field_indices_by_name,
   1,  caraway__command__number_ranges,
@@ -7138,7 +7549,149 @@
   (ProtobufCMessageInit) caraway__release__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor caraway__ledger_snapshot__field_descriptors[5] =
+static const ProtobufCFieldDescriptor caraway__rollout__field_descriptors[9] =
+{
+  {
+    "sequence",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Caraway__Rollout, sequence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "service",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Caraway__Rollout, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "target_version",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Caraway__Rollout, target_version),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "operator_name",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Caraway__Rollout, operator_name),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "duration_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Caraway__Rollout, duration_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "state",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_ENUM,
+    0,   /* quantifier_offset */
+    offsetof(Caraway__Rollout, state),
+    &caraway__rollout_state__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "begun_ms",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Caraway__Rollout, begun_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "state_ms",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Caraway__Rollout, state_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "reason",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Caraway__Rollout, reason),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned caraway__rollout__field_indices_by_name[] = {
+  6,   /* field[6] = begun_ms */
+  4,   /* field[4] = duration_ms */
+  3,   /* field[3] = operator_name */
+  8,   /* field[8] = reason */
+  0,   /* field[0] = sequence */
+  1,   /* field[1] = service */
+  5,   /* field[5] = state */
+  7,   /* field[7] = state_ms */
+  2,   /* field[2] = target_version */
+};
+static const ProtobufCIntRange caraway__rollout__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 9 }
+};
+const ProtobufCMessageDescriptor caraway__rollout__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "caraway.Rollout",
+  "Rollout",
+  "Caraway__Rollout",
+  "caraway",
+  sizeof(Caraway__Rollout),
+  9,
+  caraway__rollout__field_descriptors,
+  caraway__rollout__field_indices_by_name,
+  1,  caraway__rollout__number_ranges,
+  (ProtobufCMessageInit) caraway__rollout__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor caraway__ledger_snapshot__field_descriptors[7] =
 {
   {
     "changes",
@@ -7200,6 +7753,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "rollouts",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Caraway__LedgerSnapshot, n_rollouts),
+    offsetof(Caraway__LedgerSnapshot, rollouts),
+    &caraway__rollout__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "rollout_count",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Caraway__LedgerSnapshot, rollout_count),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned caraway__ledger_snapshot__field_indices_by_name[] = {
   4,   /* field[4] = account_keys */
@@ -7207,11 +7784,13 @@
   0,   /* field[0] = changes */
   1,   /* field[1] = feed */
   3,   /* field[3] = releases */
+  6,   /* field[6] = rollout_count */
+  5,   /* field[5] = rollouts */
 };
 static const ProtobufCIntRange caraway__ledger_snapshot__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor caraway__ledger_snapshot__descriptor =
 {
@@ -7221,7 +7800,7 @@
   "Caraway__LedgerSnapshot",
   "caraway",
   sizeof(Caraway__LedgerSnapshot),
-  5,
+  7,
   caraway__ledger_snapshot__field_descriptors,
   caraway__ledger_snapshot__field_indices_by_name,
   1,  caraway__ledger_snapshot__number_ranges,
@@ -10177,6 +10756,44 @@
   caraway__access__value_ranges,
   NULL,NULL,NULL,NULL   /* reserved[1234] */
 };
+static const ProtobufCEnumValue caraway__rollout_state__enum_values_by_number[7] =
+{
+  { "ROLLOUT_NONE", "CARAWAY__ROLLOUT_STATE__ROLLOUT_NONE", 0 },
+  { "ROLLOUT_PROBE", "CARAWAY__ROLLOUT_STATE__ROLLOUT_PROBE", 1 },
+  { "ROLLOUT_SPREAD", "CARAWAY__ROLLOUT_STATE__ROLLOUT_SPREAD", 2 },
+  { "ROLLOUT_LOAD", "CARAWAY__ROLLOUT_STATE__ROLLOUT_LOAD", 3 },
+  { "ROLLOUT_HANDOVER", "CARAWAY__ROLLOUT_STATE__ROLLOUT_HANDOVER", 4 },
+  { "ROLLOUT_SUCCEEDED", "CARAWAY__ROLLOUT_STATE__ROLLOUT_SUCCEEDED", 5 },
+  { "ROLLOUT_ROLLED_BACK", "CARAWAY__ROLLOUT_STATE__ROLLOUT_ROLLED_BACK", 6 },
+};
+static const ProtobufCIntRange caraway__rollout_state__value_ranges[] = {
+{0, 0},{0, 7}
+};
+static const ProtobufCEnumValueIndex caraway__rollout_state__enum_values_by_name[7] =
+{
+  { "ROLLOUT_HANDOVER", 4 },
+  { "ROLLOUT_LOAD", 3 },
+  { "ROLLOUT_NONE", 0 },
+  { "ROLLOUT_PROBE", 1 },
+  { "ROLLOUT_ROLLED_BACK", 6 },
+  { "ROLLOUT_SPREAD", 2 },
+  { "ROLLOUT_SUCCEEDED", 5 },
+};
+const ProtobufCEnumDescriptor caraway__rollout_state__descriptor =
+{
+  PROTOBUF_C__ENUM_DESCRIPTOR_MAGIC,
+  "caraway.RolloutState",
+  "RolloutState",
+  "Caraway__RolloutState",
+  "caraway",
+  7,
+  caraway__rollout_state__enum_values_by_number,
+  7,
+  caraway__rollout_state__enum_values_by_name,
+  1,
+  caraway__rollout_state__value_ranges,
+  NULL,NULL,NULL,NULL   /* reserved[1234] */
+};
 static const ProtobufCEnumValue caraway__change_state__enum_values_by_number[6] =
 {
   { "CHANGE_NONE", "CARAWAY__CHANGE_STATE__CHANGE_NONE", 0 },
--- a/libcaraway/gen/caraway.pb-c.h
+++ b/libcaraway/gen/caraway.pb-c.h
@@ -32,6 +32,9 @@
 typedef struct Caraway__Register Caraway__Register;
 typedef struct Caraway__Activate Caraway__Activate;
 typedef struct Caraway__Replace Caraway__Replace;
+typedef struct Caraway__RolloutBegin Caraway__RolloutBegin;
+typedef struct Caraway__RolloutStep Caraway__RolloutStep;
+typedef struct Caraway__RolloutVerdict Caraway__RolloutVerdict;
 typedef struct Caraway__Command Caraway__Command;
 typedef struct Caraway__Change Caraway__Change;
 typedef struct Caraway__Replica Caraway__Replica;
@@ -61,6 +64,7 @@
 typedef struct Caraway__FeedSnapshot Caraway__FeedSnapshot;
 typedef struct Caraway__Archive Caraway__Archive;
 typedef struct Caraway__Release Caraway__Release;
+typedef struct Caraway__Rollout Caraway__Rollout;
 typedef struct Caraway__LedgerSnapshot Caraway__LedgerSnapshot;
 typedef struct Caraway__Stamp Caraway__Stamp;
 typedef struct Caraway__Endpoint Caraway__Endpoint;
@@ -121,6 +125,28 @@
   CARAWAY__ACCESS__ACCESS_ACCOUNT = 2
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(CARAWAY__ACCESS)
 } Caraway__Access;
+typedef enum _Caraway__RolloutState {
+  CARAWAY__ROLLOUT_STATE__ROLLOUT_NONE = 0,
+  /*
+   * few requests, over all new targets
+   */
+  CARAWAY__ROLLOUT_STATE__ROLLOUT_PROBE = 1,
+  /*
+   * more, over all new targets
+   */
+  CARAWAY__ROLLOUT_STATE__ROLLOUT_SPREAD = 2,
+  /*
+   * the most that the bound allows, on few new targets
+   */
+  CARAWAY__ROLLOUT_STATE__ROLLOUT_LOAD = 3,
+  /*
+   * all requests: the new version was found good
+   */
+  CARAWAY__ROLLOUT_STATE__ROLLOUT_HANDOVER = 4,
+  CARAWAY__ROLLOUT_STATE__ROLLOUT_SUCCEEDED = 5,
+  CARAWAY__ROLLOUT_STATE__ROLLOUT_ROLLED_BACK = 6
+    PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(CARAWAY__ROLLOUT_STATE)
+} Caraway__RolloutState;
 typedef enum _Caraway__ChangeState {
   CARAWAY__CHANGE_STATE__CHANGE_NONE = 0,
   CARAWAY__CHANGE_STATE__CHANGE_BOOKED = 1,
@@ -527,6 +553,63 @@
     , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, NULL, 0,NULL }
 
 
+/*
+ * Orders a roll-out: to move a service's traffic to targets of a version.
+ */
+struct  Caraway__RolloutBegin
+{
+  ProtobufCMessage base;
+  char *operator_name;
+  char *service;
+  char *target_version;
+  /*
+   * within which it has to succeed or to be rolled back
+   */
+  int64_t duration_ms;
+};
+#define CARAWAY__ROLLOUT_BEGIN__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&caraway__rollout_begin__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
+
+
+/*
+ * Takes a roll-out to a later step; proposed by the leader.
+ */
+struct  Caraway__RolloutStep
+{
+  ProtobufCMessage base;
+  /*
+   * of the order
+   */
+  uint64_t sequence;
+  Caraway__RolloutState state;
+};
+#define CARAWAY__ROLLOUT_STEP__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&caraway__rollout_step__descriptor) \
+    , 0, CARAWAY__ROLLOUT_STATE__ROLLOUT_NONE }
+
+
+/*
+ * Ends a roll-out; proposed by the leader.
+ */
+struct  Caraway__RolloutVerdict
+{
+  ProtobufCMessage base;
+  /*
+   * of the order
+   */
+  uint64_t sequence;
+  protobuf_c_boolean succeeded;
+  /*
+   * of a roll-back
+   */
+  char *reason;
+};
+#define CARAWAY__ROLLOUT_VERDICT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&caraway__rollout_verdict__descriptor) \
+    , 0, 0, (char *)protobuf_c_empty_string }
+
+
 typedef enum {
   CARAWAY__COMMAND__BODY__NOT_SET = 0,
   CARAWAY__COMMAND__BODY_BOOK = 2,
@@ -535,7 +618,10 @@
   CARAWAY__COMMAND__BODY_SET_LABELS = 5,
   CARAWAY__COMMAND__BODY_REGISTER_VM = 6,
   CARAWAY__COMMAND__BODY_ACTIVATE = 7,
-  CARAWAY__COMMAND__BODY_REPLACE = 8
+  CARAWAY__COMMAND__BODY_REPLACE = 8,
+  CARAWAY__COMMAND__BODY_ROLLOUT_BEGIN = 9,
+  CARAWAY__COMMAND__BODY_ROLLOUT_STEP = 10,
+  CARAWAY__COMMAND__BODY_ROLLOUT_VERDICT = 11
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(CARAWAY__COMMAND__BODY__CASE)
 } Caraway__Command__BodyCase;
 
@@ -555,6 +641,9 @@
     Caraway__Register *register_vm;
     Caraway__Activate *activate;
     Caraway__Replace *replace;
+    Caraway__RolloutBegin *rollout_begin;
+    Caraway__RolloutStep *rollout_step;
+    Caraway__RolloutVerdict *rollout_verdict;
   };
 };
 #define CARAWAY__COMMAND__INIT \
@@ -1112,6 +1201,39 @@
     , 0, 0 }
 
 
+/*
+ * The newest roll-out of a service.
+ */
+struct  Caraway__Rollout
+{
+  ProtobufCMessage base;
+  /*
+   * of the order, among all orders
+   */
+  uint64_t sequence;
+  char *service;
+  char *target_version;
+  char *operator_name;
+  int64_t duration_ms;
+  Caraway__RolloutState state;
+  /*
+   * UTC
+   */
+  int64_t begun_ms;
+  /*
+   * UTC, when the state was entered
+   */
+  int64_t state_ms;
+  /*
+   * of a roll-back
+   */
+  char *reason;
+};
+#define CARAWAY__ROLLOUT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&caraway__rollout__descriptor) \
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, CARAWAY__ROLLOUT_STATE__ROLLOUT_NONE, 0, 0, (char *)protobuf_c_empty_string }
+
+
 struct  Caraway__LedgerSnapshot
 {
   ProtobufCMessage base;
@@ -1129,10 +1251,19 @@
    */
   size_t n_account_keys;
   Caraway__AccountKeys **account_keys;
+  /*
+   * ordered by the name of the service
+   */
+  size_t n_rollouts;
+  Caraway__Rollout **rollouts;
+  /*
+   * orders that were ever accepted
+   */
+  uint64_t rollout_count;
 };
 #define CARAWAY__LEDGER_SNAPSHOT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&caraway__ledger_snapshot__descriptor) \
-    , 0,NULL, NULL, NULL, 0,NULL, 0,NULL }
+    , 0,NULL, NULL, NULL, 0,NULL, 0,NULL, 0,NULL, 0 }
 
 
 /*
@@ -2161,6 +2292,63 @@
 void   caraway__replace__free_unpacked
                      (Caraway__Replace *message,
                       ProtobufCAllocator *allocator);
+/* Caraway__RolloutBegin methods */
+void   caraway__rollout_begin__init
+                     (Caraway__RolloutBegin         *message);
+size_t caraway__rollout_begin__get_packed_size
+                     (const Caraway__RolloutBegin   *message);
+size_t caraway__rollout_begin__pack
+                     (const Caraway__RolloutBegin   *message,
+                      uint8_t             *out);
+size_t caraway__rollout_begin__pack_to_buffer
+                     (const Caraway__RolloutBegin   *message,
+                      ProtobufCBuffer     *buffer);
+Caraway__RolloutBegin *
+       caraway__rollout_begin__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   caraway__rollout_begin__free_unpacked
+                     (Caraway__RolloutBegin *message,
+                      ProtobufCAllocator *allocator);
+/* Caraway__RolloutStep methods */
+void   caraway__rollout_step__init
+                     (Caraway__RolloutStep         *message);
+size_t caraway__rollout_step__get_packed_size
+                     (const Caraway__RolloutStep   *message);
+size_t caraway__rollout_step__pack
+                     (const Caraway__RolloutStep   *message,
+                      uint8_t             *out);
+size_t caraway__rollout_step__pack_to_buffer
+                     (const Caraway__RolloutStep   *message,
+                      ProtobufCBuffer     *buffer);
+Caraway__RolloutStep *
+       caraway__rollout_step__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   caraway__rollout_step__free_unpacked
+                     (Caraway__RolloutStep *message,
+                      ProtobufCAllocator *allocator);
+/* Caraway__RolloutVerdict methods */
+void   caraway__rollout_verdict__init
+                     (Caraway__RolloutVerdict         *message);
+size_t caraway__rollout_verdict__get_packed_size
+                     (const Caraway__RolloutVerdict   *message);
+size_t caraway__rollout_verdict__pack
+                     (const Caraway__RolloutVerdict   *message,
+                      uint8_t             *out);
+size_t caraway__rollout_verdict__pack_to_buffer
+                     (const Caraway__RolloutVerdict   *message,
+                      ProtobufCBuffer     *buffer);
+Caraway__RolloutVerdict *
+       caraway__rollout_verdict__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   caraway__rollout_verdict__free_unpacked
+                     (Caraway__RolloutVerdict *message,
+                      ProtobufCAllocator *allocator);
 /* Caraway__Command methods */
 void   caraway__command__init
                      (Caraway__Command         *message);
@@ -2712,6 +2900,25 @@
 void   caraway__release__free_unpacked
                      (Caraway__Release *message,
                       ProtobufCAllocator *allocator);
+/* Caraway__Rollout methods */
+void   caraway__rollout__init
+                     (Caraway__Rollout         *message);
+size_t caraway__rollout__get_packed_size
+                     (const Caraway__Rollout   *message);
+size_t caraway__rollout__pack
+                     (const Caraway__Rollout   *message,
+                      uint8_t             *out);
+size_t caraway__rollout__pack_to_buffer
+                     (const Caraway__Rollout   *message,
+                      ProtobufCBuffer     *buffer);
+Caraway__Rollout *
+       caraway__rollout__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   caraway__rollout__free_unpacked
+                     (Caraway__Rollout *message,
+                      ProtobufCAllocator *allocator);
 /* Caraway__LedgerSnapshot methods */
 void   caraway__ledger_snapshot__init
                      (Caraway__LedgerSnapshot         *message);
@@ -3316,6 +3523,15 @@
 typedef void (*Caraway__Replace_Closure)
                  (const Caraway__Replace *message,
                   void *closure_data);
+typedef void (*Caraway__RolloutBegin_Closure)
+                 (const Caraway__RolloutBegin *message,
+                  void *closure_data);
+typedef void (*Caraway__RolloutStep_Closure)
+                 (const Caraway__RolloutStep *message,
+                  void *closure_data);
+typedef void (*Caraway__RolloutVerdict_Closure)
+                 (const Caraway__RolloutVerdict *message,
+                  void *closure_data);
 typedef void (*Caraway__Command_Closure)
                  (const Caraway__Command *message,
                   void *closure_data);
@@ -3403,6 +3619,9 @@
 typedef void (*Caraway__Release_Closure)
                  (const Caraway__Release *message,
                   void *closure_data);
+typedef void (*Caraway__Rollout_Closure)
+                 (const Caraway__Rollout *message,
+                  void *closure_data);
 typedef void (*Caraway__LedgerSnapshot_Closure)
                  (const Caraway__LedgerSnapshot *message,
                   void *closure_data);
@@ -3498,6 +3717,7 @@
 
 extern const ProtobufCEnumDescriptor    caraway__idempotence__descriptor;
 extern const ProtobufCEnumDescriptor    caraway__access__descriptor;
+extern const ProtobufCEnumDescriptor    caraway__rollout_state__descriptor;
 extern const ProtobufCEnumDescriptor    caraway__change_state__descriptor;
 extern const ProtobufCEnumDescriptor    caraway__entry_kind__descriptor;
 extern const ProtobufCEnumDescriptor    caraway__endpoint_state__descriptor;
@@ -3520,6 +3740,9 @@
 extern const ProtobufCMessageDescriptor caraway__register__descriptor;
 extern const ProtobufCMessageDescriptor caraway__activate__descriptor;
 extern const ProtobufCMessageDescriptor caraway__replace__descriptor;
+extern const ProtobufCMessageDescriptor caraway__rollout_begin__descriptor;
+extern const ProtobufCMessageDescriptor caraway__rollout_step__descriptor;
+extern const ProtobufCMessageDescriptor caraway__rollout_verdict__descriptor;
 extern const ProtobufCMessageDescriptor caraway__command__descriptor;
 extern const ProtobufCMessageDescriptor caraway__change__descriptor;
 extern const ProtobufCMessageDescriptor caraway__replica__descriptor;
@@ -3549,6 +3772,7 @@
 extern const ProtobufCMessageDescriptor caraway__feed_snapshot__descriptor;
 extern const ProtobufCMessageDescriptor caraway__archive__descriptor;
 extern const ProtobufCMessageDescriptor caraway__release__descriptor;
+extern const ProtobufCMessageDescriptor caraway__rollout__descriptor;
 extern const ProtobufCMessageDescriptor caraway__ledger_snapshot__descriptor;
 extern const ProtobufCMessageDescriptor caraway__stamp__descriptor;
 extern const ProtobufCMessageDescriptor caraway__endpoint__descriptor;
--- a/libcaraway/ledger.c
+++ b/libcaraway/ledger.c
@@ -17,6 +17,7 @@
 	ledger->releases = g_array_new(FALSE, FALSE, sizeof(release_t));
 	ledger->account_keys =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, (GDestroyNotify)g_bytes_unref);
+	ledger->rollouts = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, cw_message_free);
 	return ledger;
 }
 
@@ -30,13 +31,14 @@
 	g_array_unref(ledger->archive);
 	g_array_unref(ledger->releases);
 	g_hash_table_destroy(ledger->account_keys);
+	g_hash_table_destroy(ledger->rollouts);
 	schedule_free(ledger->schedule);
 	g_hash_table_destroy(ledger->changes);
 	cw_feed_free(ledger->feed);
 	g_free(ledger);
 }
 
-/* Removes all changes, releases and keys of accounts; the feed is not altered. */
+/* Removes all changes, releases, keys of accounts and roll-outs; the feed is not altered. */
 void ledger_reset(cw_ledger_t *ledger)
 {
 	g_queue_clear(ledger->finished_with_content);
@@ -44,6 +46,8 @@
 	g_array_set_size(ledger->archive, 0);
 	g_array_set_size(ledger->releases, 0);
 	g_hash_table_remove_all(ledger->account_keys);
+	g_hash_table_remove_all(ledger->rollouts);
+	ledger->rollout_count = 0;
 	schedule_free(ledger->schedule);
 	ledger->schedule = schedule_new();
 	g_hash_table_remove_all(ledger->changes);
@@ -204,6 +208,12 @@
 		return ledger_register_vm(ledger, command->register_vm);
 	case CARAWAY__COMMAND__BODY_REPLACE:
 		return ledger_replace_without_content(ledger, command->replace);
+	case CARAWAY__COMMAND__BODY_ROLLOUT_BEGIN:
+		return ledger_begin_rollout(ledger, command->rollout_begin, at_ms);
+	case CARAWAY__COMMAND__BODY_ROLLOUT_STEP:
+		return ledger_step_rollout(ledger, command->rollout_step, at_ms);
+	case CARAWAY__COMMAND__BODY_ROLLOUT_VERDICT:
+		return ledger_end_rollout(ledger, command->rollout_verdict, at_ms);
 	default:
 		return cw_fail(CW_ERR_DECODE, "the command is empty or of an unknown kind");
 	}
--- a/libcaraway/ledger.h
+++ b/libcaraway/ledger.h
@@ -50,6 +50,8 @@
 	GArray *archive;	       /* archived_t, ordered by number */
 	GArray *releases;	       /* release_t, in the order in which they came into force */
 	GHashTable *account_keys;      /* account -> GBytes, a packed Caraway__AccountKeys */
+	GHashTable *rollouts;	       /* service -> Caraway__Rollout, its newest */
+	uint64_t rollout_count;	       /* roll-outs that were ever ordered */
 	uint64_t finished_count;       /* changes that have ever finished */
 	size_t open_count;	       /* changes that have not finished */
 };
@@ -118,6 +120,14 @@
 GPtrArray *ledger_save_account_keys(const cw_ledger_t *ledger);
 void ledger_load_account_keys(cw_ledger_t *ledger, const Caraway__LedgerSnapshot *snapshot);
 
+/* ---- ledger_rollout.c ---- */
+
+cw_status_t ledger_begin_rollout(cw_ledger_t *ledger, const Caraway__RolloutBegin *begin, int64_t at_ms);
+cw_status_t ledger_step_rollout(cw_ledger_t *ledger, const Caraway__RolloutStep *step, int64_t at_ms);
+cw_status_t ledger_end_rollout(cw_ledger_t *ledger, const Caraway__RolloutVerdict *verdict, int64_t at_ms);
+cw_status_t ledger_check_rollouts(const Caraway__LedgerSnapshot *snapshot);
+void ledger_load_rollouts(cw_ledger_t *ledger, const Caraway__LedgerSnapshot *snapshot);
+
 /* ---- ledger_vm.c ---- */
 
 cw_status_t ledger_set_labels(cw_ledger_t *ledger, const Caraway__SetLabels *command);
--- a/libcaraway/ledger_save.c
+++ b/libcaraway/ledger_save.c
@@ -54,6 +54,7 @@
 	Caraway__LedgerSnapshot snapshot = CARAWAY__LEDGER_SNAPSHOT__INIT;
 	GPtrArray *changes = cw_ledger_changes(ledger);
 	GPtrArray *account_keys = ledger_save_account_keys(ledger);
+	GPtrArray *rollouts = cw_ledger_rollouts(ledger);
 	size_t length;
 	uint8_t *data;
 	uint64_t hash;
@@ -65,6 +66,9 @@
 	save_releases(ledger, &snapshot);
 	snapshot.n_account_keys = account_keys->len;
 	snapshot.account_keys = (Caraway__AccountKeys **)account_keys->pdata;
+	snapshot.n_rollouts = rollouts->len;
+	snapshot.rollouts = (Caraway__Rollout **)rollouts->pdata;
+	snapshot.rollout_count = ledger->rollout_count;
 	length = caraway__ledger_snapshot__get_packed_size(&snapshot);
 	data = g_malloc(HASH_BYTES + length);
 	caraway__ledger_snapshot__pack(&snapshot, data + HASH_BYTES);
@@ -75,6 +79,7 @@
 	g_free(snapshot.releases[0]);
 	g_free(snapshot.releases);
 	g_ptr_array_unref(account_keys);
+	g_ptr_array_unref(rollouts);
 	g_ptr_array_unref(changes);
 	return g_bytes_new_take(data, HASH_BYTES + length);
 }
@@ -249,6 +254,8 @@
 		status = check_staged(snapshot);
 	if (!status)
 		status = check_releases(snapshot);
+	if (!status)
+		status = ledger_check_rollouts(snapshot);
 	archive = g_array_new(FALSE, FALSE, sizeof(archived_t));
 	if (!status)
 		status = load_archive(snapshot, archive);
@@ -259,6 +266,7 @@
 		load_changes(ledger, snapshot);
 		load_releases(ledger, snapshot);
 		ledger_load_account_keys(ledger, snapshot);
+		ledger_load_rollouts(ledger, snapshot);
 		g_array_append_vals(ledger->archive, archive->data, archive->len);
 	}
 	g_array_unref(archive);
--- a/tests/unit/test_ledger.c
+++ b/tests/unit/test_ledger.c
@@ -125,6 +125,71 @@
 	cw_message_free(vm);
 }
 
+/* "begin SERVICE VERSION DURATION_MS [OPERATOR]": orders a roll-out. */
+static void run_begin(script_state_t *state, int argc, char **argv, GString *out)
+{
+	Caraway__Command command = CARAWAY__COMMAND__INIT;
+	Caraway__RolloutBegin begin = CARAWAY__ROLLOUT_BEGIN__INIT;
+
+	begin.service = argv[1];
+	begin.target_version = argv[2];
+	begin.duration_ms = g_ascii_strtoll(argv[3], NULL, 10);
+	begin.operator_name = argc > 4 ? argv[4] : "operators";
+	command.body_case = CARAWAY__COMMAND__BODY_ROLLOUT_BEGIN;
+	command.rollout_begin = &begin;
+	apply(state, &command, out);
+}
+
+/* "step SEQUENCE STATE": takes a roll-out to the step of a number. */
+static void run_step(script_state_t *state, int argc, char **argv, GString *out)
+{
+	Caraway__Command command = CARAWAY__COMMAND__INIT;
+	Caraway__RolloutStep step = CARAWAY__ROLLOUT_STEP__INIT;
+
+	(void)argc;
+	step.sequence = g_ascii_strtoull(argv[1], NULL, 10);
+	step.state = (Caraway__RolloutState)g_ascii_strtoll(argv[2], NULL, 10);
+	command.body_case = CARAWAY__COMMAND__BODY_ROLLOUT_STEP;
+	command.rollout_step = &step;
+	apply(state, &command, out);
+}
+
+/* "verdict SEQUENCE good|bad [REASON]": ends a roll-out. */
+static void run_verdict(script_state_t *state, int argc, char **argv, GString *out)
+{
+	Caraway__Command command = CARAWAY__COMMAND__INIT;
+	Caraway__RolloutVerdict verdict = CARAWAY__ROLLOUT_VERDICT__INIT;
+
+	verdict.sequence = g_ascii_strtoull(argv[1], NULL, 10);
+	verdict.succeeded = !strcmp(argv[2], "good");
+	if (argc > 3)
+		verdict.reason = argv[3];
+	command.body_case = CARAWAY__COMMAND__BODY_ROLLOUT_VERDICT;
+	command.rollout_verdict = &verdict;
+	apply(state, &command, out);
+}
+
+/* "rollouts": prints the newest roll-out of each service. */
+static void run_rollouts(script_state_t *state, int argc, char **argv, GString *out)
+{
+	GPtrArray *rollouts = cw_ledger_rollouts(state->ledger);
+
+	(void)argc;
+	(void)argv;
+	for (guint i = 0; i < rollouts->len; i++) {
+		const Caraway__Rollout *rollout = rollouts->pdata[i];
+
+		g_string_append_printf(out,
+				       "%" G_GUINT64_FORMAT " %s to %s: %s at %" G_GINT64_FORMAT
+				       ", begun at %" G_GINT64_FORMAT " for %" G_GINT64_FORMAT "%s%s\n",
+				       rollout->sequence, rollout->service, rollout->target_version,
+				       cw_rollout_step_name((cw_rollout_step_t)rollout->state),
+				       rollout->state_ms, rollout->begun_ms, rollout->duration_ms,
+				       *rollout->reason ? ", " : "", rollout->reason);
+	}
+	g_ptr_array_unref(rollouts);
+}
+
 /* "due": prints the number of the change to activate now, 0 when there is none. */
 static void run_due(script_state_t *state, int argc, char **argv, GString *out)
 {
@@ -269,7 +334,8 @@
 		{"vm", run_vm},		{"label", run_label},	  {"activate", run_activate},
 		{"due", run_due},	{"show", run_show},	  {"holds", run_holds},
 		{"reload", run_reload}, {"at", run_at},		  {"propose", run_propose},
-		{"commit", run_commit}, {"release", run_release},
+		{"commit", run_commit}, {"release", run_release}, {"begin", run_begin},
+		{"step", run_step},	{"verdict", run_verdict}, {"rollouts", run_rollouts},
 	};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(commands); i++)
--- a/tests/unit/test_ledger_fuzz.c
+++ b/tests/unit/test_ledger_fuzz.c
@@ -137,6 +137,32 @@
 	return cw_message_pack(&command.base);
 }
 
+/* Returns a packed command that orders a roll-out, or takes the first one to a step, or ends it. */
+static GBytes *packed_rollout(Caraway__Command__BodyCase body, const char *service)
+{
+	Caraway__Command command = CARAWAY__COMMAND__INIT;
+	Caraway__RolloutBegin begin = CARAWAY__ROLLOUT_BEGIN__INIT;
+	Caraway__RolloutStep step = CARAWAY__ROLLOUT_STEP__INIT;
+	Caraway__RolloutVerdict verdict = CARAWAY__ROLLOUT_VERDICT__INIT;
+
+	begin.operator_name = "anna";
+	begin.service = (char *)service;
+	begin.target_version = "v2";
+	begin.duration_ms = 30000;
+	step.sequence = verdict.sequence = 1;
+	step.state = CARAWAY__ROLLOUT_STATE__ROLLOUT_SPREAD;
+	verdict.reason = "failures";
+	command.proposed_ms = 3000;
+	command.body_case = body;
+	if (body == CARAWAY__COMMAND__BODY_ROLLOUT_BEGIN)
+		command.rollout_begin = &begin;
+	else if (body == CARAWAY__COMMAND__BODY_ROLLOUT_STEP)
+		command.rollout_step = &step;
+	else
+		command.rollout_verdict = &verdict;
+	return cw_message_pack(&command.base);
+}
+
 /* Returns packed commands (GBytes) that leave a ledger with a change in every state. */
 static GPtrArray *make_commands(void)
 {
@@ -157,6 +183,9 @@
 	g_ptr_array_add(commands, packed_book(4, "zone=ozd", 1, second));
 	g_ptr_array_add(commands, packed_command(CARAWAY__COMMAND__BODY_WITHDRAW, 4, 1000));
 	g_ptr_array_add(commands, packed_book(5, "zone=ozd", 1, second));
+	g_ptr_array_add(commands, packed_rollout(CARAWAY__COMMAND__BODY_ROLLOUT_BEGIN, "a"));
+	g_ptr_array_add(commands, packed_rollout(CARAWAY__COMMAND__BODY_ROLLOUT_STEP, "a"));
+	g_ptr_array_add(commands, packed_rollout(CARAWAY__COMMAND__BODY_ROLLOUT_VERDICT, "a"));
 	return commands;
 }
 
