Roll-outs in the ledger: look-up by sequence returns a pointer

Cause: the static analysis of ledger_end_rollout() could not tell that a failed look-up leaves no pointer.

--- a/libcaraway/ledger_rollout.c
+++ b/libcaraway/ledger_rollout.c
@@ -12,7 +12,7 @@
 #define NUMBER_FORMAT "%" G_GUINT64_FORMAT
 
 enum {
-	MAX_VERSION_BYTES = 128,
+	MAX_TEXT_BYTES = 128,			/* of a version or a reason */
 	MAX_DURATION_MS = 7 * 24 * 3600 * 1000, /* one week */
 	MAX_ROLLOUTS = 10000			/* services that ever had one */
 };
@@ -79,9 +79,9 @@
 
 	if (!name_is_valid(service))
 		return cw_fail(CW_ERR_USAGE, "service: not a valid name");
-	if (!length || length > MAX_VERSION_BYTES || !g_utf8_validate(target_version, -1, NULL))
+	if (!length || length > MAX_TEXT_BYTES || !g_utf8_validate(target_version, -1, NULL))
 		return cw_fail(CW_ERR_USAGE, "target_version: missing, longer than %d bytes or not UTF-8",
-			       MAX_VERSION_BYTES);
+			       MAX_TEXT_BYTES);
 	if (duration_ms <= 0 || duration_ms > MAX_DURATION_MS)
 		return cw_fail(CW_ERR_USAGE, "duration_s: not above 0, or more than %d",
 			       MAX_DURATION_MS / 1000);
@@ -153,18 +153,22 @@
 	return CW_OK;
 }
 
-/* Finds the roll-out that is the newest of its service by its sequence number; CW_ERR_STALE. */
-static cw_status_t find_rollout(const cw_ledger_t *ledger, uint64_t sequence, Caraway__Rollout **rollout)
+/* Returns the roll-out of a sequence number; NULL when it is not the newest of its service. */
+static Caraway__Rollout *find_rollout(const cw_ledger_t *ledger, uint64_t sequence)
 {
 	GHashTableIter iter;
-	gpointer value;
+	gpointer rollout;
 
 	g_hash_table_iter_init(&iter, ledger->rollouts);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		*rollout = value;
-		if ((*rollout)->sequence == sequence)
-			return CW_OK;
-	}
+	while (g_hash_table_iter_next(&iter, NULL, &rollout))
+		if (((Caraway__Rollout *)rollout)->sequence == sequence)
+			return rollout;
+	return NULL;
+}
+
+/* Returns the error for a step or verdict of a roll-out that is not the newest of its service. */
+static cw_status_t fail_as_stale(uint64_t sequence)
+{
 	return cw_fail(CW_ERR_STALE, "roll-out " NUMBER_FORMAT " is not the newest of any service", sequence);
 }
 
@@ -185,14 +189,20 @@
 /* Takes a roll-out to a later step. */
 cw_status_t ledger_step_rollout(cw_ledger_t *ledger, const Caraway__RolloutStep *step, int64_t at_ms)
 {
-	Caraway__Rollout *rollout;
-	cw_status_t status;
+	Caraway__Rollout *rollout = find_rollout(ledger, step->sequence);
 
 	if (!is_running(step->state))
 		return cw_fail(CW_ERR_USAGE, "roll-out " NUMBER_FORMAT ": the state is not a step",
 			       step->sequence);
-	status = find_rollout(ledger, step->sequence, &rollout);
-	return status ? status : set_state(rollout, step->state, at_ms);
+	return rollout ? set_state(rollout, step->state, at_ms) : fail_as_stale(step->sequence);
+}
+
+/* Replaces the reason of a roll-out. */
+static void set_reason(Caraway__Rollout *rollout, const char *reason)
+{
+	if (rollout->reason != (char *)protobuf_c_empty_string)
+		free(rollout->reason);
+	rollout->reason = strdup(reason);
 }
 
 /* Ends a roll-out.  Only one that has handed its traffic over succeeds. */
@@ -200,25 +210,23 @@
 {
 	Caraway__RolloutState state = verdict->succeeded ? CARAWAY__ROLLOUT_STATE__ROLLOUT_SUCCEEDED
 							 : CARAWAY__ROLLOUT_STATE__ROLLOUT_ROLLED_BACK;
-	Caraway__Rollout *rollout;
+	Caraway__Rollout *rollout = find_rollout(ledger, verdict->sequence);
 	cw_status_t status;
 
-	if (!g_utf8_validate(verdict->reason, -1, NULL) || strlen(verdict->reason) > MAX_VERSION_BYTES)
+	if (!g_utf8_validate(verdict->reason, -1, NULL) || strlen(verdict->reason) > MAX_TEXT_BYTES)
 		return cw_fail(CW_ERR_USAGE,
 			       "roll-out " NUMBER_FORMAT ": the reason is too long or not UTF-8",
 			       verdict->sequence);
-	status = find_rollout(ledger, verdict->sequence, &rollout);
-	if (!status && verdict->succeeded && rollout->state < CARAWAY__ROLLOUT_STATE__ROLLOUT_HANDOVER)
-		status = cw_fail(CW_ERR_STATE, "roll-out " NUMBER_FORMAT " of %s has not handed over",
-				 rollout->sequence, rollout->service);
-	if (status || rollout->state == state)
-		return status;
+	if (!rollout)
+		return fail_as_stale(verdict->sequence);
+	if (verdict->succeeded && rollout->state < CARAWAY__ROLLOUT_STATE__ROLLOUT_HANDOVER)
+		return cw_fail(CW_ERR_STATE, "roll-out " NUMBER_FORMAT " of %s has not handed over",
+			       rollout->sequence, rollout->service);
+	if (rollout->state == state)
+		return CW_OK;
 	status = set_state(rollout, state, at_ms);
-	if (!status && *verdict->reason) {
-		if (rollout->reason != (char *)protobuf_c_empty_string)
-			free(rollout->reason);
-		rollout->reason = strdup(verdict->reason);
-	}
+	if (!status && *verdict->reason)
+		set_reason(rollout, verdict->reason);
 	return status;
 }
 
