Roll-outs: the operators' calls and the steps of the leader

Cause: operators order and read roll-outs at the port that takes configurations. The leader judges running roll-outs and proposes steps and verdicts. Ruled out: to refuse orders by the state of the replica that gets them, which may be old.

--- a/daemon/control.c
+++ b/daemon/control.c
@@ -136,6 +136,7 @@
 		control_take_snapshot_if_due(control);
 	control_expire_pending(control, now_ms);
 	control_relay_tick(control);
+	control_rollout_tick(control);
 	control_add_work(control, WORK_RELAY, now_ms);
 	poller_run_ready(control->poller);
 	metrics_tick(control->metrics, now_ms);
@@ -182,6 +183,7 @@
 		control->gateway->close_control(control->gateway_state);
 	metrics_close(control->metrics);
 	control_relay_close(control);
+	control_rollout_close(control);
 	g_hash_table_destroy(control->pending_by_index);
 	g_hash_table_destroy(control->pending);
 	control_replica_close(control);
--- a/daemon/control.h
+++ b/daemon/control.h
@@ -16,7 +16,9 @@
 	PENDING_REGISTRATION, /* the registration of a VM that its proxy announced */
 	PENDING_CONFIRMATION, /* a confirmation of leadership, requested by the relay */
 	PENDING_REPLACEMENT,  /* a complete configuration proposed to the log */
-	PENDING_RELEASE	      /* a confirmation of the release in force, for a read or a replacement */
+	PENDING_RELEASE,      /* a confirmation of the release in force, for a read or a replacement */
+	PENDING_ROLLOUT,      /* an order of a roll-out, or a confirmation of its state for a read */
+	PENDING_ROLLOUT_STEP  /* a step or the verdict of a roll-out, proposed by this leader */
 } pending_request_type_t;
 
 /* Called once with the outcome of a gateway request; message is set unless status is CW_OK. */
@@ -52,7 +54,8 @@
 		} operator_request;			   /* COMMAND, QUERY */
 		char *vm;				   /* REGISTRATION */
 		uint64_t relay_cookie;			   /* CONFIRMATION: of the relay action */
-		control_gateway_request_t gateway_request; /* REPLACEMENT, RELEASE */
+		control_gateway_request_t gateway_request; /* REPLACEMENT, RELEASE, ROLLOUT */
+		uint64_t rollout;			   /* ROLLOUT_STEP: sequence number of the order */
 	};
 } pending_request_t;
 
@@ -99,6 +102,8 @@
 	uint64_t delivered_index;	   /* of the last log entry that Raft has given out to be applied */
 	uint64_t snapshot_index;	   /* of the last log entry in the newest snapshot */
 	uint64_t last_cookie;		   /* of the newest pending request */
+	GHashTable *rollouts;		   /* sequence number -> judged_rollout_t; see control_rollout.c */
+	int64_t next_rollout_ms;	   /* when roll-outs are judged next */
 	int64_t next_registration_ms;	   /* when endpoints are next compared with the registered VMs */
 	guint next_registration; /* place in the list of endpoints at which that comparison begins */
 	/* Feed index, term, leader and role as last passed to the relay. */
@@ -191,6 +196,18 @@
 				    const char *message);
 void control_replacement_free(control_replacement_t *replacement);
 
+/* control_rollout.c: orders of roll-outs, and their steps and verdicts while this replica leads. */
+/* Calls back once the order is committed or was refused. */
+void control_begin_rollout(control_t *control, const Caraway__RolloutBegin *begin,
+			   control_callback_t callback, void *data);
+/* Calls back with CW_OK once a quorum has confirmed that control->ledger has the state of all roll-outs. */
+void control_confirm_rollouts(control_t *control, control_callback_t callback, void *data);
+/* Completes the proposal of a step or verdict; called by control_finish_pending(). */
+void control_finish_rollout_step(control_t *control, uint64_t rollout, cw_status_t status,
+				 const char *message);
+void control_rollout_tick(control_t *control);
+void control_rollout_close(control_t *control);
+
 /* control_relay.c: the relay that serves the proxies, VM registrations and due activations. */
 void control_relay_open(control_t *control, const settings_t *settings);
 void control_relay_close(control_t *control);
--- a/daemon/control_pending.c
+++ b/daemon/control_pending.c
@@ -35,6 +35,8 @@
 		break;
 	case PENDING_CONFIRMATION:
 	case PENDING_ACTIVATION:
+	case PENDING_ROLLOUT:
+	case PENDING_ROLLOUT_STEP:
 		break;
 	}
 	g_free(pending);
@@ -122,6 +124,12 @@
 	case PENDING_RELEASE:
 		control_finish_gateway_request(control, pending, status, message);
 		break;
+	case PENDING_ROLLOUT:
+		pending->gateway_request.callback(pending->gateway_request.data, status, message);
+		break;
+	case PENDING_ROLLOUT_STEP:
+		control_finish_rollout_step(control, pending->rollout, status, message);
+		break;
 	}
 	pending_request_free(pending);
 }
