Target versions in endpoints

Cause: roll-outs tell targets of a service apart by the version that their heartbeats give (info.version). Change: the version goes from the heartbeat to the announcement, to field 11 of Endpoint and to the view. A change of the version is announced like one of the readiness. The messages of roll-out notices and evidence are defined. Measured: test_announcements (new case), test_endpoints, test_chain.

--- a/daemon/proxy.c
+++ b/daemon/proxy.c
@@ -71,6 +71,9 @@
 	endpoint.feed_address =
 		announced_address(settings->feed_announce, link_server_address(proxy->server));
 	endpoint.slots = settings->slots;
+	g_free(proxy->announced_version);
+	proxy->announced_version = traffic_target_version(proxy->traffic);
+	endpoint.target_version = proxy->announced_version;
 	relay_io_step(&proxy->relay_io, &event);
 }
 
@@ -300,19 +303,23 @@
 	cw_members_free(proxy->members);
 	cw_feed_free(proxy->feed);
 	published_view_free(proxy->published_view);
+	g_free(proxy->announced_version);
 	link_context_free(proxy->context);
 }
 
-/* Announces a change of the target's readiness, at most every TARGET_ANNOUNCE_INTERVAL_MS. */
+/* Announces a change of the target's readiness or version, at most every TARGET_ANNOUNCE_INTERVAL_MS. */
 static void announce_target_state(proxy_t *proxy)
 {
 	bool ready = traffic_target_ready(proxy->traffic);
+	g_autofree char *version = traffic_target_version(proxy->traffic);
+	bool is_announced = ready == proxy->announced_ready && !g_strcmp0(version, proxy->announced_version);
 
-	if (ready == proxy->announced_ready || clock_now_ms() < proxy->next_target_announce_ms)
+	if (is_announced || clock_now_ms() < proxy->next_target_announce_ms)
 		return;
 	proxy->announced_ready = ready;
 	proxy->next_target_announce_ms = clock_now_ms() + TARGET_ANNOUNCE_INTERVAL_MS;
-	log_info("target", LOG_STR("state", ready ? "takes work" : "takes no work"), LOG_END);
+	log_info("target", LOG_STR("state", ready ? "takes work" : "takes no work"),
+		 LOG_STR("version", version), LOG_END);
 	announce_endpoint(proxy, ready ? CARAWAY__ENDPOINT_STATE__ENDPOINT_UP
 				       : CARAWAY__ENDPOINT_STATE__ENDPOINT_DRAINING);
 }
--- a/daemon/proxy_internal.h
+++ b/daemon/proxy_internal.h
@@ -26,6 +26,7 @@
 	uint64_t published_version; /* of the published configuration; 0: none */
 	int64_t unconfirmed_since_ms; /* since when it does not count as the newest; 0: it does, or there is none */
 	uint64_t endpoint_sequence;	 /* of the last announcement of the endpoint */
+	char *announced_version;	 /* of the target in the last announcement; NULL: none yet */
 	bool announced_ready;		 /* state of the target in the last announcement */
 	int64_t next_target_announce_ms; /* earliest time to announce the target's state again */
 } proxy_t;
--- a/daemon/traffic.c
+++ b/daemon/traffic.c
@@ -24,6 +24,7 @@
 	IDLE_BEFORE_CLOSE_MS = 50, /* time without a call in flight until the ports are closed */
 	/* The same while callers are connected: requests that they have sent may still be in transit. */
 	IDLE_BEFORE_CLOSE_CONNECTED_MS = 150,
+	MAX_VERSION_BYTES = 128, /* a longer version of a target counts as not announced */
 	MAX_BATCH_MESSAGES = 256 /* read from one socket before the others are served */
 };
 
@@ -51,6 +52,8 @@
 	/* State that publish_state() sets for other threads. */
 	_Atomic uint32_t in_flight; /* calls from callers and to the target */
 	_Atomic bool target_ready;
+	GMutex version_mutex;
+	char target_version[MAX_VERSION_BYTES + 1]; /* under version_mutex */
 };
 
 /* Queues a message of the sending side for the receiving side of this proxy. */
@@ -385,10 +388,35 @@
 	return atomic_load(&traffic->in_flight);
 }
 
+/* Stores the version of the target for the control thread; one that is not a name for operators counts as none. */
+static void store_version(traffic_t *traffic, const char *version)
+{
+	bool valid = strlen(version) <= MAX_VERSION_BYTES && g_utf8_validate(version, -1, NULL);
+
+	g_mutex_lock(&traffic->version_mutex);
+	g_strlcpy(traffic->target_version, valid ? version : "", sizeof(traffic->target_version));
+	g_mutex_unlock(&traffic->version_mutex);
+}
+
 /* Handles an announcement of the target, on the traffic thread. */
 cw_target_verdict_t traffic_handle_announcement(traffic_t *traffic, const cw_announcement_t *announcement)
 {
-	return receiver_handle_announcement(traffic->receiver, announcement);
+	cw_target_verdict_t verdict = receiver_handle_announcement(traffic->receiver, announcement);
+
+	if (verdict == CW_TARGET_APPLIED && !announcement->leaving)
+		store_version(traffic, announcement->version ? announcement->version : "");
+	return verdict;
+}
+
+/* Returns the version that the target announced last, owned by the caller. */
+char *traffic_target_version(traffic_t *traffic)
+{
+	char *version;
+
+	g_mutex_lock(&traffic->version_mutex);
+	version = g_strdup(traffic->target_version);
+	g_mutex_unlock(&traffic->version_mutex);
+	return version;
 }
 
 /* Returns whether this proxy is ready for callers: it has a configuration and is not shutting down. */
--- a/daemon/traffic.h
+++ b/daemon/traffic.h
@@ -16,6 +16,8 @@
 			  published_view_t *published_view, const gateway_t *gateway, traffic_t **traffic);
 /* Handles an announcement of the target; called by the gateway on the traffic thread. */
 cw_target_verdict_t traffic_handle_announcement(traffic_t *traffic, const cw_announcement_t *announcement);
+/* Returns the version that the target announced last, owned by the caller; "": none was announced. */
+char *traffic_target_version(traffic_t *traffic);
 /* Returns whether this proxy is ready for callers; called by the gateway on the traffic thread. */
 bool traffic_is_ready(const traffic_t *traffic);
 const char *traffic_http_address(const traffic_t *traffic); /* of the callers' port: HOST:PORT as bound */
--- a/daemon/view.c
+++ b/daemon/view.c
@@ -56,6 +56,7 @@
 	copy->call_address = g_strdup(endpoint->call_address);
 	copy->incarnation = endpoint->incarnation;
 	copy->slots = endpoint->slots;
+	copy->target_version = g_strdup(endpoint->target_version);
 	copy->draining = endpoint->state == CARAWAY__ENDPOINT_STATE__ENDPOINT_DRAINING;
 }
 
@@ -317,6 +318,7 @@
 		g_free(view->endpoints[i].region);
 		g_free(view->endpoints[i].service);
 		g_free(view->endpoints[i].call_address);
+		g_free(view->endpoints[i].target_version);
 	}
 	for (uint32_t i = 0; i < view->route_count; i++) {
 		g_free(view->routes[i].name);
--- a/daemon/view.h
+++ b/daemon/view.h
@@ -17,6 +17,7 @@
 	char *call_address;   /* HOST:PORT */
 	uint64_t incarnation; /* of the proxy there */
 	uint32_t slots;	      /* calls that the target runs at once */
+	char *target_version; /* "": not announced */
 	bool draining;
 } view_endpoint_t;
 
--- a/libcaraway/caraway_calls.h
+++ b/libcaraway/caraway_calls.h
@@ -184,6 +184,7 @@
 	const char *id; /* of this incarnation of the target */
 	const char *service;
 	const char *address; /* HOST:PORT */
+	const char *version; /* of the program; NULL: not announced */
 	int64_t started_ms;  /* UTC, start of this incarnation; 0: not announced */
 	uint64_t sequence;   /* increases with each announcement of an incarnation */
 	uint32_t slots;	     /* calls that it runs at once; 0: not announced */
--- a/libcaraway/gen/caraway.pb-c.c
+++ b/libcaraway/gen/caraway.pb-c.c
@@ -2437,6 +2437,141 @@
   assert(message->base.descriptor == &caraway__report__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   caraway__rollout_notice__init
+                     (Caraway__RolloutNotice         *message)
+{
+  static const Caraway__RolloutNotice init_value = CARAWAY__ROLLOUT_NOTICE__INIT;
+  *message = init_value;
+}
+size_t caraway__rollout_notice__get_packed_size
+                     (const Caraway__RolloutNotice *message)
+{
+  assert(message->base.descriptor == &caraway__rollout_notice__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t caraway__rollout_notice__pack
+                     (const Caraway__RolloutNotice *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &caraway__rollout_notice__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t caraway__rollout_notice__pack_to_buffer
+                     (const Caraway__RolloutNotice *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &caraway__rollout_notice__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Caraway__RolloutNotice *
+       caraway__rollout_notice__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Caraway__RolloutNotice *)
+     protobuf_c_message_unpack (&caraway__rollout_notice__descriptor,
+                                allocator, len, data);
+}
+void   caraway__rollout_notice__free_unpacked
+                     (Caraway__RolloutNotice *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &caraway__rollout_notice__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   caraway__rollout_counts__init
+                     (Caraway__RolloutCounts         *message)
+{
+  static const Caraway__RolloutCounts init_value = CARAWAY__ROLLOUT_COUNTS__INIT;
+  *message = init_value;
+}
+size_t caraway__rollout_counts__get_packed_size
+                     (const Caraway__RolloutCounts *message)
+{
+  assert(message->base.descriptor == &caraway__rollout_counts__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t caraway__rollout_counts__pack
+                     (const Caraway__RolloutCounts *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &caraway__rollout_counts__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t caraway__rollout_counts__pack_to_buffer
+                     (const Caraway__RolloutCounts *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &caraway__rollout_counts__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Caraway__RolloutCounts *
+       caraway__rollout_counts__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Caraway__RolloutCounts *)
+     protobuf_c_message_unpack (&caraway__rollout_counts__descriptor,
+                                allocator, len, data);
+}
+void   caraway__rollout_counts__free_unpacked
+                     (Caraway__RolloutCounts *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &caraway__rollout_counts__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   caraway__rollout_evidence__init
+                     (Caraway__RolloutEvidence         *message)
+{
+  static const Caraway__RolloutEvidence init_value = CARAWAY__ROLLOUT_EVIDENCE__INIT;
+  *message = init_value;
+}
+size_t caraway__rollout_evidence__get_packed_size
+                     (const Caraway__RolloutEvidence *message)
+{
+  assert(message->base.descriptor == &caraway__rollout_evidence__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t caraway__rollout_evidence__pack
+                     (const Caraway__RolloutEvidence *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &caraway__rollout_evidence__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t caraway__rollout_evidence__pack_to_buffer
+                     (const Caraway__RolloutEvidence *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &caraway__rollout_evidence__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Caraway__RolloutEvidence *
+       caraway__rollout_evidence__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Caraway__RolloutEvidence *)
+     protobuf_c_message_unpack (&caraway__rollout_evidence__descriptor,
+                                allocator, len, data);
+}
+void   caraway__rollout_evidence__free_unpacked
+                     (Caraway__RolloutEvidence *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &caraway__rollout_evidence__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   caraway__pull__init
                      (Caraway__Pull         *message)
 {
@@ -7871,7 +8006,7 @@
   (ProtobufCMessageInit) caraway__stamp__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor caraway__endpoint__field_descriptors[10] =
+static const ProtobufCFieldDescriptor caraway__endpoint__field_descriptors[11] =
 {
   {
     "vm",
@@ -7993,6 +8128,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "target_version",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Caraway__Endpoint, target_version),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned caraway__endpoint__field_indices_by_name[] = {
   7,   /* field[7] = call_address */
@@ -8003,13 +8150,14 @@
   3,   /* field[3] = service */
   9,   /* field[9] = slots */
   6,   /* field[6] = state */
+  10,   /* field[10] = target_version */
   0,   /* field[0] = vm */
   1,   /* field[1] = zone */
 };
 static const ProtobufCIntRange caraway__endpoint__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor caraway__endpoint__descriptor =
 {
@@ -8019,7 +8167,7 @@
   "Caraway__Endpoint",
   "caraway",
   sizeof(Caraway__Endpoint),
-  10,
+  11,
   caraway__endpoint__field_descriptors,
   caraway__endpoint__field_indices_by_name,
   1,  caraway__endpoint__number_ranges,
@@ -8116,7 +8264,225 @@
   (ProtobufCMessageInit) caraway__report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor caraway__pull__field_descriptors[12] =
+static const ProtobufCFieldDescriptor caraway__rollout_notice__field_descriptors[4] =
+{
+  {
+    "sequence",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Caraway__RolloutNotice, sequence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "service",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Caraway__RolloutNotice, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "target_version",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Caraway__RolloutNotice, target_version),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "state",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_ENUM,
+    0,   /* quantifier_offset */
+    offsetof(Caraway__RolloutNotice, state),
+    &caraway__rollout_state__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned caraway__rollout_notice__field_indices_by_name[] = {
+  0,   /* field[0] = sequence */
+  1,   /* field[1] = service */
+  3,   /* field[3] = state */
+  2,   /* field[2] = target_version */
+};
+static const ProtobufCIntRange caraway__rollout_notice__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor caraway__rollout_notice__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "caraway.RolloutNotice",
+  "RolloutNotice",
+  "Caraway__RolloutNotice",
+  "caraway",
+  sizeof(Caraway__RolloutNotice),
+  4,
+  caraway__rollout_notice__field_descriptors,
+  caraway__rollout_notice__field_indices_by_name,
+  1,  caraway__rollout_notice__number_ranges,
+  (ProtobufCMessageInit) caraway__rollout_notice__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor caraway__rollout_counts__field_descriptors[3] =
+{
+  {
+    "answers",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Caraway__RolloutCounts, answers),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "failures",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Caraway__RolloutCounts, failures),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "latency",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Caraway__RolloutCounts, n_latency),
+    offsetof(Caraway__RolloutCounts, latency),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned caraway__rollout_counts__field_indices_by_name[] = {
+  0,   /* field[0] = answers */
+  1,   /* field[1] = failures */
+  2,   /* field[2] = latency */
+};
+static const ProtobufCIntRange caraway__rollout_counts__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor caraway__rollout_counts__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "caraway.RolloutCounts",
+  "RolloutCounts",
+  "Caraway__RolloutCounts",
+  "caraway",
+  sizeof(Caraway__RolloutCounts),
+  3,
+  caraway__rollout_counts__field_descriptors,
+  caraway__rollout_counts__field_indices_by_name,
+  1,  caraway__rollout_counts__number_ranges,
+  (ProtobufCMessageInit) caraway__rollout_counts__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor caraway__rollout_evidence__field_descriptors[4] =
+{
+  {
+    "sequence",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Caraway__RolloutEvidence, sequence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "route",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Caraway__RolloutEvidence, route),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "old_counts",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Caraway__RolloutEvidence, old_counts),
+    &caraway__rollout_counts__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "new_counts",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Caraway__RolloutEvidence, new_counts),
+    &caraway__rollout_counts__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned caraway__rollout_evidence__field_indices_by_name[] = {
+  3,   /* field[3] = new_counts */
+  2,   /* field[2] = old_counts */
+  1,   /* field[1] = route */
+  0,   /* field[0] = sequence */
+};
+static const ProtobufCIntRange caraway__rollout_evidence__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor caraway__rollout_evidence__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "caraway.RolloutEvidence",
+  "RolloutEvidence",
+  "Caraway__RolloutEvidence",
+  "caraway",
+  sizeof(Caraway__RolloutEvidence),
+  4,
+  caraway__rollout_evidence__field_descriptors,
+  caraway__rollout_evidence__field_indices_by_name,
+  1,  caraway__rollout_evidence__number_ranges,
+  (ProtobufCMessageInit) caraway__rollout_evidence__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor caraway__pull__field_descriptors[13] =
 {
   {
     "vm",
@@ -8262,12 +8628,25 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "evidence",
+    13,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Caraway__Pull, n_evidence),
+    offsetof(Caraway__Pull, evidence),
+    &caraway__rollout_evidence__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned caraway__pull__field_indices_by_name[] = {
   5,   /* field[5] = chain */
   6,   /* field[6] = endpoint_epoch */
   7,   /* field[7] = endpoint_sequence */
   9,   /* field[9] = endpoints */
+  12,   /* field[12] = evidence */
   4,   /* field[4] = feed_index */
   11,   /* field[11] = floor */
   2,   /* field[2] = incarnation */
@@ -8280,7 +8659,7 @@
 static const ProtobufCIntRange caraway__pull__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 12 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor caraway__pull__descriptor =
 {
@@ -8290,14 +8669,14 @@
   "Caraway__Pull",
   "caraway",
   sizeof(Caraway__Pull),
-  12,
+  13,
   caraway__pull__field_descriptors,
   caraway__pull__field_indices_by_name,
   1,  caraway__pull__number_ranges,
   (ProtobufCMessageInit) caraway__pull__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor caraway__news__field_descriptors[17] =
+static const ProtobufCFieldDescriptor caraway__news__field_descriptors[19] =
 {
   {
     "request",
@@ -8503,6 +8882,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "rollouts_known",
+    18,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Caraway__News, rollouts_known),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "rollouts",
+    19,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Caraway__News, n_rollouts),
+    offsetof(Caraway__News, rollouts),
+    &caraway__rollout_notice__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned caraway__news__field_indices_by_name[] = {
   9,   /* field[9] = depth */
@@ -8517,6 +8920,8 @@
   2,   /* field[2] = records */
   14,   /* field[14] = records_packed */
   0,   /* field[0] = request */
+  18,   /* field[18] = rollouts */
+  17,   /* field[17] = rollouts_known */
   3,   /* field[3] = snapshot */
   4,   /* field[4] = snapshot_digest */
   1,   /* field[1] = stamp */
@@ -8526,7 +8931,7 @@
 static const ProtobufCIntRange caraway__news__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 17 }
+  { 0, 19 }
 };
 const ProtobufCMessageDescriptor caraway__news__descriptor =
 {
@@ -8536,7 +8941,7 @@
   "Caraway__News",
   "caraway",
   sizeof(Caraway__News),
-  17,
+  19,
   caraway__news__field_descriptors,
   caraway__news__field_indices_by_name,
   1,  caraway__news__number_ranges,
--- a/libcaraway/gen/caraway.pb-c.h
+++ b/libcaraway/gen/caraway.pb-c.h
@@ -69,6 +69,9 @@
 typedef struct Caraway__Stamp Caraway__Stamp;
 typedef struct Caraway__Endpoint Caraway__Endpoint;
 typedef struct Caraway__Report Caraway__Report;
+typedef struct Caraway__RolloutNotice Caraway__RolloutNotice;
+typedef struct Caraway__RolloutCounts Caraway__RolloutCounts;
+typedef struct Caraway__RolloutEvidence Caraway__RolloutEvidence;
 typedef struct Caraway__Pull Caraway__Pull;
 typedef struct Caraway__News Caraway__News;
 typedef struct Caraway__PullRefused Caraway__PullRefused;
@@ -1312,10 +1315,14 @@
    */
   char *feed_address;
   uint32_t slots;
+  /*
+   * as the target announced it; empty: not announced
+   */
+  char *target_version;
 };
 #define CARAWAY__ENDPOINT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&caraway__endpoint__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, CARAWAY__ENDPOINT_STATE__ENDPOINT_UP, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, CARAWAY__ENDPOINT_STATE__ENDPOINT_UP, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string }
 
 
 /*
@@ -1341,6 +1348,60 @@
     , (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
 
 
+/*
+ * A roll-out as origins of calls need it.
+ */
+struct  Caraway__RolloutNotice
+{
+  ProtobufCMessage base;
+  uint64_t sequence;
+  char *service;
+  char *target_version;
+  Caraway__RolloutState state;
+};
+#define CARAWAY__ROLLOUT_NOTICE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&caraway__rollout_notice__descriptor) \
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, CARAWAY__ROLLOUT_STATE__ROLLOUT_NONE }
+
+
+/*
+ * Answers of one version of a service's targets.
+ */
+struct  Caraway__RolloutCounts
+{
+  ProtobufCMessage base;
+  uint32_t answers;
+  uint32_t failures;
+  /*
+   * by bucket
+   */
+  size_t n_latency;
+  uint32_t *latency;
+};
+#define CARAWAY__ROLLOUT_COUNTS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&caraway__rollout_counts__descriptor) \
+    , 0, 0, 0,NULL }
+
+
+/*
+ * Answers of both versions on a route since the last message; each is sent once and added up on the way.
+ */
+struct  Caraway__RolloutEvidence
+{
+  ProtobufCMessage base;
+  /*
+   * of the order
+   */
+  uint64_t sequence;
+  uint64_t route;
+  Caraway__RolloutCounts *old_counts;
+  Caraway__RolloutCounts *new_counts;
+};
+#define CARAWAY__ROLLOUT_EVIDENCE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&caraway__rollout_evidence__descriptor) \
+    , 0, 0, NULL, NULL }
+
+
 /*
  * Asks a parent for an update; sent by a child, which also passes on endpoints and reports.
  */
@@ -1386,10 +1447,15 @@
    * new number for each request, 0: none.
    */
   uint64_t floor;
+  /*
+   * of this child and its subtree
+   */
+  size_t n_evidence;
+  Caraway__RolloutEvidence **evidence;
 };
 #define CARAWAY__PULL__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&caraway__pull__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, NULL, 0,NULL, 0,NULL, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, NULL, 0,NULL, 0,NULL, 0, 0,NULL }
 
 
 /*
@@ -1445,10 +1511,16 @@
    * plus 1; 0: not known.
    */
   uint32_t stamp_max_age_ms;
+  /*
+   * the list below is whole, as of the stamp or later
+   */
+  protobuf_c_boolean rollouts_known;
+  size_t n_rollouts;
+  Caraway__RolloutNotice **rollouts;
 };
 #define CARAWAY__NEWS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&caraway__news__descriptor) \
-    , 0, NULL, 0,NULL, {0,NULL}, 0, 0, 0, 0, 0,NULL, 0, 0, 0, 0, {0,NULL}, {0,NULL}, 0, 0 }
+    , 0, NULL, 0,NULL, {0,NULL}, 0, 0, 0, 0, 0,NULL, 0, 0, 0, 0, {0,NULL}, {0,NULL}, 0, 0, 0, 0,NULL }
 
 
 /*
@@ -2995,6 +3067,63 @@
 void   caraway__report__free_unpacked
                      (Caraway__Report *message,
                       ProtobufCAllocator *allocator);
+/* Caraway__RolloutNotice methods */
+void   caraway__rollout_notice__init
+                     (Caraway__RolloutNotice         *message);
+size_t caraway__rollout_notice__get_packed_size
+                     (const Caraway__RolloutNotice   *message);
+size_t caraway__rollout_notice__pack
+                     (const Caraway__RolloutNotice   *message,
+                      uint8_t             *out);
+size_t caraway__rollout_notice__pack_to_buffer
+                     (const Caraway__RolloutNotice   *message,
+                      ProtobufCBuffer     *buffer);
+Caraway__RolloutNotice *
+       caraway__rollout_notice__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   caraway__rollout_notice__free_unpacked
+                     (Caraway__RolloutNotice *message,
+                      ProtobufCAllocator *allocator);
+/* Caraway__RolloutCounts methods */
+void   caraway__rollout_counts__init
+                     (Caraway__RolloutCounts         *message);
+size_t caraway__rollout_counts__get_packed_size
+                     (const Caraway__RolloutCounts   *message);
+size_t caraway__rollout_counts__pack
+                     (const Caraway__RolloutCounts   *message,
+                      uint8_t             *out);
+size_t caraway__rollout_counts__pack_to_buffer
+                     (const Caraway__RolloutCounts   *message,
+                      ProtobufCBuffer     *buffer);
+Caraway__RolloutCounts *
+       caraway__rollout_counts__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   caraway__rollout_counts__free_unpacked
+                     (Caraway__RolloutCounts *message,
+                      ProtobufCAllocator *allocator);
+/* Caraway__RolloutEvidence methods */
+void   caraway__rollout_evidence__init
+                     (Caraway__RolloutEvidence         *message);
+size_t caraway__rollout_evidence__get_packed_size
+                     (const Caraway__RolloutEvidence   *message);
+size_t caraway__rollout_evidence__pack
+                     (const Caraway__RolloutEvidence   *message,
+                      uint8_t             *out);
+size_t caraway__rollout_evidence__pack_to_buffer
+                     (const Caraway__RolloutEvidence   *message,
+                      ProtobufCBuffer     *buffer);
+Caraway__RolloutEvidence *
+       caraway__rollout_evidence__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   caraway__rollout_evidence__free_unpacked
+                     (Caraway__RolloutEvidence *message,
+                      ProtobufCAllocator *allocator);
 /* Caraway__Pull methods */
 void   caraway__pull__init
                      (Caraway__Pull         *message);
@@ -3634,6 +3763,15 @@
 typedef void (*Caraway__Report_Closure)
                  (const Caraway__Report *message,
                   void *closure_data);
+typedef void (*Caraway__RolloutNotice_Closure)
+                 (const Caraway__RolloutNotice *message,
+                  void *closure_data);
+typedef void (*Caraway__RolloutCounts_Closure)
+                 (const Caraway__RolloutCounts *message,
+                  void *closure_data);
+typedef void (*Caraway__RolloutEvidence_Closure)
+                 (const Caraway__RolloutEvidence *message,
+                  void *closure_data);
 typedef void (*Caraway__Pull_Closure)
                  (const Caraway__Pull *message,
                   void *closure_data);
@@ -3777,6 +3915,9 @@
 extern const ProtobufCMessageDescriptor caraway__stamp__descriptor;
 extern const ProtobufCMessageDescriptor caraway__endpoint__descriptor;
 extern const ProtobufCMessageDescriptor caraway__report__descriptor;
+extern const ProtobufCMessageDescriptor caraway__rollout_notice__descriptor;
+extern const ProtobufCMessageDescriptor caraway__rollout_counts__descriptor;
+extern const ProtobufCMessageDescriptor caraway__rollout_evidence__descriptor;
 extern const ProtobufCMessageDescriptor caraway__pull__descriptor;
 extern const ProtobufCMessageDescriptor caraway__news__descriptor;
 extern const ProtobufCMessageDescriptor caraway__pull_refused__descriptor;
--- a/tests/unit/test_announcements.c
+++ b/tests/unit/test_announcements.c
@@ -126,6 +126,28 @@
 }
 END_TEST
 
+/* The version of a heartbeat is kept; one without a version, or with one of another type, is as before. */
+START_TEST(test_version)
+{
+	static const char *const bodies[] = {"\"v2\"", "7", "null"};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(bodies); i++) {
+		g_autofree char *body = g_strdup_printf(
+			"{\"born\":5,\"address\":\"10.0.0.1:80\",\"info\":{\"service\":\"tabla\",\"slots\":4,"
+			"\"version\":%s},\"status\":{\"state\":\"ready\",\"sequence\":1,\"warmup_left_s\":0}}",
+			bodies[i]);
+		g_autoptr(GByteArray) bytes = g_byte_array_new();
+		codec_announcement_t decoded;
+
+		g_byte_array_append(bytes, (const guint8 *)body, (guint)strlen(body));
+		ck_assert_int_eq(codec_decode_announcement("i-1", bytes, &decoded), CW_OK);
+		ck_assert_str_eq(decoded.announcement.version ? decoded.announcement.version : "none",
+				 i ? "none" : "v2");
+		codec_announcement_clear(&decoded);
+	}
+}
+END_TEST
+
 /* Runs the tests; returns the exit status of the program. */
 int main(void)
 {
@@ -137,6 +159,7 @@
 	tcase_add_test(tcase, test_numbers);
 	tcase_add_test(tcase, test_addresses);
 	tcase_add_test(tcase, test_deregistration);
+	tcase_add_test(tcase, test_version);
 	suite_add_tcase(suite, tcase);
 	return script_run_suite(suite);
 }
