Roll-outs: exposure at the origins and evidence to the leader

Cause: orders and steps had no effect on calls, and the leader judged without evidence. Change: the state of running roll-outs goes down the tree as a list with each stamp, and a change makes the leader issue one at once. Each origin restricts the endpoints of a call by its account and its lease, and counts the answers of both versions; the counts go up with the pulls, are added up on the way, and the leader judges them. Without a roll-out nothing is withheld or counted. Ruled out: records of the feed, which a program of the previous version would refuse.

--- a/daemon/control.c
+++ b/daemon/control.c
@@ -135,6 +135,7 @@
 	if (!control->storage_failed)
 		control_take_snapshot_if_due(control);
 	control_expire_pending(control, now_ms);
+	control_rollout_notify(control);
 	control_relay_tick(control);
 	control_rollout_tick(control);
 	control_add_work(control, WORK_RELAY, now_ms);
--- a/daemon/control.h
+++ b/daemon/control.h
@@ -103,9 +103,11 @@
 	uint64_t snapshot_index;	   /* of the last log entry in the newest snapshot */
 	uint64_t last_cookie;		   /* of the newest pending request */
 	GHashTable *rollouts;		   /* sequence number -> judged_rollout_t; see control_rollout.c */
-	int64_t next_rollout_ms;	   /* when roll-outs are judged next */
-	int64_t next_registration_ms;	   /* when endpoints are next compared with the registered VMs */
-	guint next_registration; /* place in the list of endpoints at which that comparison begins */
+	uint64_t noticed_rollouts;    /* revision of the roll-outs that the relay was given last, plus 1 */
+	int64_t next_notices_ms;      /* when those are collected again, as ended ones are dropped */
+	int64_t next_rollout_ms;      /* when roll-outs are judged next */
+	int64_t next_registration_ms; /* when endpoints are next compared with the registered VMs */
+	guint next_registration;      /* place in the list of endpoints at which that comparison begins */
 	/* Feed index, term, leader and role as last passed to the relay. */
 	uint64_t notified_feed_index;
 	uint64_t notified_term;
@@ -205,6 +207,8 @@
 /* Completes the proposal of a step or verdict; called by control_finish_pending(). */
 void control_finish_rollout_step(control_t *control, uint64_t rollout, cw_status_t status,
 				 const char *message);
+/* Gives the relay the state of the roll-outs; to be called before it is told of confirmations. */
+void control_rollout_notify(control_t *control);
 void control_rollout_tick(control_t *control);
 void control_rollout_close(control_t *control);
 
--- a/daemon/control_rollout.c
+++ b/daemon/control_rollout.c
@@ -2,7 +2,8 @@
  * Roll-outs at a control replica: orders go through the replicated log, and the leader judges the running ones and
  * proposes their steps and verdicts.
  */
-#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
 
 #include "clock.h"
 #include "control.h"
@@ -11,7 +12,11 @@
 enum {
 	ORDER_TIMEOUT_MS = 3000, /* the outcome of an order is unknown after that */
 	STEP_TIMEOUT_MS = 3000,	 /* a step without an outcome is proposed again after that */
-	JUDGE_MS = 100
+	JUDGE_MS = 100,
+	NOTICES_MS = 1000,
+	MAX_NOTICES = 64, /* as many as may be running, see ledger_rollout.c */
+	/* Proxies keep calls from the new targets after a roll-back until the platform has stopped them. */
+	ENDED_NOTICE_MS = 10 * 60 * 1000
 };
 
 /* A roll-out that this leader judges. */
@@ -61,6 +66,67 @@
 	control_confirm_leadership(control, rollout_request_new(callback, data));
 }
 
+/* ---- notices to the proxies ---------------------------------------------------------------------------- */
+
+/* Returns a notice of a roll-out. */
+static Caraway__RolloutNotice *notice_new(const Caraway__Rollout *rollout)
+{
+	Caraway__RolloutNotice *notice = malloc(sizeof(*notice));
+
+	caraway__rollout_notice__init(notice);
+	notice->sequence = rollout->sequence;
+	notice->service = strdup(rollout->service);
+	notice->target_version = strdup(rollout->target_version);
+	notice->state = rollout->state;
+	return notice;
+}
+
+/* Returns whether proxies need to know a roll-out that has ended. */
+static bool ended_recently(const Caraway__Rollout *rollout, int64_t utc_ms)
+{
+	return cw_rollout_is_verdict((cw_rollout_step_t)rollout->state) &&
+	       utc_ms < rollout->state_ms + ENDED_NOTICE_MS;
+}
+
+/* Returns the notices of all running roll-outs, and of those that ended recently as far as there is room. */
+static GPtrArray *collect_notices(const control_t *control)
+{
+	GPtrArray *notices = g_ptr_array_new_with_free_func(cw_message_free);
+	g_autoptr(GPtrArray) rollouts = cw_ledger_rollouts(control->ledger);
+	int64_t utc_ms = clock_utc_ms();
+
+	for (guint i = 0; i < rollouts->len; i++) {
+		const Caraway__Rollout *rollout = rollouts->pdata[i];
+
+		if (!cw_rollout_is_verdict((cw_rollout_step_t)rollout->state))
+			g_ptr_array_add(notices, notice_new(rollout));
+	}
+	for (guint i = 0; i < rollouts->len && notices->len < MAX_NOTICES; i++)
+		if (ended_recently(rollouts->pdata[i], utc_ms))
+			g_ptr_array_add(notices, notice_new(rollouts->pdata[i]));
+	return notices;
+}
+
+/* Gives the relay of the leader the state of the roll-outs, which the stamps after this prove. */
+void control_rollout_notify(control_t *control)
+{
+	uint64_t revision = cw_ledger_rollout_revision(control->ledger) + 1;
+	int64_t now_ms = clock_now_ms();
+	g_autoptr(GPtrArray) notices = NULL;
+
+	if (cw_raft_role(control->raft) != CW_RAFT_LEADER) {
+		control->noticed_rollouts = 0;
+		return;
+	}
+	if (revision == control->noticed_rollouts && now_ms < control->next_notices_ms)
+		return;
+	control->noticed_rollouts = revision;
+	control->next_notices_ms = now_ms + NOTICES_MS;
+	notices = collect_notices(control);
+	cw_relay_set_rollouts(control->relay_io.relay, (Caraway__RolloutNotice **)notices->pdata,
+			      notices->len, now_ms);
+}
+
 /* ---- steps and verdicts -------------------------------------------------------------------------------- */
 
 /* Frees a judged roll-out. */
@@ -146,6 +212,37 @@
 			    LOG_STR("status", cw_status_name(status)), LOG_STR("message", message), LOG_END);
 }
 
+/* Adds the counts of a message for a version. */
+static void add_counts(cw_rollout_t *judgement, uint64_t route, cw_rollout_version_t version,
+		       const Caraway__RolloutCounts *message)
+{
+	cw_rollout_counts_t counts = {0};
+
+	if (!message)
+		return;
+	counts.answers = message->answers;
+	counts.failures = message->failures;
+	for (size_t i = 0; i < MIN(message->n_latency, CW_ROLLOUT_BUCKETS); i++)
+		counts.latency[i] = message->latency[i];
+	cw_rollout_add(judgement, route, version, &counts);
+}
+
+/* Adds the evidence that has arrived to the judgements; that of other roll-outs is dropped. */
+static void take_evidence(control_t *control)
+{
+	g_autoptr(GPtrArray) taken = cw_relay_take_evidence(control->relay_io.relay);
+
+	for (guint i = 0; i < taken->len; i++) {
+		const Caraway__RolloutEvidence *evidence = taken->pdata[i];
+		judged_rollout_t *judged = g_hash_table_lookup(control->rollouts, &evidence->sequence);
+
+		if (!judged)
+			continue;
+		add_counts(judged->judgement, evidence->route, CW_ROLLOUT_OLD, evidence->old_counts);
+		add_counts(judged->judgement, evidence->route, CW_ROLLOUT_NEW, evidence->new_counts);
+	}
+}
+
 /* Judges a running roll-out and proposes what follows. */
 static void judge_rollout(control_t *control, const Caraway__Rollout *rollout, int64_t now_ms)
 {
@@ -176,6 +273,7 @@
 		g_hash_table_remove_all(control->rollouts);
 		return;
 	}
+	take_evidence(control);
 	rollouts = cw_ledger_rollouts(control->ledger);
 	for (guint i = 0; i < rollouts->len; i++) {
 		const Caraway__Rollout *rollout = rollouts->pdata[i];
--- a/daemon/endpoints.c
+++ b/daemon/endpoints.c
@@ -24,6 +24,7 @@
 						       .address = source->call_address,
 						       .incarnation = source->incarnation,
 						       .slots = source->slots,
+						       .target_version = source->target_version,
 						       .draining = source->draining};
 	}
 }
@@ -99,7 +100,7 @@
 						 .incarnation = endpoint->incarnation,
 						 .slots = endpoint->slots,
 						 .own = endpoint->own,
-						 .excluded = endpoint->draining ||
+						 .excluded = endpoint->draining || endpoint->withheld ||
 							     (exclude_tried && endpoint->tried)};
 	}
 }
@@ -130,6 +131,26 @@
 	return &endpoints->endpoints[position];
 }
 
+/* Withholds the endpoints that an attempt may not use by the choice of a roll-out; none without one. */
+void endpoints_restrict(endpoints_t *endpoints, rollouts_t *rollouts, const rollout_choice_t *choice)
+{
+	size_t count = choice->rollout ? endpoints->endpoint_count : 0;
+	g_autofree rollout_endpoint_t *restricted = g_new0(rollout_endpoint_t, count + 1);
+
+	for (size_t i = 0; i < count; i++) {
+		const endpoint_t *endpoint = &endpoints->endpoints[i];
+
+		restricted[i] = (rollout_endpoint_t){.vm = endpoint->vm,
+						     .target_version = endpoint->target_version,
+						     .draining = endpoint->draining};
+	}
+	rollouts_restrict(rollouts, choice, endpoints->service, restricted, count);
+	for (size_t i = 0; i < endpoints->endpoint_count; i++) {
+		endpoints->endpoints[i].withheld = count && restricted[i].withheld;
+		endpoints->endpoints[i].is_new = count && restricted[i].is_new;
+	}
+}
+
 /* Makes endpoints that were tried eligible again. */
 void endpoints_reset_tried(endpoints_t *endpoints)
 {
--- a/daemon/endpoints.h
+++ b/daemon/endpoints.h
@@ -9,12 +9,15 @@
 typedef struct {
 	const char *vm;
 	const char *zone;
-	const char *address;  /* HOST:PORT */
-	uint64_t incarnation; /* of the proxy there */
-	uint32_t slots;	      /* calls that the target runs at once */
+	const char *address;	    /* HOST:PORT */
+	uint64_t incarnation;	    /* of the proxy there */
+	uint32_t slots;		    /* calls that the target runs at once */
+	const char *target_version; /* "": not announced */
 	bool draining;
-	bool own;   /* the proxy there is this one */
-	bool tried; /* an attempt was made; not chosen again until endpoints_reset_tried() */
+	bool withheld; /* a roll-out gives it no call now */
+	bool is_new;   /* it has the version that is rolled out */
+	bool own;      /* the proxy there is this one */
+	bool tried;    /* an attempt was made; not chosen again until endpoints_reset_tried() */
 } endpoint_t;
 
 /* What a call reads from the view; the reference to the view keeps it at one version to its end. */
@@ -49,6 +52,8 @@
 /* Returns whether an endpoint's error rate is clearly higher than that of the best other one. */
 bool endpoints_is_error_outlier(const endpoints_t *endpoints, cw_pick_t *pick, const endpoint_t *endpoint,
 				int64_t now_ms);
+/* Withholds the endpoints that an attempt may not use by the choice of a roll-out. */
+void endpoints_restrict(endpoints_t *endpoints, rollouts_t *rollouts, const rollout_choice_t *choice);
 /* Makes endpoints that were tried eligible again. */
 void endpoints_reset_tried(endpoints_t *endpoints);
 
--- a/daemon/forward.c
+++ b/daemon/forward.c
@@ -32,6 +32,7 @@
 	forward->incarnation = incarnation;
 	forward->origin = cw_call_origin(settings->vm, incarnation);
 	forward->published_view = published_view;
+	forward->rollouts = published_view_rollouts(published_view);
 	forward->clients = clients;
 	forward->callbacks = *callbacks;
 	forward->allotments =
@@ -530,6 +531,7 @@
 	int64_t now_ms = clock_now_ms();
 
 	apply_new_view(forward);
+	rollouts_run(forward->rollouts, now_ms);
 	allotments_run(forward->allotments);
 	if (now_ms >= forward->next_tick_ms)
 		tick_calls(forward, now_ms);
--- a/daemon/forward_attempt.c
+++ b/daemon/forward_attempt.c
@@ -11,6 +11,30 @@
 	return reply->held_ms ? (uint32_t)MAX(elapsed_ms - ((int64_t)reply->held_ms - 1), 0) : 0;
 }
 
+/* Counts an attempt that a target has run, or that failed without an answer, for the roll-out of its service. */
+static void count_for_rollout(forward_t *forward, const forward_attempt_t *attempt, cw_pick_result_t result)
+{
+	int64_t now_ms = clock_now_ms();
+	rollout_answer_t answer = {.rollout = attempt->rollout,
+				   .version = attempt->version,
+				   .route = attempt->route,
+				   .vm = attempt->endpoint->vm,
+				   .latency_ms = (uint32_t)MAX(now_ms - attempt->sent_ms, 0)};
+
+	switch (result) {
+	case CW_PICK_ERROR:
+	case CW_PICK_FAILED:
+		answer.failure = true;
+		break;
+	case CW_PICK_ANSWERED:
+		break;
+	default:
+		/* Refused, revoked or not reached: it tells nothing of the version. */
+		return;
+	}
+	rollouts_answered(forward->rollouts, &answer, now_ms);
+}
+
 /* Reports the result of an attempt to the load balancer, at most once. */
 void forward_end_attempt(forward_t *forward, forward_attempt_t *attempt, cw_pick_result_t result,
 			 const Caraway__CallReply *reply)
@@ -20,6 +44,8 @@
 	if (attempt->ended)
 		return;
 	attempt->ended = true;
+	if (attempt->rollout)
+		count_for_rollout(forward, attempt, result);
 	if (reply)
 		load = (cw_pick_load_t){.in_use = reply->in_use,
 					.slots = reply->slots,
@@ -70,6 +96,26 @@
 	return send_to(forward, endpoint, &message);
 }
 
+/*
+ * Chooses an endpoint among those that the roll-out of the service, if there is one, leaves.  When no new target
+ * takes the call, the old ones do.
+ */
+static endpoint_t *choose_endpoint(forward_t *forward, forward_call_t *call, const cw_pick_call_t *pick_call,
+				   rollout_choice_t *choice, cw_reason_t *reason)
+{
+	int64_t now_ms = clock_now_ms();
+	endpoint_t *endpoint;
+
+	*choice = rollouts_choose(forward->rollouts, call->endpoints.service, now_ms);
+	endpoints_restrict(&call->endpoints, forward->rollouts, choice);
+	endpoint = endpoints_choose(&call->endpoints, forward->pick, pick_call, now_ms, reason);
+	if (endpoint || choice->use != CW_ROLLOUT_USE_NEW)
+		return endpoint;
+	choice->use = CW_ROLLOUT_USE_OLD;
+	endpoints_restrict(&call->endpoints, forward->rollouts, choice);
+	return endpoints_choose(&call->endpoints, forward->pick, pick_call, now_ms, reason);
+}
+
 /* Chooses an endpoint and sends one attempt; returns the resulting event. */
 cw_call_event_t forward_start_attempt(forward_t *forward, forward_call_t *call)
 {
@@ -85,8 +131,8 @@
 					  .left_ms = call->state.deadline_ms - now_ms,
 					  .refusals = call->state.crowded_refusals};
 	cw_reason_t reason;
-	const endpoint_t *endpoint =
-		endpoints_choose(&call->endpoints, forward->pick, &pick_call, now_ms, &reason);
+	rollout_choice_t choice;
+	const endpoint_t *endpoint = choose_endpoint(forward, call, &pick_call, &choice, &reason);
 	uint64_t sequence = forward->last_sequence + 1;
 	forward_attempt_t *attempt;
 
@@ -99,9 +145,13 @@
 	*attempt = (forward_attempt_t){.sequence = sequence,
 				       .sent_ms = now_ms,
 				       .endpoint = endpoint,
+				       .rollout = choice.rollout,
+				       .version = endpoint->is_new ? CW_ROLLOUT_NEW : CW_ROLLOUT_OLD,
 				       .route = pick_call.route,
 				       .priority = pick_call.priority};
 	g_hash_table_insert(forward->by_sequence, &attempt->sequence, call);
+	if (choice.rollout && endpoint->is_new)
+		rollouts_sent_to_new(forward->rollouts, choice.rollout);
 	cw_pick_sent(forward->pick, endpoint->vm, endpoint->incarnation);
 	return (cw_call_event_t){.type = CW_CALL_EV_SENT, .sequence = sequence};
 }
--- a/daemon/forward_internal.h
+++ b/daemon/forward_internal.h
@@ -10,10 +10,12 @@
 typedef struct {
 	uint64_t sequence; /* in the call id of the request */
 	int64_t sent_ms;
-	const endpoint_t *endpoint; /* points into the call's endpoints */
-	uint64_t route;		    /* id of the call's route */
-	uint32_t priority;	    /* of the call */
-	bool ended;		    /* its result was reported to the load balancer */
+	const endpoint_t *endpoint;   /* points into the call's endpoints */
+	uint64_t route;		      /* id of the call's route */
+	uint32_t priority;	      /* of the call */
+	uint64_t rollout;	      /* sequence number of the service's roll-out; 0: none */
+	cw_rollout_version_t version; /* of the endpoint's target in that roll-out */
+	bool ended;		      /* its result was reported to the load balancer */
 } forward_attempt_t;
 
 struct forward_call {
@@ -43,6 +45,7 @@
 	uint64_t incarnation;
 	uint64_t origin; /* identifies this process in call ids */
 	const published_view_t *published_view;
+	rollouts_t *rollouts; /* published beside the view */
 	link_clients_t *clients;
 	uint64_t seen_serial; /* of the last view applied */
 	bool has_routes;      /* in the last view applied */
--- a/daemon/proxy.c
+++ b/daemon/proxy.c
@@ -196,6 +196,18 @@
 	log_currency(proxy, clock_now_ms() < current_until_ms);
 }
 
+/* Publishes the roll-outs that the relay knows, and passes on the evidence of the traffic thread. */
+static void exchange_rollouts(proxy_t *proxy)
+{
+	rollouts_t *rollouts = published_view_rollouts(proxy->published_view);
+	cw_relay_t *relay = proxy->relay_io.relay;
+	g_autoptr(GPtrArray) evidence = rollouts_take_evidence(rollouts);
+
+	rollouts_publish(rollouts, cw_relay_rollouts(relay), cw_relay_rollouts_confirmed_ms(relay));
+	for (guint i = 0; i < evidence->len; i++)
+		cw_relay_add_evidence(relay, evidence->pdata[i], clock_now_ms());
+}
+
 /* Runs one iteration of the event loop: waits for messages or the next timer, then handles both. */
 static void run_iteration(proxy_t *proxy)
 {
@@ -206,6 +218,7 @@
 	poller_run_ready(proxy->poller);
 	metrics_tick(proxy->metrics, clock_now_ms());
 	receive_messages(proxy);
+	exchange_rollouts(proxy);
 	relay_io_tick(&proxy->relay_io);
 	if (clock_now_ms() >= proxy->view_deadline_ms)
 		publish_view(proxy);
--- a/daemon/view.c
+++ b/daemon/view.c
@@ -419,7 +419,8 @@
 	view_t *view;			  /* NULL: none */
 	uint64_t serial;		  /* of the last view published */
 	_Atomic int64_t current_until_ms; /* until when it counts as the newest */
-	_Atomic int64_t keys_until_ms;	  /* until when its keys may be accepted */
+	rollouts_t *rollouts;
+	_Atomic int64_t keys_until_ms; /* until when its keys may be accepted */
 };
 
 /* Creates a pointer to a published view, with no view yet. */
@@ -427,6 +428,7 @@
 {
 	published_view_t *published = g_new0(published_view_t, 1);
 
+	published->rollouts = rollouts_new();
 	atomic_init(&published->current_until_ms, INT64_MAX);
 	atomic_init(&published->keys_until_ms, INT64_MAX);
 	return published;
@@ -438,9 +440,16 @@
 	if (!published)
 		return;
 	view_unref(published->view);
+	rollouts_free(published->rollouts);
 	g_free(published);
 }
 
+/* Returns the roll-outs of the proxy. */
+rollouts_t *published_view_rollouts(const published_view_t *published)
+{
+	return published->rollouts;
+}
+
 /* Replaces the view, waits for the readers of the old one and releases it; control thread only. */
 void published_view_replace(published_view_t *published, view_t *view)
 {
--- a/daemon/view.h
+++ b/daemon/view.h
@@ -6,7 +6,7 @@
 #ifndef VIEW_H
 #define VIEW_H
 
-#include "libcaraway.h"
+#include "rollouts.h"
 
 /* An endpoint that some route of the view leads to. */
 typedef struct {
@@ -99,6 +99,8 @@
 
 published_view_t *published_view_new(void);
 void published_view_free(published_view_t *published);
+/* Returns the roll-outs of the proxy, which are published beside the view. */
+rollouts_t *published_view_rollouts(const published_view_t *published);
 /* Replaces the view and releases the old one after an RCU grace period; control thread only. */
 void published_view_replace(published_view_t *published, view_t *view);
 /* Must be called, and its result used, within a read-side critical section of a registered thread. */
--- a/libcaraway/caraway_changes.h
+++ b/libcaraway/caraway_changes.h
@@ -157,6 +157,8 @@
 bool cw_ledger_account_salt(const cw_ledger_t *ledger, uint64_t salt[2]);
 /* The digest by which the ledger recognises a release that was accepted before. */
 uint64_t cw_release_digest(uint64_t release, uint64_t base, const Caraway__Content *complete);
+/* A number that changes with each change of a roll-out. */
+uint64_t cw_ledger_rollout_revision(const cw_ledger_t *ledger);
 /* The newest roll-out of a service, borrowed; NULL when it never had one. */
 const Caraway__Rollout *cw_ledger_rollout(const cw_ledger_t *ledger, const char *service);
 GPtrArray *
--- a/libcaraway/caraway_relay.h
+++ b/libcaraway/caraway_relay.h
@@ -3,6 +3,7 @@
 #define CARAWAY_RELAY_H
 
 #include "caraway_changes.h"
+#include "caraway_rollout.h"
 
 /* ---- members: the table of leased endpoints that every process keeps --------------------------- */
 
@@ -186,6 +187,20 @@
 uint32_t cw_relay_depth(const cw_relay_t *relay);     /* levels below a control replica, which has 0 */
 size_t cw_relay_child_count(const cw_relay_t *relay);
 const Caraway__Stamp *cw_relay_stamp(const cw_relay_t *relay); /* newest received or issued */
+/*
+ * Sets the notices of roll-outs at the leader, copied.  They are to be set before each CONFIRMED, as the stamp that it leads
+ * to proves them.
+ */
+void cw_relay_set_rollouts(cw_relay_t *relay, Caraway__RolloutNotice *const *notices, size_t count,
+			   int64_t now_ms);
+/* The notices as of the newest stamp, Caraway__RolloutNotice; borrowed until the next step. */
+const GPtrArray *cw_relay_rollouts(const cw_relay_t *relay);
+/* Returns a lower bound of the time at which a quorum confirmed them; 0: none is known. */
+int64_t cw_relay_rollouts_confirmed_ms(const cw_relay_t *relay);
+/* Adds evidence, which the next pull takes to the parent; at the leader it is taken by the next function. */
+void cw_relay_add_evidence(cw_relay_t *relay, const Caraway__RolloutEvidence *evidence, int64_t now_ms);
+/* Returns the evidence that waits, owned by the caller, and removes it. */
+GPtrArray *cw_relay_take_evidence(cw_relay_t *relay);
 void cw_relay_actions_init(cw_relay_actions_t *actions);
 void cw_relay_actions_clear(cw_relay_actions_t *actions);
 
--- a/libcaraway/ledger.c
+++ b/libcaraway/ledger.c
@@ -48,6 +48,7 @@
 	g_hash_table_remove_all(ledger->account_keys);
 	g_hash_table_remove_all(ledger->rollouts);
 	ledger->rollout_count = 0;
+	ledger->rollout_revision++;
 	schedule_free(ledger->schedule);
 	ledger->schedule = schedule_new();
 	g_hash_table_remove_all(ledger->changes);
--- a/libcaraway/ledger.h
+++ b/libcaraway/ledger.h
@@ -52,6 +52,7 @@
 	GHashTable *account_keys;      /* account -> GBytes, a packed Caraway__AccountKeys */
 	GHashTable *rollouts;	       /* service -> Caraway__Rollout, its newest */
 	uint64_t rollout_count;	       /* roll-outs that were ever ordered */
+	uint64_t rollout_revision;     /* changes with each change of a roll-out; not saved */
 	uint64_t finished_count;       /* changes that have ever finished */
 	size_t open_count;	       /* changes that have not finished */
 };
--- a/libcaraway/ledger_rollout.c
+++ b/libcaraway/ledger_rollout.c
@@ -14,6 +14,7 @@
 enum {
 	MAX_TEXT_BYTES = 128,			/* of a version or a reason */
 	MAX_DURATION_MS = 7 * 24 * 3600 * 1000, /* one week */
+	MAX_RUNNING = 64,			/* each is a notice in every answer to a pull */
 	MAX_ROLLOUTS = 10000			/* services that ever had one */
 };
 
@@ -88,6 +89,25 @@
 	return CW_OK;
 }
 
+/* Returns a number that changes with each change of a roll-out. */
+uint64_t cw_ledger_rollout_revision(const cw_ledger_t *ledger)
+{
+	return ledger->rollout_revision;
+}
+
+/* Returns the number of roll-outs without a verdict. */
+static size_t count_running(const cw_ledger_t *ledger)
+{
+	size_t count = 0;
+	GHashTableIter iter;
+	gpointer rollout;
+
+	g_hash_table_iter_init(&iter, ledger->rollouts);
+	while (g_hash_table_iter_next(&iter, NULL, &rollout))
+		count += is_running(((Caraway__Rollout *)rollout)->state);
+	return count;
+}
+
 /* Returns whether an order is that of a roll-out, sent again. */
 static bool is_same_order(const Caraway__Rollout *rollout, const Caraway__RolloutBegin *begin)
 {
@@ -123,6 +143,9 @@
 	if (!newest && g_hash_table_size(ledger->rollouts) >= MAX_ROLLOUTS)
 		return cw_fail(CW_ERR_FULL, "service: the limit of %d services with roll-outs is reached",
 			       MAX_ROLLOUTS);
+	if (count_running(ledger) >= MAX_RUNNING)
+		return cw_fail(CW_ERR_FULL, "service: the limit of %d running roll-outs is reached",
+			       MAX_RUNNING);
 	return CW_OK;
 }
 
@@ -130,6 +153,7 @@
 static void store_rollout(cw_ledger_t *ledger, Caraway__Rollout *rollout)
 {
 	g_hash_table_replace(ledger->rollouts, rollout->service, rollout);
+	ledger->rollout_revision++;
 }
 
 /* Orders a roll-out; the same order again succeeds and changes nothing. */
@@ -173,7 +197,8 @@
 }
 
 /* Sets the state of a roll-out, which must follow the present one; the present one again succeeds.  CW_ERR_STATE. */
-static cw_status_t set_state(Caraway__Rollout *rollout, Caraway__RolloutState state, int64_t at_ms)
+static cw_status_t set_state(cw_ledger_t *ledger, Caraway__Rollout *rollout, Caraway__RolloutState state,
+			     int64_t at_ms)
 {
 	if (state == rollout->state)
 		return CW_OK;
@@ -183,6 +208,7 @@
 			       cw_rollout_step_name((cw_rollout_step_t)rollout->state));
 	rollout->state = state;
 	rollout->state_ms = at_ms;
+	ledger->rollout_revision++;
 	return CW_OK;
 }
 
@@ -194,7 +220,7 @@
 	if (!is_running(step->state))
 		return cw_fail(CW_ERR_USAGE, "roll-out " NUMBER_FORMAT ": the state is not a step",
 			       step->sequence);
-	return rollout ? set_state(rollout, step->state, at_ms) : fail_as_stale(step->sequence);
+	return rollout ? set_state(ledger, rollout, step->state, at_ms) : fail_as_stale(step->sequence);
 }
 
 /* Replaces the reason of a roll-out. */
@@ -224,7 +250,7 @@
 			       rollout->sequence, rollout->service);
 	if (rollout->state == state)
 		return CW_OK;
-	status = set_state(rollout, state, at_ms);
+	status = set_state(ledger, rollout, state, at_ms);
 	if (!status && *verdict->reason)
 		set_reason(rollout, verdict->reason);
 	return status;
--- a/libcaraway/relay.c
+++ b/libcaraway/relay.c
@@ -112,6 +112,7 @@
 	relay->early_pull_ms = INT64_MAX;
 	relay->report_by_ms = now_ms;
 	relay->children = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, cw_relay_child_free);
+	cw_relay_rollouts_init(relay);
 	cw_members_become_copy(members);
 	return relay;
 }
@@ -133,6 +134,7 @@
 	g_hash_table_unref(relay->pending_endpoints);
 	g_hash_table_unref(relay->pending_reports);
 	g_hash_table_unref(relay->children);
+	cw_relay_rollouts_clear(relay);
 	g_free(relay);
 }
 
--- a/libcaraway/relay_child.c
+++ b/libcaraway/relay_child.c
@@ -89,6 +89,7 @@
 	bool replica = relay->options.kind == CW_RELAY_REPLICA;
 	cw_relay_action_t *action = cw_relay_add_action(actions, CW_RELAY_AC_SEND);
 	Caraway__Pull pull = CARAWAY__PULL__INIT;
+	GPtrArray *evidence;
 
 	pull.vm = (char *)relay->options.vm;
 	pull.zone = (char *)relay->options.zone;
@@ -104,10 +105,14 @@
 	pull.floor = start_floor_request(relay);
 	cw_relay_up_queue_own(relay, now_ms);
 	cw_relay_up_attach(relay, &pull);
+	evidence = cw_relay_take_evidence(relay);
+	pull.n_evidence = evidence->len;
+	pull.evidence = (Caraway__RolloutEvidence **)evidence->pdata;
 	action->address = g_strdup(parent->address);
 	action->message = pull_message(&pull);
 	g_free(pull.endpoints);
 	g_free(pull.reports);
+	g_ptr_array_unref(evidence);
 	parent->state = PARENT_PULL_SENT;
 	parent->answer_by_ms = now_ms + relay->options.hold_ms + ANSWER_SLACK_MS;
 }
@@ -243,6 +248,7 @@
 	}
 	cw_relay_up_acknowledge(relay, update->request);
 	apply_stamp(relay, update, cw_feed_index(relay->feed) != index, now_ms, actions);
+	cw_relay_apply_rollouts(relay, update);
 	cw_relay_check_ready(relay, actions);
 	/* An answer to an older pull triggers no new one: the newest is still pending. */
 	if (update->request == relay->parent.request)
--- a/libcaraway/relay_internal.h
+++ b/libcaraway/relay_internal.h
@@ -110,7 +110,12 @@
 	uint64_t reported_version; /* configuration version in the last report; 0: none was usable */
 	/* as a parent */
 	GHashTable *children; /* vm -> relay_child_t * */
+	/* roll-outs */
+	GPtrArray *rollouts;	       /* Caraway__RolloutNotice, as of the newest stamp or earlier */
+	int64_t rollouts_confirmed_ms; /* lower bound of when a quorum confirmed them; 0: not known */
+	GHashTable *evidence;	       /* hash of roll-out and route -> Caraway__RolloutEvidence */
 	/* flags and a counter that belong to the groups above */
+	bool rollouts_known;	 /* the list of roll-outs was received or set */
 	bool stopping;		 /* refuses all children */
 	bool leading;		 /* replica: it is the leader */
 	bool floor_pending;	 /* the request floor_sent_number has not been answered */
@@ -148,6 +153,14 @@
 int64_t cw_relay_serve_next_tick_ms(const cw_relay_t *relay);
 void cw_relay_child_free(void *data);
 
+/* ---- relay_rollout.c: roll-outs */
+void cw_relay_rollouts_init(cw_relay_t *relay);
+void cw_relay_rollouts_clear(cw_relay_t *relay);
+/* Applies the notices of an update after its stamp. */
+void cw_relay_apply_rollouts(cw_relay_t *relay, const Caraway__News *update);
+/* Adds the notices to an answer. */
+void cw_relay_fill_rollouts(const cw_relay_t *relay, Caraway__News *update);
+
 /* ---- relay_child.c: as a child */
 /* Applies an update of the parent and sends the next pull; leaves the parent when the update is invalid. */
 void cw_relay_handle_update(cw_relay_t *relay, const cw_relay_event_t *event, int64_t now_ms,
--- a/libcaraway/relay_serve.c
+++ b/libcaraway/relay_serve.c
@@ -289,6 +289,7 @@
 				(uint32_t)CLAMP(now_ms - relay->stamp_bound_ms + 1, 1, UINT32_MAX);
 	}
 	fill_endpoints(relay, child, update);
+	cw_relay_fill_rollouts(relay, update);
 	if (has_floor_answer(relay, child)) {
 		update->floor = child->floor;
 		child->floor = 0;
--- a/libcaraway/relay_up.c
+++ b/libcaraway/relay_up.c
@@ -73,6 +73,8 @@
 		else
 			cw_relay_up_queue_endpoint(relay, pull->endpoints[i], now_ms);
 	}
+	for (size_t i = 0; i < pull->n_evidence; i++)
+		cw_relay_add_evidence(relay, pull->evidence[i], now_ms);
 	/* A rejected report needs no answer: its proxy finds the table without its state and announces it. */
 	for (size_t i = 0; i < pull->n_reports; i++) {
 		if (relay->leading)
