Roll-outs: pace the credit of an account

Cause: the account is cumulative, so that an origin had up to 3% of all its requests as credit when a step with a larger share began, and could send them to the few targets of LOAD in one burst. Change: an origin exposes at most twice the share of the step at a time. Ruled out: an account for each step, which gives up the credit that LOAD needs.

--- a/libcaraway/caraway_rollout.h
+++ b/libcaraway/caraway_rollout.h
@@ -32,6 +32,7 @@
 	uint64_t rollout;  /* sequence number of the order; 0: none */
 	uint64_t requests; /* that targets ran, of either version */
 	uint64_t exposed;  /* that were sent to the new version */
+	uint64_t next;	   /* number of requests from which the next one may be exposed */
 	cw_rollout_step_t step;
 	int64_t lease_until_ms; /* before HANDOVER nothing goes to the new version from then on */
 } cw_rollout_account_t;
--- a/libcaraway/rollout.c
+++ b/libcaraway/rollout.c
@@ -15,6 +15,8 @@
 	PERMILLE = 1000,
 	/* The bound of the platform is 100; an origin and the platform may count some answers differently. */
 	EXPOSED_PERMILLE = 90,
+	MAX_PACE =
+		2, /* of a step's share, so that credit of the steps before it does not come as one burst */
 	PROBE_PERMILLE = 20,
 	SPREAD_PERMILLE = 60,
 	/* Times of the steps, in thousandths of the duration. */
@@ -141,7 +143,7 @@
 	case CW_ROLLOUT_LOAD:
 		break;
 	}
-	if (now_ms >= account->lease_until_ms ||
+	if (now_ms >= account->lease_until_ms || account->requests < account->next ||
 	    (account->exposed + 1) * PERMILLE > account->requests * step_permille(account->step))
 		return CW_ROLLOUT_USE_OLD;
 	return CW_ROLLOUT_USE_NEW;
@@ -150,7 +152,11 @@
 /* Counts an attempt that is sent to the new version. */
 void cw_rollout_account_expose(cw_rollout_account_t *account)
 {
+	uint64_t permille = step_permille(account->step);
+
 	account->exposed++;
+	if (permille)
+		account->next = account->requests + PERMILLE / (MAX_PACE * permille);
 }
 
 /* Counts an attempt that a target has run, of either version. */
@@ -163,7 +169,7 @@
 size_t cw_rollout_targets_in_use(cw_rollout_step_t step, size_t old_count, size_t new_count)
 {
 	/* While the account's credit is spent, the share may reach twice the usual one. */
-	size_t loaded = (2 * EXPOSED_PERMILLE * old_count + PERMILLE - 1) / PERMILLE;
+	size_t loaded = (MAX_PACE * EXPOSED_PERMILLE * old_count + PERMILLE - 1) / PERMILLE;
 
 	return step == CW_ROLLOUT_LOAD ? MIN(MAX(loaded, 1), new_count) : new_count;
 }
