--- a/daemon/proxy.c
+++ b/daemon/proxy.c
@@ -71,6 +71,9 @@
 	endpoint.feed_address =
 		announced_address(settings->feed_announce, link_server_address(proxy->server));
 	endpoint.slots = settings->slots;
+	g_free(proxy->announced_version);
+	proxy->announced_version = traffic_target_version(proxy->traffic);
+	endpoint.target_version = proxy->announced_version;
 	relay_io_step(&proxy->relay_io, &event);
 }
 
@@ -193,6 +196,18 @@
 	log_currency(proxy, clock_now_ms() < current_until_ms);
 }
 
+/* Publishes the roll-outs that the relay knows, and passes on the evidence of the traffic thread. */
+static void exchange_rollouts(proxy_t *proxy)
+{
+	rollouts_t *rollouts = published_view_rollouts(proxy->published_view);
+	cw_relay_t *relay = proxy->relay_io.relay;
+	g_autoptr(GPtrArray) evidence = rollouts_take_evidence(rollouts);
+
+	rollouts_publish(rollouts, cw_relay_rollouts(relay), cw_relay_rollouts_confirmed_ms(relay));
+	for (guint i = 0; i < evidence->len; i++)
+		cw_relay_add_evidence(relay, evidence->pdata[i], clock_now_ms());
+}
+
 /* Runs one iteration of the event loop: waits for messages or the next timer, then handles both. */
 static void run_iteration(proxy_t *proxy)
 {
@@ -203,6 +218,7 @@
 	poller_run_ready(proxy->poller);
 	metrics_tick(proxy->metrics, clock_now_ms());
 	receive_messages(proxy);
+	exchange_rollouts(proxy);
 	relay_io_tick(&proxy->relay_io);
 	if (clock_now_ms() >= proxy->view_deadline_ms)
 		publish_view(proxy);
@@ -300,19 +316,23 @@
 	cw_members_free(proxy->members);
 	cw_feed_free(proxy->feed);
 	published_view_free(proxy->published_view);
+	g_free(proxy->announced_version);
 	link_context_free(proxy->context);
 }
 
-/* Announces a change of the target's readiness, at most every TARGET_ANNOUNCE_INTERVAL_MS. */
+/* Announces a change of the target's readiness or version, at most every TARGET_ANNOUNCE_INTERVAL_MS. */
 static void announce_target_state(proxy_t *proxy)
 {
 	bool ready = traffic_target_ready(proxy->traffic);
+	g_autofree char *version = traffic_target_version(proxy->traffic);
+	bool is_announced = ready == proxy->announced_ready && !g_strcmp0(version, proxy->announced_version);
 
-	if (ready == proxy->announced_ready || clock_now_ms() < proxy->next_target_announce_ms)
+	if (is_announced || clock_now_ms() < proxy->next_target_announce_ms)
 		return;
 	proxy->announced_ready = ready;
 	proxy->next_target_announce_ms = clock_now_ms() + TARGET_ANNOUNCE_INTERVAL_MS;
-	log_info("target", LOG_STR("state", ready ? "takes work" : "takes no work"), LOG_END);
+	log_info("target", LOG_STR("state", ready ? "takes work" : "takes no work"),
+		 LOG_STR("version", version), LOG_END);
 	announce_endpoint(proxy, ready ? CARAWAY__ENDPOINT_STATE__ENDPOINT_UP
 				       : CARAWAY__ENDPOINT_STATE__ENDPOINT_DRAINING);
 }
--- a/libcaraway/gen/caraway.pb-c.c
+++ b/libcaraway/gen/caraway.pb-c.c
@@ -772,6 +772,141 @@
   assert(message->base.descriptor == &caraway__replace__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   caraway__rollout_begin__init
+                     (Caraway__RolloutBegin         *message)
+{
+  static const Caraway__RolloutBegin init_value = CARAWAY__ROLLOUT_BEGIN__INIT;
+  *message = init_value;
+}
+size_t caraway__rollout_begin__get_packed_size
+                     (const Caraway__RolloutBegin *message)
+{
+  assert(message->base.descriptor == &caraway__rollout_begin__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t caraway__rollout_begin__pack
+                     (const Caraway__RolloutBegin *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &caraway__rollout_begin__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t caraway__rollout_begin__pack_to_buffer
+                     (const Caraway__RolloutBegin *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &caraway__rollout_begin__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Caraway__RolloutBegin *
+       caraway__rollout_begin__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Caraway__RolloutBegin *)
+     protobuf_c_message_unpack (&caraway__rollout_begin__descriptor,
+                                allocator, len, data);
+}
+void   caraway__rollout_begin__free_unpacked
+                     (Caraway__RolloutBegin *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &caraway__rollout_begin__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   caraway__rollout_step__init
+                     (Caraway__RolloutStep         *message)
+{
+  static const Caraway__RolloutStep init_value = CARAWAY__ROLLOUT_STEP__INIT;
+  *message = init_value;
+}
+size_t caraway__rollout_step__get_packed_size
+                     (const Caraway__RolloutStep *message)
+{
+  assert(message->base.descriptor == &caraway__rollout_step__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t caraway__rollout_step__pack
+                     (const Caraway__RolloutStep *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &caraway__rollout_step__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t caraway__rollout_step__pack_to_buffer
+                     (const Caraway__RolloutStep *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &caraway__rollout_step__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Caraway__RolloutStep *
+       caraway__rollout_step__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Caraway__RolloutStep *)
+     protobuf_c_message_unpack (&caraway__rollout_step__descriptor,
+                                allocator, len, data);
+}
+void   caraway__rollout_step__free_unpacked
+                     (Caraway__RolloutStep *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &caraway__rollout_step__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   caraway__rollout_verdict__init
+                     (Caraway__RolloutVerdict         *message)
+{
+  static const Caraway__RolloutVerdict init_value = CARAWAY__ROLLOUT_VERDICT__INIT;
+  *message = init_value;
+}
+size_t caraway__rollout_verdict__get_packed_size
+                     (const Caraway__RolloutVerdict *message)
+{
+  assert(message->base.descriptor == &caraway__rollout_verdict__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t caraway__rollout_verdict__pack
+                     (const Caraway__RolloutVerdict *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &caraway__rollout_verdict__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t caraway__rollout_verdict__pack_to_buffer
+                     (const Caraway__RolloutVerdict *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &caraway__rollout_verdict__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Caraway__RolloutVerdict *
+       caraway__rollout_verdict__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Caraway__RolloutVerdict *)
+     protobuf_c_message_unpack (&caraway__rollout_verdict__descriptor,
+                                allocator, len, data);
+}
+void   caraway__rollout_verdict__free_unpacked
+                     (Caraway__RolloutVerdict *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &caraway__rollout_verdict__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   caraway__command__init
                      (Caraway__Command         *message)
 {
@@ -2077,6 +2212,51 @@
   assert(message->base.descriptor == &caraway__release__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   caraway__rollout__init
+                     (Caraway__Rollout         *message)
+{
+  static const Caraway__Rollout init_value = CARAWAY__ROLLOUT__INIT;
+  *message = init_value;
+}
+size_t caraway__rollout__get_packed_size
+                     (const Caraway__Rollout *message)
+{
+  assert(message->base.descriptor == &caraway__rollout__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t caraway__rollout__pack
+                     (const Caraway__Rollout *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &caraway__rollout__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t caraway__rollout__pack_to_buffer
+                     (const Caraway__Rollout *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &caraway__rollout__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Caraway__Rollout *
+       caraway__rollout__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Caraway__Rollout *)
+     protobuf_c_message_unpack (&caraway__rollout__descriptor,
+                                allocator, len, data);
+}
+void   caraway__rollout__free_unpacked
+                     (Caraway__Rollout *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &caraway__rollout__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   caraway__ledger_snapshot__init
                      (Caraway__LedgerSnapshot         *message)
 {
@@ -2257,6 +2437,141 @@
   assert(message->base.descriptor == &caraway__report__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   caraway__rollout_notice__init
+                     (Caraway__RolloutNotice         *message)
+{
+  static const Caraway__RolloutNotice init_value = CARAWAY__ROLLOUT_NOTICE__INIT;
+  *message = init_value;
+}
+size_t caraway__rollout_notice__get_packed_size
+                     (const Caraway__RolloutNotice *message)
+{
+  assert(message->base.descriptor == &caraway__rollout_notice__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t caraway__rollout_notice__pack
+                     (const Caraway__RolloutNotice *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &caraway__rollout_notice__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t caraway__rollout_notice__pack_to_buffer
+                     (const Caraway__RolloutNotice *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &caraway__rollout_notice__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Caraway__RolloutNotice *
+       caraway__rollout_notice__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Caraway__RolloutNotice *)
+     protobuf_c_message_unpack (&caraway__rollout_notice__descriptor,
+                                allocator, len, data);
+}
+void   caraway__rollout_notice__free_unpacked
+                     (Caraway__RolloutNotice *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &caraway__rollout_notice__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   caraway__rollout_counts__init
+                     (Caraway__RolloutCounts         *message)
+{
+  static const Caraway__RolloutCounts init_value = CARAWAY__ROLLOUT_COUNTS__INIT;
+  *message = init_value;
+}
+size_t caraway__rollout_counts__get_packed_size
+                     (const Caraway__RolloutCounts *message)
+{
+  assert(message->base.descriptor == &caraway__rollout_counts__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t caraway__rollout_counts__pack
+                     (const Caraway__RolloutCounts *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &caraway__rollout_counts__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t caraway__rollout_counts__pack_to_buffer
+                     (const Caraway__RolloutCounts *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &caraway__rollout_counts__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Caraway__RolloutCounts *
+       caraway__rollout_counts__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Caraway__RolloutCounts *)
+     protobuf_c_message_unpack (&caraway__rollout_counts__descriptor,
+                                allocator, len, data);
+}
+void   caraway__rollout_counts__free_unpacked
+                     (Caraway__RolloutCounts *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &caraway__rollout_counts__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   caraway__rollout_evidence__init
+                     (Caraway__RolloutEvidence         *message)
+{
+  static const Caraway__RolloutEvidence init_value = CARAWAY__ROLLOUT_EVIDENCE__INIT;
+  *message = init_value;
+}
+size_t caraway__rollout_evidence__get_packed_size
+                     (const Caraway__RolloutEvidence *message)
+{
+  assert(message->base.descriptor == &caraway__rollout_evidence__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t caraway__rollout_evidence__pack
+                     (const Caraway__RolloutEvidence *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &caraway__rollout_evidence__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t caraway__rollout_evidence__pack_to_buffer
+                     (const Caraway__RolloutEvidence *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &caraway__rollout_evidence__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Caraway__RolloutEvidence *
+       caraway__rollout_evidence__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Caraway__RolloutEvidence *)
+     protobuf_c_message_unpack (&caraway__rollout_evidence__descriptor,
+                                allocator, len, data);
+}
+void   caraway__rollout_evidence__free_unpacked
+                     (Caraway__RolloutEvidence *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &caraway__rollout_evidence__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   caraway__pull__init
                      (Caraway__Pull         *message)
 {
@@ -4937,76 +5252,268 @@
   (ProtobufCMessageInit) caraway__replace__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor caraway__command__field_descriptors[8] =
+static const ProtobufCFieldDescriptor caraway__rollout_begin__field_descriptors[4] =
 {
   {
-    "proposed_ms",
+    "operator_name",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_INT64,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Caraway__Command, proposed_ms),
-    NULL,
+    offsetof(Caraway__RolloutBegin, operator_name),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "book",
+    "service",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Caraway__Command, body_case),
-    offsetof(Caraway__Command, book),
-    &caraway__book__descriptor,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Caraway__RolloutBegin, service),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    &protobuf_c_empty_string,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "review",
+    "target_version",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Caraway__Command, body_case),
-    offsetof(Caraway__Command, review),
-    &caraway__review__descriptor,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Caraway__RolloutBegin, target_version),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    &protobuf_c_empty_string,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "withdraw",
+    "duration_ms",
     4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Caraway__Command, body_case),
-    offsetof(Caraway__Command, withdraw),
-    &caraway__withdraw__descriptor,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Caraway__RolloutBegin, duration_ms),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    NULL,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned caraway__rollout_begin__field_indices_by_name[] = {
+  3,   /* field[3] = duration_ms */
+  0,   /* field[0] = operator_name */
+  1,   /* field[1] = service */
+  2,   /* field[2] = target_version */
+};
+static const ProtobufCIntRange caraway__rollout_begin__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor caraway__rollout_begin__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "caraway.RolloutBegin",
+  "RolloutBegin",
+  "Caraway__RolloutBegin",
+  "caraway",
+  sizeof(Caraway__RolloutBegin),
+  4,
+  caraway__rollout_begin__field_descriptors,
+  caraway__rollout_begin__field_indices_by_name,
+  1,  caraway__rollout_begin__number_ranges,
+  (ProtobufCMessageInit) caraway__rollout_begin__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor caraway__rollout_step__field_descriptors[2] =
+{
   {
-    "set_labels",
-    5,
+    "sequence",
+    1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Caraway__Command, body_case),
-    offsetof(Caraway__Command, set_labels),
-    &caraway__set_labels__descriptor,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Caraway__RolloutStep, sequence),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    NULL,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "register_vm",
-    6,
+    "state",
+    2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Caraway__Command, body_case),
-    offsetof(Caraway__Command, register_vm),
-    &caraway__register__descriptor,
+    PROTOBUF_C_TYPE_ENUM,
+    0,   /* quantifier_offset */
+    offsetof(Caraway__RolloutStep, state),
+    &caraway__rollout_state__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned caraway__rollout_step__field_indices_by_name[] = {
+  0,   /* field[0] = sequence */
+  1,   /* field[1] = state */
+};
+static const ProtobufCIntRange caraway__rollout_step__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor caraway__rollout_step__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "caraway.RolloutStep",
+  "RolloutStep",
+  "Caraway__RolloutStep",
+  "caraway",
+  sizeof(Caraway__RolloutStep),
+  2,
+  caraway__rollout_step__field_descriptors,
+  caraway__rollout_step__field_indices_by_name,
+  1,  caraway__rollout_step__number_ranges,
+  (ProtobufCMessageInit) caraway__rollout_step__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor caraway__rollout_verdict__field_descriptors[3] =
+{
+  {
+    "sequence",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Caraway__RolloutVerdict, sequence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "succeeded",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Caraway__RolloutVerdict, succeeded),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "reason",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Caraway__RolloutVerdict, reason),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned caraway__rollout_verdict__field_indices_by_name[] = {
+  2,   /* field[2] = reason */
+  0,   /* field[0] = sequence */
+  1,   /* field[1] = succeeded */
+};
+static const ProtobufCIntRange caraway__rollout_verdict__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor caraway__rollout_verdict__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "caraway.RolloutVerdict",
+  "RolloutVerdict",
+  "Caraway__RolloutVerdict",
+  "caraway",
+  sizeof(Caraway__RolloutVerdict),
+  3,
+  caraway__rollout_verdict__field_descriptors,
+  caraway__rollout_verdict__field_indices_by_name,
+  1,  caraway__rollout_verdict__number_ranges,
+  (ProtobufCMessageInit) caraway__rollout_verdict__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor caraway__command__field_descriptors[11] =
+{
+  {
+    "proposed_ms",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Caraway__Command, proposed_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "book",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Caraway__Command, body_case),
+    offsetof(Caraway__Command, book),
+    &caraway__book__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "review",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Caraway__Command, body_case),
+    offsetof(Caraway__Command, review),
+    &caraway__review__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "withdraw",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Caraway__Command, body_case),
+    offsetof(Caraway__Command, withdraw),
+    &caraway__withdraw__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "set_labels",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Caraway__Command, body_case),
+    offsetof(Caraway__Command, set_labels),
+    &caraway__set_labels__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "register_vm",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Caraway__Command, body_case),
+    offsetof(Caraway__Command, register_vm),
+    &caraway__register__descriptor,
     NULL,
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
@@ -5035,6 +5542,42 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "rollout_begin",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Caraway__Command, body_case),
+    offsetof(Caraway__Command, rollout_begin),
+    &caraway__rollout_begin__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "rollout_step",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Caraway__Command, body_case),
+    offsetof(Caraway__Command, rollout_step),
+    &caraway__rollout_step__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "rollout_verdict",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Caraway__Command, body_case),
+    offsetof(Caraway__Command, rollout_verdict),
+    &caraway__rollout_verdict__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned caraway__command__field_indices_by_name[] = {
   6,   /* field[6] = activate */
@@ -5043,13 +5586,16 @@
   5,   /* field[5] = register_vm */
   7,   /* field[7] = replace */
   2,   /* field[2] = review */
+  8,   /* field[8] = rollout_begin */
+  9,   /* field[9] = rollout_step */
+  10,   /* field[10] = rollout_verdict */
   4,   /* field[4] = set_labels */
   3,   /* field[3] = withdraw */
 };
 static const ProtobufCIntRange caraway__command__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor caraway__command__descriptor =
 {
@@ -5059,7 +5605,7 @@
   "Caraway__Command",
   "caraway",
   sizeof(Caraway__Command),
-  8,
+  11,
   caraway__command__field_descriptors,
   caraway__command__field_indices_by_name,
   1,  caraway__command__number_ranges,
@@ -7228,7 +7774,149 @@
   (ProtobufCMessageInit) caraway__release__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor caraway__ledger_snapshot__field_descriptors[5] =
+static const ProtobufCFieldDescriptor caraway__rollout__field_descriptors[9] =
+{
+  {
+    "sequence",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Caraway__Rollout, sequence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "service",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Caraway__Rollout, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "target_version",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Caraway__Rollout, target_version),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "operator_name",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Caraway__Rollout, operator_name),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "duration_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Caraway__Rollout, duration_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "state",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_ENUM,
+    0,   /* quantifier_offset */
+    offsetof(Caraway__Rollout, state),
+    &caraway__rollout_state__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "begun_ms",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Caraway__Rollout, begun_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "state_ms",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Caraway__Rollout, state_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "reason",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Caraway__Rollout, reason),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned caraway__rollout__field_indices_by_name[] = {
+  6,   /* field[6] = begun_ms */
+  4,   /* field[4] = duration_ms */
+  3,   /* field[3] = operator_name */
+  8,   /* field[8] = reason */
+  0,   /* field[0] = sequence */
+  1,   /* field[1] = service */
+  5,   /* field[5] = state */
+  7,   /* field[7] = state_ms */
+  2,   /* field[2] = target_version */
+};
+static const ProtobufCIntRange caraway__rollout__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 9 }
+};
+const ProtobufCMessageDescriptor caraway__rollout__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "caraway.Rollout",
+  "Rollout",
+  "Caraway__Rollout",
+  "caraway",
+  sizeof(Caraway__Rollout),
+  9,
+  caraway__rollout__field_descriptors,
+  caraway__rollout__field_indices_by_name,
+  1,  caraway__rollout__number_ranges,
+  (ProtobufCMessageInit) caraway__rollout__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor caraway__ledger_snapshot__field_descriptors[7] =
 {
   {
     "changes",
@@ -7290,6 +7978,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "rollouts",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Caraway__LedgerSnapshot, n_rollouts),
+    offsetof(Caraway__LedgerSnapshot, rollouts),
+    &caraway__rollout__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "rollout_count",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Caraway__LedgerSnapshot, rollout_count),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned caraway__ledger_snapshot__field_indices_by_name[] = {
   4,   /* field[4] = account_keys */
@@ -7297,11 +8009,13 @@
   0,   /* field[0] = changes */
   1,   /* field[1] = feed */
   3,   /* field[3] = releases */
+  6,   /* field[6] = rollout_count */
+  5,   /* field[5] = rollouts */
 };
 static const ProtobufCIntRange caraway__ledger_snapshot__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor caraway__ledger_snapshot__descriptor =
 {
@@ -7311,7 +8025,7 @@
   "Caraway__LedgerSnapshot",
   "caraway",
   sizeof(Caraway__LedgerSnapshot),
-  5,
+  7,
   caraway__ledger_snapshot__field_descriptors,
   caraway__ledger_snapshot__field_indices_by_name,
   1,  caraway__ledger_snapshot__number_ranges,
@@ -7382,7 +8096,7 @@
   (ProtobufCMessageInit) caraway__stamp__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor caraway__endpoint__field_descriptors[10] =
+static const ProtobufCFieldDescriptor caraway__endpoint__field_descriptors[11] =
 {
   {
     "vm",
@@ -7504,6 +8218,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "target_version",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Caraway__Endpoint, target_version),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned caraway__endpoint__field_indices_by_name[] = {
   7,   /* field[7] = call_address */
@@ -7514,13 +8240,14 @@
   3,   /* field[3] = service */
   9,   /* field[9] = slots */
   6,   /* field[6] = state */
+  10,   /* field[10] = target_version */
   0,   /* field[0] = vm */
   1,   /* field[1] = zone */
 };
 static const ProtobufCIntRange caraway__endpoint__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor caraway__endpoint__descriptor =
 {
@@ -7530,7 +8257,7 @@
   "Caraway__Endpoint",
   "caraway",
   sizeof(Caraway__Endpoint),
-  10,
+  11,
   caraway__endpoint__field_descriptors,
   caraway__endpoint__field_indices_by_name,
   1,  caraway__endpoint__number_ranges,
@@ -7627,7 +8354,225 @@
   (ProtobufCMessageInit) caraway__report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor caraway__pull__field_descriptors[12] =
+static const ProtobufCFieldDescriptor caraway__rollout_notice__field_descriptors[4] =
+{
+  {
+    "sequence",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Caraway__RolloutNotice, sequence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "service",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Caraway__RolloutNotice, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "target_version",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Caraway__RolloutNotice, target_version),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "state",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_ENUM,
+    0,   /* quantifier_offset */
+    offsetof(Caraway__RolloutNotice, state),
+    &caraway__rollout_state__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned caraway__rollout_notice__field_indices_by_name[] = {
+  0,   /* field[0] = sequence */
+  1,   /* field[1] = service */
+  3,   /* field[3] = state */
+  2,   /* field[2] = target_version */
+};
+static const ProtobufCIntRange caraway__rollout_notice__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor caraway__rollout_notice__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "caraway.RolloutNotice",
+  "RolloutNotice",
+  "Caraway__RolloutNotice",
+  "caraway",
+  sizeof(Caraway__RolloutNotice),
+  4,
+  caraway__rollout_notice__field_descriptors,
+  caraway__rollout_notice__field_indices_by_name,
+  1,  caraway__rollout_notice__number_ranges,
+  (ProtobufCMessageInit) caraway__rollout_notice__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor caraway__rollout_counts__field_descriptors[3] =
+{
+  {
+    "answers",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Caraway__RolloutCounts, answers),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "failures",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Caraway__RolloutCounts, failures),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "latency",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Caraway__RolloutCounts, n_latency),
+    offsetof(Caraway__RolloutCounts, latency),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned caraway__rollout_counts__field_indices_by_name[] = {
+  0,   /* field[0] = answers */
+  1,   /* field[1] = failures */
+  2,   /* field[2] = latency */
+};
+static const ProtobufCIntRange caraway__rollout_counts__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor caraway__rollout_counts__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "caraway.RolloutCounts",
+  "RolloutCounts",
+  "Caraway__RolloutCounts",
+  "caraway",
+  sizeof(Caraway__RolloutCounts),
+  3,
+  caraway__rollout_counts__field_descriptors,
+  caraway__rollout_counts__field_indices_by_name,
+  1,  caraway__rollout_counts__number_ranges,
+  (ProtobufCMessageInit) caraway__rollout_counts__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor caraway__rollout_evidence__field_descriptors[4] =
+{
+  {
+    "sequence",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Caraway__RolloutEvidence, sequence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "route",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Caraway__RolloutEvidence, route),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "old_counts",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Caraway__RolloutEvidence, old_counts),
+    &caraway__rollout_counts__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "new_counts",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Caraway__RolloutEvidence, new_counts),
+    &caraway__rollout_counts__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned caraway__rollout_evidence__field_indices_by_name[] = {
+  3,   /* field[3] = new_counts */
+  2,   /* field[2] = old_counts */
+  1,   /* field[1] = route */
+  0,   /* field[0] = sequence */
+};
+static const ProtobufCIntRange caraway__rollout_evidence__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor caraway__rollout_evidence__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "caraway.RolloutEvidence",
+  "RolloutEvidence",
+  "Caraway__RolloutEvidence",
+  "caraway",
+  sizeof(Caraway__RolloutEvidence),
+  4,
+  caraway__rollout_evidence__field_descriptors,
+  caraway__rollout_evidence__field_indices_by_name,
+  1,  caraway__rollout_evidence__number_ranges,
+  (ProtobufCMessageInit) caraway__rollout_evidence__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor caraway__pull__field_descriptors[13] =
 {
   {
     "vm",
@@ -7773,12 +8718,25 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "evidence",
+    13,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Caraway__Pull, n_evidence),
+    offsetof(Caraway__Pull, evidence),
+    &caraway__rollout_evidence__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned caraway__pull__field_indices_by_name[] = {
   5,   /* field[5] = chain */
   6,   /* field[6] = endpoint_epoch */
   7,   /* field[7] = endpoint_sequence */
   9,   /* field[9] = endpoints */
+  12,   /* field[12] = evidence */
   4,   /* field[4] = feed_index */
   11,   /* field[11] = floor */
   2,   /* field[2] = incarnation */
@@ -7791,7 +8749,7 @@
 static const ProtobufCIntRange caraway__pull__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 12 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor caraway__pull__descriptor =
 {
@@ -7801,14 +8759,14 @@
   "Caraway__Pull",
   "caraway",
   sizeof(Caraway__Pull),
-  12,
+  13,
   caraway__pull__field_descriptors,
   caraway__pull__field_indices_by_name,
   1,  caraway__pull__number_ranges,
   (ProtobufCMessageInit) caraway__pull__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor caraway__news__field_descriptors[17] =
+static const ProtobufCFieldDescriptor caraway__news__field_descriptors[19] =
 {
   {
     "request",
@@ -8014,6 +8972,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "rollouts_known",
+    18,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Caraway__News, rollouts_known),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "rollouts",
+    19,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Caraway__News, n_rollouts),
+    offsetof(Caraway__News, rollouts),
+    &caraway__rollout_notice__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned caraway__news__field_indices_by_name[] = {
   9,   /* field[9] = depth */
@@ -8028,6 +9010,8 @@
   2,   /* field[2] = records */
   14,   /* field[14] = records_packed */
   0,   /* field[0] = request */
+  18,   /* field[18] = rollouts */
+  17,   /* field[17] = rollouts_known */
   3,   /* field[3] = snapshot */
   4,   /* field[4] = snapshot_digest */
   1,   /* field[1] = stamp */
@@ -8037,7 +9021,7 @@
 static const ProtobufCIntRange caraway__news__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 17 }
+  { 0, 19 }
 };
 const ProtobufCMessageDescriptor caraway__news__descriptor =
 {
@@ -8047,7 +9031,7 @@
   "Caraway__News",
   "caraway",
   sizeof(Caraway__News),
-  17,
+  19,
   caraway__news__field_descriptors,
   caraway__news__field_indices_by_name,
   1,  caraway__news__number_ranges,
@@ -10440,6 +11424,44 @@
   caraway__access__value_ranges,
   NULL,NULL,NULL,NULL   /* reserved[1234] */
 };
+static const ProtobufCEnumValue caraway__rollout_state__enum_values_by_number[7] =
+{
+  { "ROLLOUT_NONE", "CARAWAY__ROLLOUT_STATE__ROLLOUT_NONE", 0 },
+  { "ROLLOUT_PROBE", "CARAWAY__ROLLOUT_STATE__ROLLOUT_PROBE", 1 },
+  { "ROLLOUT_SPREAD", "CARAWAY__ROLLOUT_STATE__ROLLOUT_SPREAD", 2 },
+  { "ROLLOUT_LOAD", "CARAWAY__ROLLOUT_STATE__ROLLOUT_LOAD", 3 },
+  { "ROLLOUT_HANDOVER", "CARAWAY__ROLLOUT_STATE__ROLLOUT_HANDOVER", 4 },
+  { "ROLLOUT_SUCCEEDED", "CARAWAY__ROLLOUT_STATE__ROLLOUT_SUCCEEDED", 5 },
+  { "ROLLOUT_ROLLED_BACK", "CARAWAY__ROLLOUT_STATE__ROLLOUT_ROLLED_BACK", 6 },
+};
+static const ProtobufCIntRange caraway__rollout_state__value_ranges[] = {
+{0, 0},{0, 7}
+};
+static const ProtobufCEnumValueIndex caraway__rollout_state__enum_values_by_name[7] =
+{
+  { "ROLLOUT_HANDOVER", 4 },
+  { "ROLLOUT_LOAD", 3 },
+  { "ROLLOUT_NONE", 0 },
+  { "ROLLOUT_PROBE", 1 },
+  { "ROLLOUT_ROLLED_BACK", 6 },
+  { "ROLLOUT_SPREAD", 2 },
+  { "ROLLOUT_SUCCEEDED", 5 },
+};
+const ProtobufCEnumDescriptor caraway__rollout_state__descriptor =
+{
+  PROTOBUF_C__ENUM_DESCRIPTOR_MAGIC,
+  "caraway.RolloutState",
+  "RolloutState",
+  "Caraway__RolloutState",
+  "caraway",
+  7,
+  caraway__rollout_state__enum_values_by_number,
+  7,
+  caraway__rollout_state__enum_values_by_name,
+  1,
+  caraway__rollout_state__value_ranges,
+  NULL,NULL,NULL,NULL   /* reserved[1234] */
+};
 static const ProtobufCEnumValue caraway__change_state__enum_values_by_number[6] =
 {
   { "CHANGE_NONE", "CARAWAY__CHANGE_STATE__CHANGE_NONE", 0 },
