--- a/tests/tools/standin_target.c
+++ b/tests/tools/standin_target.c
@@ -12,6 +12,8 @@
  *   ANY /chain/N        runs, then calls /chain/N-1 (/leaf after /chain/0) through the
  *                       proxy at the port "next", and appends its response to its own
  *
+ *   ANY .../bytes/N     runs; the response has N bytes
+ *
  * SIGTERM drains: responses carry Caraway-Draining, the port closes after the
  * grace time, and the process exits when no connection is open, at most
  * another grace time later.
@@ -297,6 +299,15 @@
 	return answer(connection, status, text, strlen(text));
 }
 
+/* Runs a call and answers with as many bytes as the end of its path says. */
+static enum MHD_Result answer_bytes(struct MHD_Connection *connection, const char *number)
+{
+	size_t length = (size_t)g_ascii_strtoull(number, NULL, 10);
+	unsigned status = run_call(find_header(connection, "X-Request-Id"));
+
+	return answer(connection, status, g_strnfill(length, 'x'), length);
+}
+
 /* Runs one level of a chain of calls, then calls the next; the next response is appended to its own. */
 static enum MHD_Result answer_chain(struct MHD_Connection *connection, const char *url)
 {
@@ -324,6 +335,7 @@
 				  void **state)
 {
 	request_t *request = *state;
+	const char *bytes;
 
 	(void)data;
 	(void)version;
@@ -347,6 +359,8 @@
 		return answer(connection, MHD_HTTP_OK, g_strdup("ok\n"), strlen("ok\n"));
 	if (g_str_has_prefix(url, "/chain/"))
 		return answer_chain(connection, url);
+	if ((bytes = strstr(url, "/bytes/")))
+		return answer_bytes(connection, bytes + strlen("/bytes/"));
 	return answer_call(connection, url, method, request);
 }
 
--- a/tests/unit/cluster.c
+++ b/tests/unit/cluster.c
@@ -46,6 +46,7 @@
 	GPtrArray *links;		       /* port_link_t *; NULL: links are not used */
 	GHashTable *processes;		       /* name -> pid, until reaped */
 	GArray *reserved_sockets;	       /* int; bound sockets that reserve ports */
+	char *proxy_settings;		       /* lines appended to the [proxy] section; NULL: none */
 	char *preload;			       /* path of the library to preload; NULL: none */
 	bool starts_with_full_disk;	       /* the process that is being started */
 };
@@ -151,6 +152,12 @@
 	g_assert_true(g_file_set_contents(path, text, -1, NULL));
 }
 
+void cluster_set_proxy_settings(cluster_t *cluster, const char *lines)
+{
+	g_free(cluster->proxy_settings);
+	cluster->proxy_settings = g_strdup(lines);
+}
+
 /* Removes a folder and its contents. */
 static void remove_folder(const char *folder)
 {
@@ -224,6 +231,7 @@
 	if (cluster->links)
 		g_ptr_array_free(cluster->links, TRUE);
 	g_free(cluster->preload);
+	g_free(cluster->proxy_settings);
 	for (guint i = 0; i < cluster->reserved_sockets->len; i++)
 		close(g_array_index(cluster->reserved_sockets, int, i));
 	g_array_free(cluster->reserved_sockets, TRUE);
@@ -429,13 +437,13 @@
 void cluster_start_proxy(cluster_t *cluster, const char *name)
 {
 	const proxy_t *proxy = find_proxy(cluster, name);
-	g_autofree char *sections =
-		g_strdup_printf("[proxy]\nvm=%s\nzone=%s\nregion=eszak\nservice=%s\nlisten=127.0.0.1:%d\n"
-				"call-listen=127.0.0.1:%d\nfeed-listen=127.0.0.1:%d\ntarget=127.0.0.1:%d\n"
-				"call-announce=127.0.0.1:%d\nfeed-announce=127.0.0.1:%d\nreport-ms=1000\n",
-				proxy->name, proxy->zone, proxy->service, proxy->ports[HTTP_PORT],
-				proxy->ports[CALL_PORT], proxy->ports[FEED_PORT], proxy->ports[TARGET_PORT],
-				proxy->announced_ports[CALL_PORT], proxy->announced_ports[FEED_PORT]);
+	g_autofree char *sections = g_strdup_printf(
+		"[proxy]\nvm=%s\nzone=%s\nregion=eszak\nservice=%s\nlisten=127.0.0.1:%d\n"
+		"call-listen=127.0.0.1:%d\nfeed-listen=127.0.0.1:%d\ntarget=127.0.0.1:%d\n"
+		"call-announce=127.0.0.1:%d\nfeed-announce=127.0.0.1:%d\nreport-ms=1000\n%s",
+		proxy->name, proxy->zone, proxy->service, proxy->ports[HTTP_PORT], proxy->ports[CALL_PORT],
+		proxy->ports[FEED_PORT], proxy->ports[TARGET_PORT], proxy->announced_ports[CALL_PORT],
+		proxy->announced_ports[FEED_PORT], cluster->proxy_settings ? cluster->proxy_settings : "");
 	g_autofree char *settings = write_settings_file(cluster, name, "proxy", sections);
 	const char *arguments[] = {"--config", settings, NULL};
 
@@ -493,6 +501,19 @@
 	return peak ? atol(peak + strlen("VmHWM:")) : 0;
 }
 
+int cluster_open_descriptors(const cluster_t *cluster, const char *process)
+{
+	g_autofree char *path = g_strdup_printf("/proc/%d/fd", find_pid(cluster, process));
+	GDir *dir = g_dir_open(path, 0, NULL);
+	int count = 0;
+
+	g_assert_nonnull(dir);
+	while (g_dir_read_name(dir))
+		count++;
+	g_dir_close(dir);
+	return count;
+}
+
 int cluster_wait(cluster_t *cluster, const char *process)
 {
 	int status = 0;
--- a/tests/unit/cluster.h
+++ b/tests/unit/cluster.h
@@ -50,6 +50,8 @@
  * of the file's first record, or zeros.
  */
 void cluster_append_torn_record(cluster_t *cluster, int id, size_t length, bool zeros);
+/* Sets lines that are appended to the [proxy] section of proxies started from now on. */
+void cluster_set_proxy_settings(cluster_t *cluster, const char *lines);
 /* Adds a proxy, which cluster_start_proxy() starts, and starts its target. */
 void cluster_add_proxy(cluster_t *cluster, const char *name, const char *zone, const char *service);
 /* Starts the target of a proxy, also again after it has ended, on the same port. */
@@ -73,6 +75,8 @@
 void cluster_limit_file_size(cluster_t *cluster, const char *process, long bytes);
 /* Returns the most memory that a running process has taken, in kB. */
 long cluster_peak_memory_kb(const cluster_t *cluster, const char *process);
+/* Returns the number of descriptors that a running process has open. */
+int cluster_open_descriptors(const cluster_t *cluster, const char *process);
 /*
  * Reaps a process if it has ended and returns true, without waiting.  *status is
  * its exit status or, if a signal ended it, the negative signal number.
