Memory account: slow readers are closed, long answers wait at the target

Cause: each answer that a caller did not read stayed in its connection's output until the idle timeout, and nothing bounded their sum. Unfinished answers of the target and partly received messages of other proxies were bounded at 32 MiB and not at all.

Its limit is waiting-memory-percent (25) of memory-mb. Callers may leave half of it unread, and at least one longest answer; above that the connection with the most unread bytes, weighted by the time since any was read, is reset. While the account is full, callers that have read nothing for slow-reader-ms (1000) are reset too, and the target and other proxies are read for short messages and one long one at a time.

Ruled out: refusing calls while the account is full, as ordinary requests would be refused for as long as the callers stay; closing all that are slow at once.

--- a/daemon/counters.h
+++ b/daemon/counters.h
@@ -88,6 +88,10 @@
 	X(REQUEST_SLOW, "request-slow")                                                                                 \
 	X(REQUEST_NO_MEMORY, "request-no-memory")                                                                       \
 	X(CONNECTION_EVICTED, "connection-evicted")                                                                     \
+	/* connections of callers closed as they did not read their answers; answers of the target not read for now */  \
+	X(SLOW_READER_CLOSED, "slow-reader-closed")                                                                     \
+	X(CONNECTION_PAUSED, "connection-paused")                                                                       \
+	X(ANSWER_PAUSED, "answer-paused")                                                                               \
 	/* tokens of client accounts: requests to owners; granted, withheld, and declined as another proxy owns them */ \
 	X(ALLOTMENT_ASKED, "allotment-asked")                                                                           \
 	X(ALLOTMENT_GRANTED, "allotment-granted")                                                                       \
--- a/daemon/http_connection.c
+++ b/daemon/http_connection.c
@@ -70,6 +70,7 @@
 	http_message_free(exchange->request);
 	if (exchange->response)
 		g_byte_array_unref(exchange->response);
+	memory_share_set(&exchange->share, 0);
 	g_free(exchange);
 }
 
@@ -95,6 +96,8 @@
 	poller_remove(server->poller, connection->fd);
 	close(connection->fd);
 	connection->fd = -1;
+	/* At once, as the account of waiting bytes decides whether further connections are closed. */
+	send_buffer_reset(&connection->output);
 	while ((exchange = g_queue_pop_head(&connection->exchanges))) {
 		if (!exchange->response) {
 			server->in_flight--;
@@ -144,8 +147,11 @@
 		return false;
 	}
 	if (connection->output.sent != sent_before)
-		connection->last_activity_ms = clock_now_ms();
+		connection->last_read_ms = connection->last_activity_ms = clock_now_ms();
+	else if (state == SEND_BUFFER_BLOCKED && !connection->last_read_ms)
+		connection->last_read_ms = clock_now_ms();
 	if (state == SEND_BUFFER_EMPTY) {
+		connection->last_read_ms = 0;
 		send_buffer_reset(&connection->output);
 		if (connection->closing && g_queue_is_empty(&connection->exchanges))
 			begin_lingering_close(connection);
@@ -160,6 +166,7 @@
 	http_exchange_t *exchange;
 
 	while ((exchange = g_queue_peek_head(&connection->exchanges)) && exchange->response) {
+		memory_share_set(&exchange->share, 0);
 		send_buffer_append_bytes(&connection->output, exchange->response);
 		g_queue_pop_head(&connection->exchanges);
 		exchange_free(exchange);
@@ -219,6 +226,8 @@
 	bool with_body = g_strcmp0(exchange->request->method, "HEAD") != 0;
 
 	exchange->response = serialize_response(response, with_body, closing);
+	exchange->share.kind = MEMORY_TO_CALLERS;
+	memory_share_set(&exchange->share, exchange->response->len);
 	connection->closing |= closing;
 	server->in_flight--;
 	queue_responses(connection);
@@ -285,6 +294,26 @@
 	return bytes;
 }
 
+/* Returns the bytes of responses that the caller has not read. */
+size_t http_connection_unread_bytes(const http_connection_t *connection)
+{
+	size_t bytes = connection->output.share.bytes;
+
+	for (const GList *link = connection->exchanges.head; link; link = link->next)
+		bytes += ((const http_exchange_t *)link->data)->share.bytes;
+	return bytes;
+}
+
+/* Closes the connection of a caller that does not read, and drops what the kernel holds for it. */
+void http_connection_reset(http_connection_t *connection)
+{
+	struct linger reset = {.l_onoff = 1, .l_linger = 0};
+
+	if (connection->fd >= 0)
+		setsockopt(connection->fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+	http_connection_close(connection);
+}
+
 /* Returns whether a partly received request has a long body for which there is no memory at present. */
 static bool lacks_memory(const http_connection_t *connection)
 {
@@ -415,7 +444,7 @@
 	connection->fd = fd;
 	connection->watch = (poller_watch_t){on_connection_ready, connection};
 	connection->pending_input = g_byte_array_new();
-	send_buffer_init(&connection->output);
+	send_buffer_init(&connection->output, MEMORY_TO_CALLERS);
 	connection->last_activity_ms = clock_now_ms();
 	connection->events = EPOLLIN | EPOLLRDHUP;
 	connection->link.data = connection;
--- a/daemon/http_connection.h
+++ b/daemon/http_connection.h
@@ -12,6 +12,7 @@
 	http_message_t *request; /* NULL: rejected before it was complete */
 	size_t body_bytes;	 /* of the request, also once the handler has taken its body */
 	GByteArray *response;	 /* serialized; NULL until the handler responds */
+	memory_share_t share;	 /* of the response, until it is moved to the output */
 	void *data;		 /* of the handler */
 };
 
@@ -26,9 +27,10 @@
 	GQueue exchanges;	  /* http_exchange_t *, in the order of the requests */
 	int64_t request_start_ms; /* of the request being parsed; 0 between requests */
 	int64_t last_activity_ms; /* time of the last byte in either direction */
-	int64_t linger_until_ms;  /* end of a lingering close; 0 before one has begun */
-	uint32_t events;	  /* that the poller watches for */
-	bool closing;		  /* no further request is accepted; closes once every response is sent */
+	int64_t last_read_ms; /* when the caller last read bytes while some were unread; 0: none are unread */
+	int64_t linger_until_ms; /* end of a lingering close; 0 before one has begun */
+	uint32_t events;	 /* that the poller watches for */
+	bool closing;		 /* no further request is accepted; closes once every response is sent */
 };
 
 struct http_server {
@@ -52,6 +54,10 @@
 void http_connection_tick(http_connection_t *connection, int64_t now_ms);
 /* Returns the bytes of the bodies of a connection's requests in progress, partly received ones included. */
 size_t http_connection_buffered_bytes(const http_connection_t *connection);
+/* Returns the bytes of responses that the caller has not read. */
+size_t http_connection_unread_bytes(const http_connection_t *connection);
+/* Closes the connection of a caller that does not read, and drops what the kernel holds for it. */
+void http_connection_reset(http_connection_t *connection);
 /* Returns whether a connection can be closed without losing a complete request or a response. */
 bool http_connection_is_evictable(const http_connection_t *connection);
 
--- a/daemon/http_frontend.c
+++ b/daemon/http_frontend.c
@@ -179,6 +179,14 @@
 	return memory ? MIN(configured, memory) : configured;
 }
 
+/* Returns how many bytes of answers callers may leave unread: half of the account, and at least one whole answer. */
+static size_t max_unread_bytes(const proxy_settings_t *settings)
+{
+	size_t answer = settings_answer_memory(settings);
+
+	return answer ? MAX(settings_waiting_memory(settings) / 2, answer + MAX_HEADER_BYTES) : 0;
+}
+
 /* Listens for callers.  Returns CW_ERR_IO when that fails. */
 cw_status_t http_frontend_new(poller_t *poller, const proxy_settings_t *settings, http_frontend_t **out)
 {
@@ -190,7 +198,9 @@
 					     .max_buffered_bytes = settings_body_memory(settings),
 					     .header_timeout_ms = HEADER_TIMEOUT_MS,
 					     .idle_timeout_ms = IDLE_TIMEOUT_MS,
-					     .max_connections = settings->connections};
+					     .max_connections = settings->connections,
+					     .max_unread_bytes = max_unread_bytes(settings),
+					     .slow_reader_ms = settings->slow_reader_ms};
 	cw_status_t status =
 		http_server_new(poller, settings->listen, &limits, &handlers, &http_frontend->server);
 
@@ -237,7 +247,9 @@
 						    .max_buffered_bytes = settings_body_memory(settings),
 						    .header_timeout_ms = limits->header_timeout_ms,
 						    .idle_timeout_ms = limits->idle_timeout_ms,
-						    .max_connections = settings->connections};
+						    .max_connections = settings->connections,
+						    .max_unread_bytes = max_unread_bytes(settings),
+						    .slow_reader_ms = settings->slow_reader_ms};
 
 	http_server_set_limits(http_frontend->server, &server_limits);
 }
--- a/daemon/http_message.c
+++ b/daemon/http_message.c
@@ -24,6 +24,7 @@
 	g_free(message->request_target);
 	g_ptr_array_unref(message->headers);
 	g_byte_array_unref(message->body);
+	memory_share_set(&message->share, 0);
 	g_free(message);
 }
 
@@ -55,6 +56,7 @@
 	http_reader_t *reader = parser->data;
 
 	reader->message = message_new();
+	reader->message->share.kind = parser->type == HTTP_REQUEST ? MEMORY_REQUESTS : MEMORY_ANSWERS;
 	reader->message->request_target = g_strdup("");
 	reader->header_size = 0;
 	reader->headers_done = false;
@@ -140,6 +142,7 @@
 		return -1;
 	}
 	g_byte_array_append(reader->message->body, (const guint8 *)data, (guint)length);
+	memory_share_set(&reader->message->share, reader->message->body->len);
 	return 0;
 }
 
--- a/daemon/http_message.h
+++ b/daemon/http_message.h
@@ -5,6 +5,7 @@
 #include <http_parser.h>
 
 #include "libcaraway.h"
+#include "memory_account.h"
 
 /* A request or a response. */
 typedef struct {
@@ -13,7 +14,8 @@
 	unsigned status;      /* responses only */
 	GPtrArray *headers;   /* Caraway__Header *, owned, in the order received */
 	GByteArray *body;
-	bool keep_alive; /* the sender keeps the connection open after this message */
+	memory_share_t share; /* of the body as received, also once another holder has taken it */
+	bool keep_alive;      /* the sender keeps the connection open after this message */
 } http_message_t;
 
 void http_message_free(http_message_t *message);
--- a/daemon/http_server.c
+++ b/daemon/http_server.c
@@ -13,8 +13,9 @@
 
 enum {
 	BACKLOG = 512,
-	ACCEPT_BATCH = 64,     /* connections accepted before other descriptors are served */
-	TICK_INTERVAL_MS = 200 /* between checks of the connections' timeouts */
+	ACCEPT_BATCH = 64,	  /* connections accepted before other descriptors are served */
+	MIN_UNREAD_BYTES = 16384, /* a caller with fewer unread bytes is never closed as a slow reader */
+	TICK_INTERVAL_MS = 200	  /* between checks of the connections' timeouts */
 };
 
 /* Closes the evictable connection that has been idle for longest, if any. */
@@ -133,6 +134,60 @@
 	}
 }
 
+/* Returns for how long a caller with unread responses has read nothing, in milliseconds. */
+static int64_t stalled_ms(const http_connection_t *connection, int64_t now_ms)
+{
+	return connection->last_read_ms ? MAX(now_ms - connection->last_read_ms, 0) : 0;
+}
+
+/* Returns the connection with the most unread bytes, weighted by the time since its caller has read any; or NULL. */
+static http_connection_t *slowest_reader(const http_server_t *server, int64_t now_ms)
+{
+	http_connection_t *slowest = NULL;
+	uint64_t highest = 0;
+
+	for (const GList *link = server->connections.head; link; link = link->next) {
+		uint64_t bytes = http_connection_unread_bytes(link->data);
+		uint64_t weight = bytes * ((uint64_t)stalled_ms(link->data, now_ms) + 1);
+
+		if (bytes < MIN_UNREAD_BYTES || weight <= highest)
+			continue;
+		highest = weight;
+		slowest = link->data;
+	}
+	return slowest;
+}
+
+/* Closes the connection of a caller that does not read. */
+static void close_slow_reader(http_connection_t *connection, int64_t now_ms)
+{
+	counter_add(COUNTER_SLOW_READER_CLOSED, 1);
+	log_warning("slow-reader-closed", LOG_UINT("unread_bytes", http_connection_unread_bytes(connection)),
+		    LOG_INT("stalled_ms", stalled_ms(connection, now_ms)),
+		    LOG_UINT("all_unread_bytes", memory_account_held_by(MEMORY_TO_CALLERS)),
+		    LOG_UINT("waiting_bytes", memory_account_held()), LOG_END);
+	http_connection_reset(connection);
+}
+
+/* Returns whether more than max_unread_bytes are unread. */
+static bool has_too_many_unread(const http_server_t *server)
+{
+	return server->limits.max_unread_bytes &&
+	       memory_account_held_by(MEMORY_TO_CALLERS) > server->limits.max_unread_bytes;
+}
+
+/* Closes connections of callers that do not read their responses while these fill the memory. */
+void http_server_close_slow_readers(http_server_t *server, int64_t now_ms)
+{
+	http_connection_t *slowest;
+
+	while (has_too_many_unread(server) && (slowest = slowest_reader(server, now_ms)))
+		close_slow_reader(slowest, now_ms);
+	while (memory_account_is_full() && (slowest = slowest_reader(server, now_ms)) &&
+	       stalled_ms(slowest, now_ms) >= server->limits.slow_reader_ms)
+		close_slow_reader(slowest, now_ms);
+}
+
 /* Returns when http_server_tick() is due. */
 int64_t http_server_next_tick_ms(const http_server_t *server)
 {
--- a/daemon/http_server.h
+++ b/daemon/http_server.h
@@ -24,6 +24,8 @@
 	uint32_t header_timeout_ms; /* from the first byte of a request until its headers are complete */
 	uint32_t idle_timeout_ms;   /* without a byte in either direction and without a request in progress */
 	uint32_t max_connections;   /* maximum number of open connections */
+	size_t max_unread_bytes;    /* of all responses that callers have not read; 0: without limit */
+	uint32_t slow_reader_ms;    /* without a byte read; then closed while the account of bytes is full */
 } http_server_limits_t;
 
 /* A response to send; the server adds the headers Content-Length and Connection. */
@@ -45,6 +47,12 @@
 void http_server_set_limits(http_server_t *server, const http_server_limits_t *limits);
 /* Checks the timeouts of all connections; to be called at http_server_next_tick_ms() at the latest. */
 void http_server_tick(http_server_t *server, int64_t now_ms);
+/*
+ * Closes connections of callers that do not read their responses: while more than max_unread_bytes are unread, the
+ * ones that hold the most and read the slowest; while the account of waiting bytes is full, those that have read
+ * nothing for slow_reader_ms.  Must not be called from a handler.
+ */
+void http_server_close_slow_readers(http_server_t *server, int64_t now_ms);
 int64_t http_server_next_tick_ms(const http_server_t *server);
 /* Sends "Connection: close" with the last response of each connection from now on. */
 void http_server_drain(http_server_t *server);
--- a/daemon/send_buffer.c
+++ b/daemon/send_buffer.c
@@ -10,22 +10,40 @@
 	KEEP_BYTES = 65536     /* a buffer that has held more is freed when it is empty */
 };
 
+/* Updates the share of a buffer in the account of waiting bytes, which includes sent ones that still take memory. */
+static void update_share(send_buffer_t *send_buffer)
+{
+	memory_share_set(&send_buffer->share, send_buffer->bytes->len);
+}
+
 /* Initializes an empty buffer. */
-void send_buffer_init(send_buffer_t *send_buffer)
+void send_buffer_init(send_buffer_t *send_buffer, memory_kind_t kind)
 {
-	*send_buffer = (send_buffer_t){.bytes = g_byte_array_new()};
+	*send_buffer = (send_buffer_t){.bytes = g_byte_array_new(), .share = {.kind = kind}};
 }
 
 /* Frees the memory of a buffer. */
 void send_buffer_free(send_buffer_t *send_buffer)
 {
 	g_byte_array_unref(send_buffer->bytes);
+	memory_share_set(&send_buffer->share, 0);
 }
 
 /* Appends bytes. */
 void send_buffer_append(send_buffer_t *send_buffer, const void *data, size_t length)
 {
 	g_byte_array_append(send_buffer->bytes, data, (guint)length);
+	update_share(send_buffer);
+}
+
+/* Appends bytes that the caller writes. */
+uint8_t *send_buffer_extend(send_buffer_t *send_buffer, size_t length)
+{
+	guint start = send_buffer->bytes->len;
+
+	g_byte_array_set_size(send_buffer->bytes, start + (guint)length);
+	update_share(send_buffer);
+	return send_buffer->bytes->data + start;
 }
 
 /* Appends an array; nothing else may change it from then on. */
@@ -37,6 +55,7 @@
 	}
 	g_byte_array_unref(send_buffer->bytes);
 	send_buffer->bytes = g_byte_array_ref(bytes);
+	update_share(send_buffer);
 }
 
 /* Appends a string without its terminator. */
@@ -59,6 +78,7 @@
 		return;
 	g_byte_array_remove_range(send_buffer->bytes, 0, send_buffer->sent_prefix);
 	send_buffer->sent_prefix = 0;
+	update_share(send_buffer);
 }
 
 /* Sends as many bytes as a socket accepts without blocking. */
@@ -87,10 +107,11 @@
 {
 	if (MAX(send_buffer->longest, send_buffer->bytes->len) > KEEP_BYTES) {
 		send_buffer_free(send_buffer);
-		send_buffer_init(send_buffer);
+		send_buffer_init(send_buffer, send_buffer->share.kind);
 		return;
 	}
 	g_byte_array_set_size(send_buffer->bytes, 0);
+	update_share(send_buffer);
 	send_buffer->sent_prefix = 0;
 	send_buffer->sent = 0;
 }
--- a/daemon/settings.c
+++ b/daemon/settings.c
@@ -194,10 +194,32 @@
 	return status;
 }
 
+enum {
+	BYTES_PER_MB = 1 << 20,
+	PERCENT = 100,
+	MAX_ANSWER_BYTES =
+		16 << 20 /* longer answers do not fit into the send queue of a connection between proxies */
+};
+
+/* Returns the limit of the account of waiting bytes. */
+size_t settings_waiting_memory(const proxy_settings_t *settings)
+{
+	return (size_t)settings->memory_mb * BYTES_PER_MB / PERCENT * settings->waiting_memory_percent;
+}
+
+/*
+ * Returns the bytes for the body of one answer.  It is held up to three times at once: as received, unpacked, and
+ * as sent.
+ */
+size_t settings_answer_memory(const proxy_settings_t *settings)
+{
+	return MIN(settings_body_memory(settings), MAX_ANSWER_BYTES);
+}
+
 /* Returns the bytes for the bodies of requests: a part of the memory, as each body is held several times on its way. */
 size_t settings_body_memory(const proxy_settings_t *settings)
 {
-	enum { BODY_MEMORY_DIVISOR = 8, BYTES_PER_MB = 1 << 20 };
+	enum { BODY_MEMORY_DIVISOR = 8 };
 
 	return (size_t)settings->memory_mb * BYTES_PER_MB / BODY_MEMORY_DIVISOR;
 }
--- a/daemon/settings_rules.c
+++ b/daemon/settings_rules.c
@@ -52,6 +52,8 @@
 	{"proxy", "connections", VALUE_NUMBER, OFFSET(proxy.connections), "120", 1, 65536},
 	{"proxy", "queue", VALUE_NUMBER, OFFSET(proxy.queue), "24", 0, 65536},
 	{"proxy", "memory-mb", VALUE_NUMBER, OFFSET(proxy.memory_mb), "128", 32, 1048576},
+	{"proxy", "waiting-memory-percent", VALUE_NUMBER, OFFSET(proxy.waiting_memory_percent), "25", 5, 50},
+	{"proxy", "slow-reader-ms", VALUE_NUMBER, OFFSET(proxy.slow_reader_ms), "1000", 100, 600000},
 	{"proxy", "timeout-ms", VALUE_NUMBER, OFFSET(proxy.timeout_ms), "2000", 1, 600000},
 	{"proxy", "freshness-ms", VALUE_NUMBER, OFFSET(proxy.freshness_ms), "5000", 100, 600000},
 	{"proxy", "hold-ms", VALUE_NUMBER, OFFSET(proxy.hold_ms), "1000", 10, 60000},
--- a/daemon/stream_connection.c
+++ b/daemon/stream_connection.c
@@ -16,13 +16,15 @@
 
 #include "clock.h"
 #include "counters.h"
+#include "log.h"
 
 enum {
 	FRAME_LENGTH_BYTES = 4,
 	MAX_MESSAGE_BYTES = 64 << 20,
 	MAX_UNSENT_BYTES = 16 << 20, /* of one connection; further messages are refused */
 	READ_BUFFER_BYTES = 65536,
-	KEEP_INPUT_BYTES = 65536,	 /* an input buffer that has held more is freed when it is empty */
+	LONG_INPUT_BYTES = 65536, /* a shorter part of a message is received also when the account is full */
+	KEEP_INPUT_BYTES = 65536, /* an input buffer that has held more is freed when it is empty */
 	UNACKNOWLEDGED_TIMEOUT_MS = 3000 /* data unacknowledged for this long closes the connection */
 };
 
@@ -34,6 +36,7 @@
 	stream_connection_t *connection = data;
 
 	g_byte_array_unref(connection->input);
+	memory_share_set(&connection->input_share, 0);
 	send_buffer_free(&connection->output);
 	g_free(connection);
 }
@@ -52,10 +55,22 @@
 	poller_remove(connection->group->poller, connection->fd);
 	close(connection->fd);
 	connection->fd = -1;
+	g_ptr_array_remove_fast(connection->group->paused, connection);
+	if (connection->group->long_reader == connection)
+		connection->group->long_reader = NULL;
 	connection->group->on_closed(connection);
 	poller_free_later(connection->group->poller, connection_free, connection);
 }
 
+/* Sets what the poller watches a connection for. */
+static void watch_connection(stream_connection_t *connection)
+{
+	uint32_t events = (connection->paused ? 0 : (uint32_t)EPOLLIN) |
+			  (connection->watches_writable ? (uint32_t)EPOLLOUT : 0);
+
+	poller_change(connection->group->poller, connection->fd, events, &connection->watch);
+}
+
 /* Watches a connection for EPOLLOUT while it is connecting or has unsent data. */
 static void update_events(stream_connection_t *connection)
 {
@@ -64,8 +79,51 @@
 	if (watches_writable == connection->watches_writable)
 		return;
 	connection->watches_writable = watches_writable;
-	poller_change(connection->group->poller, connection->fd,
-		      EPOLLIN | (watches_writable ? (uint32_t)EPOLLOUT : 0), &connection->watch);
+	watch_connection(connection);
+}
+
+/*
+ * Returns whether more of a message may be received.  While the account of waiting bytes is full, each group
+ * receives short messages and one long one, so that this one is handled and frees its memory.
+ */
+static bool may_receive(stream_connection_t *connection)
+{
+	stream_group_t *group = connection->group;
+
+	if (group->long_reader && group->long_reader->input->len < LONG_INPUT_BYTES)
+		group->long_reader = NULL;
+	if (connection->input->len < LONG_INPUT_BYTES || !memory_account_is_full())
+		return true;
+	if (!group->long_reader)
+		group->long_reader = connection;
+	return group->long_reader == connection;
+}
+
+/* Stops to read from a connection, so that the peer waits. */
+static void pause_connection(stream_connection_t *connection)
+{
+	connection->paused = true;
+	g_ptr_array_add(connection->group->paused, connection);
+	watch_connection(connection);
+	counter_add(COUNTER_CONNECTION_PAUSED, 1);
+	log_info("connection-paused", LOG_STR("address", connection->address),
+		 LOG_UINT("input_bytes", connection->input->len),
+		 LOG_UINT("waiting_bytes", memory_account_held()), LOG_END);
+}
+
+/* Reads on from the paused connections of a group that may receive again. */
+static void resume_paused(stream_group_t *group)
+{
+	for (guint i = group->paused->len; i > 0; i--) {
+		stream_connection_t *connection = g_ptr_array_index(group->paused, i - 1);
+
+		if (!may_receive(connection))
+			continue;
+		connection->paused = false;
+		g_ptr_array_remove_index_fast(group->paused, i - 1);
+		connection->last_received_ms = clock_now_ms();
+		watch_connection(connection);
+	}
 }
 
 /* Sends pending output without blocking; false when the connection was closed. */
@@ -97,8 +155,6 @@
 cw_status_t stream_connection_send(stream_connection_t *connection, const Caraway__Message *message)
 {
 	size_t length = caraway__message__get_packed_size(message);
-	GByteArray *bytes = connection->output.bytes;
-	guint start;
 
 	if (send_buffer_pending(&connection->output) + length > MAX_UNSENT_BYTES) {
 		counter_add(COUNTER_SEND_REFUSED, 1);
@@ -106,9 +162,7 @@
 			       send_buffer_pending(&connection->output));
 	}
 	append_frame_length(connection, (uint32_t)length);
-	start = bytes->len;
-	g_byte_array_set_size(bytes, start + (guint)length);
-	caraway__message__pack(message, bytes->data + start);
+	caraway__message__pack(message, send_buffer_extend(&connection->output, length));
 	if (flush_output(connection))
 		return CW_OK;
 	counter_add(COUNTER_SEND_REFUSED, 1);
@@ -144,6 +198,8 @@
 	received = g_new(stream_received_t, 1);
 	*received =
 		(stream_received_t){.message = message, .id = connection->id, .address = connection->address};
+	received->share.kind = MEMORY_FROM_PROXIES;
+	memory_share_set(&received->share, length);
 	g_queue_push_tail(&connection->group->received, received);
 }
 
@@ -158,6 +214,7 @@
 	} else {
 		g_byte_array_remove_range(input, 0, length);
 	}
+	memory_share_set(&connection->input_share, connection->input->len);
 }
 
 /* Processes the complete frames of the input; false when the connection was closed. */
@@ -191,11 +248,18 @@
 	return flush_output(connection);
 }
 
-/* Receives data and processes its frames. */
-static void receive_input(stream_connection_t *connection)
+/* Receives data and processes its frames; failed: the connection has ended, which the poller reports until it is read. */
+static void receive_input(stream_connection_t *connection, bool failed)
 {
 	char buffer[READ_BUFFER_BYTES];
-	ssize_t length = recv(connection->fd, buffer, sizeof(buffer), MSG_DONTWAIT);
+	ssize_t length;
+
+	if (!failed && !may_receive(connection)) {
+		if (!connection->paused)
+			pause_connection(connection);
+		return;
+	}
+	length = recv(connection->fd, buffer, sizeof(buffer), MSG_DONTWAIT);
 
 	if (length < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR))
 		return;
@@ -235,7 +299,7 @@
 	if ((events & EPOLLOUT) && !flush_output(connection))
 		return;
 	if (events & (EPOLLIN | EPOLLERR | EPOLLHUP))
-		receive_input(connection);
+		receive_input(connection, events & (EPOLLERR | EPOLLHUP));
 }
 
 /* Sets the socket options; keepalive detects a dead peer also on a connection without unacknowledged data. */
@@ -267,7 +331,8 @@
 	connection->handshake_done = !connecting;
 	connection->watches_writable = connecting;
 	connection->input = g_byte_array_new();
-	send_buffer_init(&connection->output);
+	send_buffer_init(&connection->output, MEMORY_TO_PROXIES);
+	connection->input_share.kind = MEMORY_FROM_PROXIES;
 	connection->last_received_ms = clock_now_ms();
 	connection->watch = (poller_watch_t){connection_on_ready, connection};
 	poller_add(group->poller, fd, EPOLLIN | (connecting ? (uint32_t)EPOLLOUT : 0), &connection->watch);
@@ -280,6 +345,8 @@
 	group->poller = poller_new();
 	group->on_closed = on_closed;
 	g_queue_init(&group->received);
+	group->long_reader = NULL;
+	group->paused = g_ptr_array_new();
 }
 
 /* Frees an item of the receive queue with its message. */
@@ -288,6 +355,7 @@
 	stream_received_t *received = data;
 
 	cw_message_free(received->message);
+	memory_share_set(&received->share, 0);
 	g_free(received);
 }
 
@@ -295,13 +363,21 @@
 void stream_group_clear(stream_group_t *group)
 {
 	g_queue_clear_full(&group->received, stream_received_free);
+	g_ptr_array_unref(group->paused);
 	poller_free(group->poller);
 }
 
 /* Returns the next message, or NULL; an empty queue is first filled from the connections that are ready. */
 stream_received_t *stream_group_receive(stream_group_t *group)
 {
+	stream_received_t *received;
+
+	if (group->paused->len)
+		resume_paused(group);
 	if (g_queue_is_empty(&group->received))
 		poller_run_ready(group->poller);
-	return g_queue_pop_head(&group->received);
+	received = g_queue_pop_head(&group->received);
+	if (received)
+		memory_share_set(&received->share, 0);
+	return received;
 }
--- a/daemon/stream_connection.h
+++ b/daemon/stream_connection.h
@@ -11,6 +11,9 @@
 typedef struct {
 	poller_t *poller;
 	GQueue received; /* stream_received_t * */
+	/* The one connection that reads a long message while the account of waiting bytes is full; NULL: none. */
+	stream_connection_t *long_reader;
+	GPtrArray *paused; /* stream_connection_t * that are not read for now */
 	/* Called for every connection that is closed. */
 	void (*on_closed)(stream_connection_t *connection);
 } stream_group_t;
@@ -24,8 +27,10 @@
 	uint64_t id;	     /* unique within a server; 0 for clients */
 	bool connecting;     /* connect() has not completed */
 	bool handshake_done; /* the peer's first pong was received; a server expects none from its clients */
+	bool paused;	     /* not read, as the account of waiting bytes is full */
 	bool watches_writable; /* the poller watches for EPOLLOUT */
 	GByteArray *input;     /* received bytes of frames that are not complete */
+	memory_share_t input_share;
 	send_buffer_t output;
 	int64_t last_received_ms; /* monotonic, as all times of a connection */
 };
@@ -33,8 +38,9 @@
 /* A message in the receive queue. */
 typedef struct {
 	Caraway__Message *message;
-	uint64_t id;	     /* of the connection; used by servers */
-	const char *address; /* of the peer; used by clients */
+	uint64_t id;	      /* of the connection; used by servers */
+	const char *address;  /* of the peer; used by clients */
+	memory_share_t share; /* of its packed size; 0 once it has been taken from the queue */
 } stream_received_t;
 
 void stream_group_init(stream_group_t *group, void (*on_closed)(stream_connection_t *connection));
--- a/daemon/target_connection.c
+++ b/daemon/target_connection.c
@@ -20,9 +20,13 @@
 #include "log.h"
 
 enum {
-	MAX_BODY_BYTES = 32 << 20, /* of a response */
-	/* Of all unfinished responses: a target may send bodies without end on each connection. */
+	/* Of all unfinished responses, where the account of waiting bytes has no limit. */
 	MAX_BUFFERED_BYTES = 32 << 20,
+	/*
+	 * A response is read up to this length also when the account is full: ordinary answers are not delayed by
+	 * long ones, and the slots bound how many there are.
+	 */
+	SHORT_BODY_BYTES = 16384,
 	MAX_HEADER_BYTES = 65536, /* of a response */
 	READ_BUFFER_BYTES = 16384,
 	MAX_IDLE_MS = 4000, /* an idle connection is reused within this time, or less if the target says so */
@@ -152,10 +156,40 @@
 	send_buffer_append(output, call->body.data, call->body.len);
 }
 
+/* Returns the length of the body of a response of which a part was received. */
+static size_t received_body_bytes(const target_connection_t *connection)
+{
+	return connection->reader.message ? connection->reader.message->body->len : 0;
+}
+
+/* Returns the connection whose long answer was begun first; NULL when none has one. */
+static const target_connection_t *first_long_answer(const target_pool_t *pool)
+{
+	for (const GList *link = pool->active.tail; link; link = link->prev)
+		if (received_body_bytes(link->data) >= SHORT_BODY_BYTES)
+			return link->data;
+	return NULL;
+}
+
+/*
+ * Returns whether bytes of a response may be received.  While the account of waiting bytes is full, only short
+ * answers and one long one are, so that this one is finished whatever the others hold.  It too waits while
+ * unsent bytes fill half of the account: they leave without it.  Requests do not, as they may wait for it.
+ */
+static bool may_read(const target_connection_t *connection)
+{
+	size_t unsent;
+
+	if (received_body_bytes(connection) < SHORT_BODY_BYTES || !memory_account_is_full())
+		return true;
+	unsent = memory_account_held_by(MEMORY_TO_CALLERS) + memory_account_held_by(MEMORY_TO_PROXIES);
+	return unsent < memory_account_limit() / 2 && first_long_answer(connection->pool) == connection;
+}
+
 /* Updates the events that the poller watches a connection for. */
 static void update_events(target_connection_t *connection)
 {
-	uint32_t events = EPOLLIN | EPOLLRDHUP;
+	uint32_t events = connection->paused ? 0 : EPOLLIN | EPOLLRDHUP;
 
 	if (connection->state == CONNECTION_CONNECTING || send_buffer_pending(&connection->output))
 		events |= EPOLLOUT;
@@ -343,7 +377,7 @@
 
 		data += used;
 		length -= used;
-		if (result == HTTP_READ_INCOMPLETE &&
+		if (result == HTTP_READ_INCOMPLETE && !memory_account_limit() &&
 		    target_pool_buffered_bytes(connection->pool) > MAX_BUFFERED_BYTES)
 			result = HTTP_READ_BODY_TOO_LARGE;
 		if (result == HTTP_READ_INCOMPLETE)
@@ -371,12 +405,41 @@
 	fail_connection(connection, CW_REASON_CUT);
 }
 
-/* Receives and parses bytes of the target. */
-static void read_connection(target_connection_t *connection)
+/* Stops to read from a connection, so that the target waits. */
+static void pause_connection(target_connection_t *connection)
+{
+	target_pool_t *pool = connection->pool;
+
+	connection->paused = true;
+	update_events(connection);
+	counter_add(COUNTER_ANSWER_PAUSED, 1);
+	if (!pool->pausing)
+		log_info("answers-paused", LOG_UINT("waiting_bytes", memory_account_held()),
+			 LOG_UINT("unfinished_bytes", target_pool_buffered_bytes(pool)), LOG_END);
+	pool->pausing = true;
+}
+
+/* Reads on from a paused connection when its answer may be read again. */
+void target_connection_resume(target_connection_t *connection)
+{
+	if (!connection->paused || !may_read(connection))
+		return;
+	connection->paused = false;
+	update_events(connection);
+}
+
+/* Receives and parses bytes of the target; failed: the connection has ended, which the poller reports until it is read. */
+static void read_connection(target_connection_t *connection, bool failed)
 {
 	char buffer[READ_BUFFER_BYTES];
-	ssize_t length = recv(connection->fd, buffer, sizeof(buffer), MSG_DONTWAIT);
+	ssize_t length;
 
+	if (!failed && !may_read(connection)) {
+		if (!connection->paused)
+			pause_connection(connection);
+		return;
+	}
+	length = recv(connection->fd, buffer, sizeof(buffer), MSG_DONTWAIT);
 	if (length < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR))
 		return;
 	if (connection->state != CONNECTION_BUSY) {
@@ -433,20 +496,20 @@
 	if ((events & EPOLLOUT) && !(events & (EPOLLERR | EPOLLHUP)) && connection->state == CONNECTION_BUSY)
 		send_request(connection);
 	if (connection->fd >= 0 && (events & (EPOLLIN | EPOLLRDHUP | EPOLLERR | EPOLLHUP)))
-		read_connection(connection);
+		read_connection(connection, events & (EPOLLERR | EPOLLHUP));
 }
 
 /* Opens a connection for a job, or a probe (NULL) that checks whether the target accepts connections. */
 void target_connection_open(target_pool_t *pool, target_job_t *job)
 {
-	static const http_limits_t limits = {MAX_HEADER_BYTES, MAX_BODY_BYTES};
+	const http_limits_t limits = {MAX_HEADER_BYTES, pool->max_answer_bytes};
 	target_connection_t *connection = g_new0(target_connection_t, 1);
 	int one = 1;
 
 	connection->pool = pool;
 	connection->job = job;
 	connection->watch = (poller_watch_t){on_connection_ready, connection};
-	send_buffer_init(&connection->output);
+	send_buffer_init(&connection->output, MEMORY_TO_TARGET);
 	connection->link.data = connection;
 	http_reader_init(&connection->reader, HTTP_RESPONSE, &limits);
 	connection->fd = socket(pool->address.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
--- a/daemon/target_connection.h
+++ b/daemon/target_connection.h
@@ -23,6 +23,7 @@
 	bool reused;		       /* it has carried an earlier job */
 	bool probed;		       /* it has carried an identity probe, whose answer has no request id */
 	bool unidentified;	       /* it carries calls without a request id, and nothing else */
+	bool paused;		       /* not read, as the account of waiting bytes is full */
 	bool reset;		       /* sending failed, and not because the target had closed regularly */
 	uint32_t mismatched_responses; /* responses to other requests, skipped during the present job */
 	int64_t idle_until_ms;	       /* when an idle connection is closed */
@@ -34,15 +35,17 @@
 	poller_t *poller;
 	struct sockaddr_storage address;
 	socklen_t address_length;
-	GQueue active;		/* links of target_connection_t that have a job or are connecting */
-	GQueue idle;		/* links of target_connection_t, the most recently used first */
-	GQueue finished;	/* target_job_t *, not collected yet */
-	char *target_id;	/* identifier of the incarnation that calls are for; NULL: any */
-	int64_t start_until_ms; /* later no request is sent; INT64_MAX: without limit */
-	int64_t next_probe_ms;	/* when the next probe is due */
-	bool probing;		/* a probe is in progress */
-	bool reachable;		/* the last attempt to connect succeeded */
-	bool probe_always;	/* probe also while reachable */
+	GQueue active;		 /* links of target_connection_t that have a job or are connecting */
+	GQueue idle;		 /* links of target_connection_t, the most recently used first */
+	GQueue finished;	 /* target_job_t *, not collected yet */
+	char *target_id;	 /* identifier of the incarnation that calls are for; NULL: any */
+	int64_t start_until_ms;	 /* later no request is sent; INT64_MAX: without limit */
+	int64_t next_probe_ms;	 /* when the next probe is due */
+	bool probing;		 /* a probe is in progress */
+	bool reachable;		 /* the last attempt to connect succeeded */
+	size_t max_answer_bytes; /* of the body of one answer */
+	bool pausing;		 /* an answer is not read, as the account of waiting bytes is full */
+	bool probe_always;	 /* probe also while reachable */
 };
 
 /* Opens a connection for a job, or a probe (NULL) that checks whether the target accepts connections. */
@@ -53,6 +56,8 @@
 void target_connection_begin(target_connection_t *connection, target_job_t *job);
 /* Ends the job of a connection without a response, for a reason, and closes the connection. */
 void target_connection_abort(target_connection_t *connection, cw_reason_t reason);
+/* Reads on from a paused connection when its answer may be read again. */
+void target_connection_resume(target_connection_t *connection);
 /* Closes a connection that has no job. */
 void target_connection_close(target_connection_t *connection);
 /* Records whether the target accepts connections. */
--- a/daemon/target_pool.c
+++ b/daemon/target_pool.c
@@ -12,6 +12,8 @@
  */
 enum { MAX_IDLE_NOT_IDEMPOTENT_MS = 500 };
 
+enum { MAX_ANSWER_BYTES = 32 << 20 /* unless target_pool_set_max_answer_bytes() sets another limit */ };
+
 /* Creates a job; takes ownership of both arguments. */
 target_job_t *target_job_new(Caraway__Message *message, GBytes *peer)
 {
@@ -56,6 +58,7 @@
 	pool->header_names = header_names;
 	pool->poller = poller;
 	pool->start_until_ms = INT64_MAX;
+	pool->max_answer_bytes = MAX_ANSWER_BYTES;
 	g_queue_init(&pool->active);
 	g_queue_init(&pool->idle);
 	g_queue_init(&pool->finished);
@@ -63,6 +66,12 @@
 	return CW_OK;
 }
 
+/* Sets the longest body of an answer, for connections opened from now on. */
+void target_pool_set_max_answer_bytes(target_pool_t *pool, size_t bytes)
+{
+	pool->max_answer_bytes = bytes;
+}
+
 /* Closes every connection and frees the pool and all its jobs. */
 void target_pool_free(target_pool_t *pool)
 {
@@ -178,6 +187,22 @@
 		target_connection_abort(connection, CW_REASON_DRAINING);
 }
 
+/* Reads on from paused connections whose answers may be read again. */
+static void resume_paused(target_pool_t *pool)
+{
+	bool paused = false;
+
+	if (!pool->pausing)
+		return;
+	for (GList *link = pool->active.head; link; link = link->next) {
+		target_connection_t *connection = link->data;
+
+		target_connection_resume(connection);
+		paused |= connection->paused;
+	}
+	pool->pausing = paused;
+}
+
 /* Aborts jobs past their deadline or latest start, closes expired idle connections, and probes the target when due. */
 void target_pool_tick(target_pool_t *pool, int64_t now_ms)
 {
@@ -192,6 +217,7 @@
 	}
 	while (pool->idle.tail && now_ms >= ((target_connection_t *)pool->idle.tail->data)->idle_until_ms)
 		target_connection_close(pool->idle.tail->data);
+	resume_paused(pool);
 	if ((!pool->reachable || pool->probe_always) && !pool->probing && now_ms >= pool->next_probe_ms) {
 		pool->probing = true;
 		target_connection_open(pool, NULL);
--- a/daemon/target_pool.h
+++ b/daemon/target_pool.h
@@ -31,6 +31,8 @@
 /* Creates a pool for a target at HOST:PORT; header_names is borrowed. */
 cw_status_t target_pool_new(const char *address, const header_names_t *header_names, poller_t *poller,
 			    target_pool_t **pool);
+/* Sets the longest body of an answer; a longer one fails its call.  32 MiB if it is not called. */
+void target_pool_set_max_answer_bytes(target_pool_t *pool, size_t bytes);
 /* Frees the pool and all its jobs. */
 void target_pool_free(target_pool_t *pool);
 /* Starts a job at once; the pool owns it until target_pool_collect() returns it. */
--- a/daemon/traffic.c
+++ b/daemon/traffic.c
@@ -124,6 +124,12 @@
 			receiver_handle_message(traffic->receiver, message, peer);
 }
 
+/* Makes room for further answers; called after each, as many long ones may come in one pass. */
+static void close_slow_readers(traffic_t *traffic)
+{
+	http_server_close_slow_readers(http_frontend_server(traffic->http_frontend), clock_now_ms());
+}
+
 /* Reads replies of other proxies. */
 static void read_clients(traffic_t *traffic)
 {
@@ -134,6 +140,7 @@
 	     i < MAX_BATCH_MESSAGES && (message = link_clients_receive(traffic->clients, &address)); i++) {
 		forward_handle_message(traffic->forward, message, address);
 		cw_message_free(message);
+		close_slow_readers(traffic);
 	}
 }
 
@@ -148,6 +155,7 @@
 		if ((message = g_queue_pop_head(&traffic->to_forward))) {
 			forward_handle_message(traffic->forward, message, NULL);
 			cw_message_free(message);
+			close_slow_readers(traffic);
 		}
 	}
 }
@@ -197,6 +205,7 @@
 	deliver_local_messages(traffic);
 	receiver_run(traffic->receiver);
 	deliver_local_messages(traffic);
+	close_slow_readers(traffic);
 	http_server_tick(http_frontend_server(traffic->http_frontend), clock_now_ms());
 	if (traffic->gateway)
 		traffic->gateway->tick_proxy(traffic->gateway_state, clock_now_ms());
@@ -300,7 +309,10 @@
 					 .view_changed = apply_view,
 					 .own_load = own_load,
 					 .data = traffic};
-	cw_status_t status = link_server_open(context, settings->call_listen, &traffic->server);
+	cw_status_t status;
+
+	memory_account_set_limit(settings_waiting_memory(settings));
+	status = link_server_open(context, settings->call_listen, &traffic->server);
 
 	if (status != CW_OK)
 		return status;
@@ -311,6 +323,8 @@
 	status = target_pool_new(settings->target, &settings->headers, traffic->poller, &traffic->pool);
 	if (status != CW_OK)
 		return status;
+	if (settings_answer_memory(settings))
+		target_pool_set_max_answer_bytes(traffic->pool, settings_answer_memory(settings));
 	traffic->clients = link_clients_new(context);
 	traffic->receiver = receiver_new(settings, incarnation, traffic->pool, send_reply, traffic);
 	traffic->forward = forward_new(settings, incarnation, published_view, traffic->clients, &callbacks);
--- a/tests/unit/test_send_buffer.c
+++ b/tests/unit/test_send_buffer.c
@@ -57,7 +57,7 @@
 	int fds[2];
 
 	ck_assert_int_eq(socketpair(AF_UNIX, SOCK_STREAM, 0, fds), 0);
-	send_buffer_init(&send_buffer);
+	send_buffer_init(&send_buffer, MEMORY_TO_CALLERS);
 	append_pattern(&send_buffer, BACKLOG_BYTES, &written);
 	before = allocated_bytes();
 	for (int i = 0; i < CHUNKS; i++) {
@@ -84,7 +84,7 @@
 	int fds[2];
 
 	ck_assert_int_eq(socketpair(AF_UNIX, SOCK_STREAM, 0, fds), 0);
-	send_buffer_init(&send_buffer);
+	send_buffer_init(&send_buffer, MEMORY_TO_CALLERS);
 	append_pattern(&send_buffer, LONG_BYTES, &written);
 	while (send_buffer_flush(&send_buffer, fds[0]) == SEND_BUFFER_BLOCKED)
 		read_pattern(fds[1], CHUNK_BYTES, &seen);
