Invalid answers of a target are never passed on

Cause: the parser takes any number up to 999 with any number of digits and spaces as a status; lower ones than 200 were skipped as interim responses until the deadline (504), and a 204 or 304 was read with its body and passed on. A 304 that states a length without a body, which is valid, waited for it.

Change: the status line must be the version, a space and three digits; statuses outside 100 to 599, a 101, a 204 that states a body and bytes after a 204 or 304 fail the call as cut: 502, unknown outcome, and the target counts as failing. Each is logged as answer-invalid. A connection whose 304 states a body is not used again, as the body may follow.

Ruled out: waiting after each 304 for a body that may come later, as this delays valid ones. A 304 whose body arrives in a later segment is passed on without the body.

--- a/daemon/http_message.c
+++ b/daemon/http_message.c
@@ -5,6 +5,8 @@
 
 #include "headers.h"
 
+enum { STATUS_END = 600 /* after the last class of statuses */ };
+
 /* Returns an empty message. */
 static http_message_t *message_new(void)
 {
@@ -110,6 +112,42 @@
 	return add_header_size(reader, length) ? 0 : -1;
 }
 
+/*
+ * Returns whether a status is one that a response to a request of this proxy may have: one of the classes that HTTP
+ * defines, and not 101, as no request asks for another protocol.
+ */
+static bool is_valid_status(unsigned status)
+{
+	return status >= HTTP_STATUS_CONTINUE && status < STATUS_END &&
+	       status != HTTP_STATUS_SWITCHING_PROTOCOLS;
+}
+
+/* Returns whether a response with a status has no body, whatever its headers say. */
+bool http_status_has_no_body(unsigned status)
+{
+	return status == HTTP_STATUS_NO_CONTENT || status == HTTP_STATUS_NOT_MODIFIED;
+}
+
+/*
+ * Checks the head of a response.  A 304 may state the length that the body of a 200 would have; a 204 must not state
+ * any.
+ */
+static bool check_response_head(http_reader_t *reader)
+{
+	const http_parser *parser = &reader->parser;
+	bool has_length = parser->content_length && parser->content_length != ULLONG_MAX;
+	http_message_t *message = reader->message;
+
+	message->status = parser->status_code;
+	message->states_body =
+		http_status_has_no_body(message->status) && (has_length || (parser->flags & F_CHUNKED));
+	if (is_valid_status(message->status) &&
+	    !(message->states_body && message->status == HTTP_STATUS_NO_CONTENT))
+		return true;
+	reader->error = HTTP_READ_MALFORMED;
+	return false;
+}
+
 /* Completes the headers.  Protocol upgrades are not supported: an Upgrade header is ignored. */
 static int on_headers_complete(http_parser *parser)
 {
@@ -126,10 +164,13 @@
 	}
 	if (parser->type == HTTP_REQUEST)
 		reader->message->method = g_strdup(http_method_str(parser->method));
-	else
-		reader->message->status = parser->status_code;
+	else if (!check_response_head(reader))
+		return -1;
 	parser->upgrade = 0;
-	return parser->type == HTTP_RESPONSE && reader->answers_head ? SKIP_BODY : 0;
+	return parser->type == HTTP_RESPONSE &&
+			       (reader->answers_head || http_status_has_no_body(reader->message->status))
+		       ? SKIP_BODY
+		       : 0;
 }
 
 /* Appends a part of the body. */
@@ -186,12 +227,34 @@
 	g_string_free(reader->value, TRUE);
 }
 
+/*
+ * Collects the first bytes of a response's status line; returns false when they are not the version, a space and
+ * three digits.  The parser itself accepts more or fewer digits and spaces.
+ */
+static bool check_status_line(http_reader_t *reader, const char *data, size_t length)
+{
+	static const char pattern[] = "HTTP/0.0 000"; /* 0: any digit */
+	char *line = reader->status_line;
+
+	for (size_t i = 0; i < length && reader->status_line_length < HTTP_STATUS_LINE_BYTES; i++)
+		if (reader->status_line_length || (data[i] != '\r' && data[i] != '\n'))
+			line[reader->status_line_length++] = data[i];
+	if (reader->status_line_length < HTTP_STATUS_LINE_BYTES)
+		return true;
+	for (size_t i = 0; pattern[i]; i++)
+		if (pattern[i] == '0' ? !g_ascii_isdigit(line[i]) : line[i] != pattern[i])
+			return false;
+	return memchr(" \r\n", line[HTTP_STATUS_LINE_BYTES - 1], strlen(" \r\n"));
+}
+
 /* Parses bytes; consumes none while a complete message has not been taken. */
 http_read_result_t http_reader_feed(http_reader_t *reader, const char *data, size_t length, size_t *used)
 {
 	*used = 0;
 	if (reader->complete)
 		return HTTP_READ_COMPLETE;
+	if (reader->parser.type == HTTP_RESPONSE && !check_status_line(reader, data, length))
+		return HTTP_READ_MALFORMED;
 	*used = http_parser_execute(&reader->parser, &callbacks, data, length);
 	if (reader->complete) {
 		http_parser_pause(&reader->parser, 0);
@@ -219,6 +282,7 @@
 http_message_t *http_reader_take_message(http_reader_t *reader)
 {
 	reader->complete = false;
+	reader->status_line_length = 0;
 	return g_steal_pointer(&reader->message);
 }
 
--- a/daemon/http_message.h
+++ b/daemon/http_message.h
@@ -15,10 +15,13 @@
 	GPtrArray *headers;   /* Caraway__Header *, owned, in the order received */
 	GByteArray *body;
 	memory_share_t share; /* of the body as received, also once another holder has taken it */
+	bool states_body;     /* a response that cannot have a body says that it has one */
 	bool keep_alive;      /* the sender keeps the connection open after this message */
 } http_message_t;
 
 void http_message_free(http_message_t *message);
+/* Returns whether a response with a status has no body, whatever its headers say. */
+bool http_status_has_no_body(unsigned status);
 /* Returns the value of the first header with a name, compared without regard to case, or NULL. */
 const char *http_message_header(const http_message_t *message, const char *name);
 
@@ -27,6 +30,8 @@
 	size_t max_body_bytes;
 } http_limits_t;
 
+enum { HTTP_STATUS_LINE_BYTES = 13 /* of "HTTP/1.1 200", and the byte that ends the number */ };
+
 typedef enum {
 	HTTP_READ_INCOMPLETE, /* more bytes are needed */
 	HTTP_READ_COMPLETE,
@@ -39,13 +44,15 @@
 typedef struct {
 	http_parser parser;
 	http_limits_t limits;
-	http_message_t *message;  /* being parsed; NULL between messages */
-	GString *name;		  /* of the header being parsed */
-	GString *value;		  /* of that header */
-	size_t header_size;	  /* bytes of the request target and the headers so far */
-	bool headers_done;	  /* all headers of the message have been parsed */
-	bool has_value;		  /* a part of the header's value has been parsed */
-	bool complete;		  /* message is complete, and not taken yet */
+	http_message_t *message;		  /* being parsed; NULL between messages */
+	GString *name;				  /* of the header being parsed */
+	GString *value;				  /* of that header */
+	char status_line[HTTP_STATUS_LINE_BYTES]; /* first bytes of the response being parsed */
+	size_t status_line_length;		  /* how many of them have arrived */
+	size_t header_size;			  /* bytes of the request target and the headers so far */
+	bool headers_done;			  /* all headers of the message have been parsed */
+	bool has_value;				  /* a part of the header's value has been parsed */
+	bool complete;				  /* message is complete, and not taken yet */
 	bool answers_head;	  /* the next response answers a HEAD request: it has no body */
 	http_read_result_t error; /* why a callback stopped the parser; HTTP_READ_INCOMPLETE: it did not */
 } http_reader_t;
--- a/daemon/target_connection.c
+++ b/daemon/target_connection.c
@@ -329,7 +329,7 @@
 	bool request_sent = !send_buffer_pending(&connection->output);
 	bool distrusted = is_refusal(connection, response) && !is_certain(connection, response);
 	bool reusable = response->keep_alive && request_sent && !extra_bytes && !distrusted &&
-			!connection->mismatched_responses;
+			!response->states_body && !connection->mismatched_responses;
 	int64_t max_idle_ms = idle_limit_ms(response);
 
 	job->target_draining = http_message_header(response, HEADER_DRAINING) != NULL;
@@ -345,6 +345,13 @@
 	release_connection(connection, reusable, max_idle_ms);
 }
 
+/* Counts and logs an answer that is not passed on; the status is what was understood of it. */
+static void report_invalid(unsigned status)
+{
+	counter_add(COUNTER_ANSWER_UNREADABLE, 1);
+	log_warning("answer-invalid", LOG_UINT("status", status), LOG_END);
+}
+
 /* Handles a complete message of the target; returns false when no further one is expected. */
 static bool handle_message(target_connection_t *connection, bool extra_bytes)
 {
@@ -364,6 +371,12 @@
 		fail_connection(connection, CW_REASON_CUT);
 		return false;
 	}
+	if (extra_bytes && http_status_has_no_body(response->status)) {
+		report_invalid(response->status);
+		http_message_free(response);
+		fail_connection(connection, CW_REASON_CUT);
+		return false;
+	}
 	handle_response(connection, response, extra_bytes);
 	return false;
 }
@@ -383,7 +396,7 @@
 		if (result == HTTP_READ_INCOMPLETE)
 			return;
 		if (result != HTTP_READ_COMPLETE) {
-			counter_add(COUNTER_ANSWER_UNREADABLE, 1);
+			report_invalid(connection->reader.parser.status_code);
 			fail_connection(connection, result == HTTP_READ_BODY_TOO_LARGE
 							    ? CW_REASON_ANSWER_TOO_LARGE
 							    : CW_REASON_CUT);
--- a/tests/unit/test_answers.c
+++ b/tests/unit/test_answers.c
@@ -8,6 +8,8 @@
  */
 #include <arpa/inet.h>
 #include <check.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <pthread.h>
 #include <stdatomic.h>
 #include <stdio.h>
@@ -20,7 +22,14 @@
 #include "script.h"
 #include "target_pool.h"
 
-enum { POLL_MS = 1, MAX_POLLS = 5000, DEADLINE_MS = 2000, TIMEOUT_S = 300, MAX_REQUEST_BYTES = 4096 };
+enum {
+	POLL_MS = 1,
+	MAX_POLLS = 5000,
+	DEADLINE_MS = 2000,
+	TIMEOUT_S = 300,
+	MAX_REQUEST_BYTES = 4096,
+	PIECE_PAUSE_US = 2000
+};
 
 typedef enum { BY_LENGTH, BY_CHUNKS, BY_CLOSE, FRAMINGS } framing_t;
 
@@ -75,7 +84,9 @@
 	int listener;
 	int port;
 	answer_case_t answer_case;
-	int number; /* of the next request; the case applies to 1 */
+	const char *text; /* sent in place of the case; NULL: none */
+	size_t piece;	  /* bytes of the text that are sent at once */
+	int number;	  /* of the next request; the case or text applies to 1 */
 	pthread_t thread;
 } target_t;
 
@@ -190,6 +201,22 @@
 	return true;
 }
 
+/* Sends a text in pieces, each as a segment of its own. */
+static void send_pieces(int fd, const char *text, size_t piece)
+{
+	int one = 1;
+
+	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
+	for (size_t length = strlen(text); length; usleep(PIECE_PAUSE_US)) {
+		ssize_t sent = send(fd, text, MIN(length, piece), MSG_NOSIGNAL);
+
+		if (sent <= 0)
+			return;
+		text += sent;
+		length -= (size_t)sent;
+	}
+}
+
 /* Serves a connection: the first call and those after the case get a plain answer, or an earlier refusal. */
 static void serve_connection(target_t *target, int fd)
 {
@@ -199,6 +226,10 @@
 		g_autoptr(GString) answer = g_string_new(NULL);
 		int number = target->number++;
 
+		if (number == 1 && target->text) {
+			send_pieces(fd, target->text, target->piece);
+			continue;
+		}
 		if (number == 1) {
 			if (!send_case(fd, answer_case))
 				return;
@@ -382,6 +413,101 @@
 }
 END_TEST
 
+/* Heads of answers that must never be passed on, each sent whole and on an open connection. */
+static const char *const invalid_answers[] = {
+	"HTTP/1.1 000 None\r\nContent-Length: 0\r\n\r\n",
+	"HTTP/1.1 099 Low\r\nContent-Length: 0\r\n\r\n",
+	"HTTP/1.1 1000 High\r\nContent-Length: 0\r\n\r\n",
+	"HTTP/1.1 0200 OK\r\nContent-Length: 0\r\n\r\n",
+	"HTTP/1.1 600 High\r\nContent-Length: 0\r\n\r\n",
+	"HTTP/1.1 20 OK\r\nContent-Length: 0\r\n\r\n",
+	"HTTP/1.1 +200 OK\r\nContent-Length: 0\r\n\r\n",
+	"HTTP/1.1 -200 OK\r\nContent-Length: 0\r\n\r\n",
+	"HTTP/1.1  200 OK\r\nContent-Length: 0\r\n\r\n",
+	"HTTP/1.1200 OK\r\nContent-Length: 0\r\n\r\n",
+	"HTTP/1.1 200OK\r\nContent-Length: 0\r\n\r\n",
+	"HTTP/1.1 \r\nContent-Length: 0\r\n\r\n",
+	"HTTP/1.1 000 None\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+	"HTTP/1.1 101 Switching Protocols\r\n\r\n",
+	"HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\n",
+	"HTTP/1.1 204 No Content\r\nContent-Length: 3\r\n\r\nabc",
+	"HTTP/1.1 204 No Content\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+	"HTTP/1.1 204 No Content\r\n\r\nabc",
+	"HTTP/1.1 304 Not Modified\r\nContent-Length: 3\r\n\r\nabc",
+	"HTTP/1.1 304 Not Modified\r\n\r\nabc",
+};
+
+/* Answers that look alike and are valid. */
+static const char *const valid_answers[] = {
+	"HTTP/1.1 200\r\nContent-Length: 0\r\n\r\n",
+	"HTTP/1.0 599 High\r\nContent-Length: 0\r\n\r\n",
+	"\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+	"HTTP/1.1 204 No Content\r\n\r\n",
+	"HTTP/1.1 204 No Content\r\nContent-Length: 0\r\n\r\n",
+	"HTTP/1.1 304 Not Modified\r\nContent-Length: 3\r\n\r\n",
+	"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 204 No Content\r\n\r\n",
+};
+
+/* Runs a call that is answered with a text, sent in pieces of some bytes; returns its job. */
+static target_job_t *run_text(target_t *target, const char *text, size_t piece)
+{
+	g_autofree char *address = g_strdup_printf("127.0.0.1:%d", target->port);
+	poller_t *poller = poller_new();
+	target_pool_t *pool;
+	target_job_t *job, *next;
+
+	target->text = text;
+	target->piece = piece;
+	target->number = 1;
+	ck_assert_int_eq(target_pool_new(address, &header_names, poller, &pool), CW_OK);
+	job = run_call(poller, pool, 1, false);
+	next = run_call(poller, pool, 2, false);
+	ck_assert_msg(has_body(next, 2), "%s: the next call gets no answer of its own", text);
+	target_job_free(next);
+	target_pool_free(pool);
+	poller_free(poller);
+	return job;
+}
+
+/* An invalid answer is passed on, skipped until the deadline, or taken for a promise that the call did not run. */
+START_TEST(test_invalid_answers)
+{
+	target_t target = {0};
+	int passed = 0;
+
+	start_target(&target);
+	for (size_t i = 0; i < G_N_ELEMENTS(invalid_answers); i++) {
+		target_job_t *job = run_text(&target, invalid_answers[i], SIZE_MAX);
+
+		if (job->result != CW_ADMIT_FAILED || job->reason != CW_REASON_CUT) {
+			printf("result %d, reason %s: %s\n", job->result, cw_reason_name(job->reason),
+			       invalid_answers[i]);
+			passed++;
+		}
+		target_job_free(job);
+	}
+	stop_target(&target);
+	ck_assert_int_eq(passed, 0);
+}
+END_TEST
+
+/* A valid answer is taken for an invalid one, whole or in pieces that cut its status line. */
+START_TEST(test_valid_answers)
+{
+	target_t target = {0};
+
+	start_target(&target);
+	for (size_t i = 0; i < G_N_ELEMENTS(valid_answers); i++)
+		for (size_t piece = 1; piece <= 2; piece++) {
+			target_job_t *job = run_text(&target, valid_answers[i], piece == 1 ? 7 : SIZE_MAX);
+
+			ck_assert_msg(job->response, "no answer: %s", valid_answers[i]);
+			target_job_free(job);
+		}
+	stop_target(&target);
+}
+END_TEST
+
 /* Runs the tests; returns the exit status of the program. */
 int main(void)
 {
@@ -390,6 +516,8 @@
 
 	tcase_set_timeout(tcase, TIMEOUT_S);
 	tcase_add_test(tcase, test_each_call_gets_its_own_whole_answer_or_a_failure);
+	tcase_add_test(tcase, test_invalid_answers);
+	tcase_add_test(tcase, test_valid_answers);
 	suite_add_tcase(suite, tcase);
 	return script_run_suite(suite);
 }
