--- a/daemon/http_message.c
+++ b/daemon/http_message.c
@@ -235,6 +235,7 @@
 {
 	static const char pattern[] = "HTTP/0.0 000"; /* 0: any digit */
 	char *line = reader->status_line;
+	char end;
 
 	for (size_t i = 0; i < length && reader->status_line_length < HTTP_STATUS_LINE_BYTES; i++)
 		if (reader->status_line_length || (data[i] != '\r' && data[i] != '\n'))
@@ -244,7 +245,8 @@
 	for (size_t i = 0; pattern[i]; i++)
 		if (pattern[i] == '0' ? !g_ascii_isdigit(line[i]) : line[i] != pattern[i])
 			return false;
-	return memchr(" \r\n", line[HTTP_STATUS_LINE_BYTES - 1], strlen(" \r\n"));
+	end = line[HTTP_STATUS_LINE_BYTES - 1];
+	return end == ' ' || end == '\r' || end == '\n';
 }
 
 /* Parses bytes; consumes none while a complete message has not been taken. */
