--- a/daemon/http_server.c
+++ b/daemon/http_server.c
@@ -14,6 +14,7 @@
 enum {
 	BACKLOG = 512,
 	ACCEPT_BATCH = 64,	  /* connections accepted before other descriptors are served */
+	MAX_EXCESS = 4,		  /* connections that are not idle, in multiples of the limit */
 	MIN_UNREAD_BYTES = 16384, /* a caller with fewer unread bytes is never closed as a slow reader */
 	TICK_INTERVAL_MS = 200	  /* between checks of the connections' timeouts */
 };
@@ -38,12 +39,26 @@
 	http_connection_close(oldest);
 }
 
-/* Adds an accepted connection; evicts an idle one when the limit is reached. */
+/* Closes an accepted connection before it is read, as there are too many that cannot be closed. */
+static void refuse_connection(const http_server_t *server, int fd)
+{
+	close(fd);
+	counter_add(COUNTER_CONNECTION_REFUSED, 1);
+	log_warning("connection-refused", LOG_UINT("connections", http_server_connections(server)), LOG_END);
+}
+
+/*
+ * Adds an accepted connection; evicts an idle one when the limit is reached.  Where none is idle it is exceeded, as
+ * callers with a request in progress may come at once, but not without bound: callers that do not read are not idle.
+ */
 static void add_connection(http_server_t *server, int fd)
 {
-	if (g_queue_get_length(&server->connections) >= server->limits.max_connections)
+	if (http_server_connections(server) >= server->limits.max_connections)
 		evict_idle_connection(server);
-	http_connection_open(server, fd);
+	if (http_server_connections(server) >= MAX_EXCESS * server->limits.max_connections)
+		refuse_connection(server, fd);
+	else
+		http_connection_open(server, fd);
 }
 
 /* Accepts pending connections. */
--- a/daemon/settings.h
+++ b/daemon/settings.h
@@ -39,21 +39,18 @@
 	char *vm;
 	char *zone;
 	char *region;
-	char *service;	      /* of the local target */
-	char *listen;	      /* HOST:PORT for HTTP requests of callers */
-	char *call_listen;    /* HOST:PORT for calls from other proxies */
-	char *feed_listen;    /* HOST:PORT for child proxies and queries */
-	char *call_announce;  /* HOST:PORT advertised for call_listen; empty: call_listen itself */
-	char *feed_announce;  /* HOST:PORT advertised for feed_listen; empty: feed_listen itself */
-	char *target;	      /* HOST:PORT of the local target */
-	uint32_t slots;	      /* calls that the target runs concurrently */
-	uint32_t connections; /* maximum number of caller connections */
-	uint32_t queue;	      /* maximum number of calls that wait for a slot */
-	uint32_t memory_mb;   /* that the process may use; bounds the bodies of requests that it holds */
-	uint32_t waiting_memory_percent; /* of memory_mb, for bytes that wait: memory_account.h */
-	uint32_t
-		slow_reader_ms; /* a caller that reads nothing for this long may be closed when these are full */
-	uint32_t timeout_ms;	/* of a call when neither the caller nor the service sets one */
+	char *service;	       /* of the local target */
+	char *listen;	       /* HOST:PORT for HTTP requests of callers */
+	char *call_listen;     /* HOST:PORT for calls from other proxies */
+	char *feed_listen;     /* HOST:PORT for child proxies and queries */
+	char *call_announce;   /* HOST:PORT advertised for call_listen; empty: call_listen itself */
+	char *feed_announce;   /* HOST:PORT advertised for feed_listen; empty: feed_listen itself */
+	char *target;	       /* HOST:PORT of the local target */
+	uint32_t slots;	       /* calls that the target runs concurrently */
+	uint32_t connections;  /* maximum number of caller connections */
+	uint32_t queue;	       /* maximum number of calls that wait for a slot */
+	uint32_t memory_mb;    /* that the process may use; bounds the bodies of requests that it holds */
+	uint32_t timeout_ms;   /* of a call when neither the caller nor the service sets one */
 	uint32_t freshness_ms; /* switch parents when no newer stamp arrives for this long */
 	uint32_t hold_ms;      /* maximum time that a pull request is held open when there is no update */
 	uint32_t batch_ms;     /* maximum time that an endpoint change waits to be sent with others */
@@ -70,6 +67,10 @@
 	uint32_t allotment_overage_permille; /* by which a window may exceed the limit of an account */
 	uint32_t grace_ms;	/* from the signal of a planned stop until the process is killed */
 	uint32_t retry_percent; /* retry budget, as a percentage of calls */
+	/* Part of memory_mb for the account of waiting bytes. */
+	uint32_t waiting_memory_percent;
+	/* While that is full, a caller that has read nothing for this long may be closed. */
+	uint32_t slow_reader_ms;
 } proxy_settings_t;
 
 typedef struct {
--- a/daemon/target_connection.h
+++ b/daemon/target_connection.h
@@ -35,17 +35,19 @@
 	poller_t *poller;
 	struct sockaddr_storage address;
 	socklen_t address_length;
-	GQueue active;		 /* links of target_connection_t that have a job or are connecting */
-	GQueue idle;		 /* links of target_connection_t, the most recently used first */
-	GQueue finished;	 /* target_job_t *, not collected yet */
-	char *target_id;	 /* identifier of the incarnation that calls are for; NULL: any */
-	int64_t start_until_ms;	 /* later no request is sent; INT64_MAX: without limit */
-	int64_t next_probe_ms;	 /* when the next probe is due */
-	bool probing;		 /* a probe is in progress */
-	bool reachable;		 /* the last attempt to connect succeeded */
-	size_t max_answer_bytes; /* of the body of one answer */
-	bool pausing;		 /* an answer is not read, as the account of waiting bytes is full */
-	bool probe_always;	 /* probe also while reachable */
+	GQueue active;		/* links of target_connection_t that have a job or are connecting */
+	GQueue idle;		/* links of target_connection_t, the most recently used first */
+	GQueue finished;	/* target_job_t *, not collected yet */
+	char *target_id;	/* identifier of the incarnation that calls are for; NULL: any */
+	int64_t start_until_ms; /* later no request is sent; INT64_MAX: without limit */
+	int64_t next_probe_ms;	/* when the next probe is due */
+	bool probing;		/* a probe is in progress */
+	bool reachable;		/* the last attempt to connect succeeded */
+	bool probe_always;	/* probe also while reachable */
+	/* Of the body of one answer. */
+	size_t max_answer_bytes;
+	/* An answer is not read, as the account of waiting bytes is full. */
+	bool pausing;
 };
 
 /* Opens a connection for a job, or a probe (NULL) that checks whether the target accepts connections. */
--- a/tests/unit/test_unread.c
+++ b/tests/unit/test_unread.c
@@ -15,7 +15,9 @@
 #include "socket_address.h"
 
 enum {
-	CALLERS = 3,
+	CALLERS = 3,	/* and the limit of connections */
+	MAX_EXCESS = 4, /* connections that are not idle, in multiples of the limit */
+	MANY = 40,
 	ANSWER_BYTES = 400000,
 	MAX_UNREAD_BYTES = 600000, /* of one answer, but not of two */
 	ACCOUNT_BYTES = 2000000,
@@ -185,6 +187,30 @@
 }
 END_TEST
 
+/* All callers have a request in progress: the limit of connections is exceeded, but not without bound. */
+START_TEST(test_connections)
+{
+	struct sockaddr_storage address;
+	fixture_t fixture;
+	socklen_t length;
+	int fds[MANY];
+
+	set_up(&fixture);
+	socket_address_parse(http_server_address(fixture.server), &address, &length);
+	for (int i = 0; i < MANY; i++) {
+		fds[i] = socket(AF_INET, SOCK_STREAM, 0);
+		ck_assert_int_eq(connect(fds[i], (struct sockaddr *)&address, length), 0);
+		ck_assert_int_gt(send(fds[i], "GET / HTTP/1.1\r\nHost: x\r\n\r\n", 27, MSG_NOSIGNAL), 0);
+		run_for(&fixture, 1);
+	}
+	run_for(&fixture, SETTLE_MS);
+	ck_assert_uint_eq(http_server_connections(fixture.server), MAX_EXCESS * CALLERS);
+	for (int i = 0; i < MANY; i++)
+		close(fds[i]);
+	tear_down(&fixture);
+}
+END_TEST
+
 /* Runs the tests; returns the exit status of the program. */
 int main(void)
 {
@@ -194,6 +220,7 @@
 	tcase_set_timeout(tcase, TIMEOUT_S);
 	tcase_add_test(tcase, test_too_many_unread);
 	tcase_add_test(tcase, test_account_full);
+	tcase_add_test(tcase, test_connections);
 	suite_add_tcase(suite, tcase);
 	return script_run_suite(suite);
 }
