Test of a long answer with the smallest account of waiting bytes

With waiting-memory-percent 5 of 32 MB the account holds 1.6 MB; an answer of 4,000,000 bytes is served whole through one proxy and two, as one long answer is always read and callers may leave a longest answer unread.

--- a/tests/unit/test_slow_readers.c
+++ b/tests/unit/test_slow_readers.c
@@ -20,9 +20,9 @@
 #include "script.h"
 
 enum {
-	MEMORY_MB = 32, /* the least that is allowed, as set in proxy_settings */
+	MEMORY_MB = 32, /* the least that is allowed, as set in settings */
 	KB_PER_MB = 1024,
-	CONNECTIONS = 100, /* as set in proxy_settings */
+	CONNECTIONS = 100, /* as set in settings */
 	/* Those of callers and to the target, and 100 for ports, logs, links and replicas. */
 	MAX_DESCRIPTORS = 2 * CONNECTIONS + 100,
 	CALLERS = 80,
@@ -40,7 +40,11 @@
 	TIMEOUT_S = 120
 };
 
-static const char proxy_settings[] = "memory-mb=32\nconnections=100\nqueue=100\n";
+static const char settings[] = "memory-mb=32\nconnections=100\nqueue=100\n";
+
+/* The least account of waiting bytes: less than one long answer. */
+static const char least_settings[] =
+	"memory-mb=32\nconnections=100\nqueue=100\nwaiting-memory-percent=5\nslow-reader-ms=100\n";
 
 static const char *const proxies[] = {"m1", "e1"};
 
@@ -73,7 +77,7 @@
 }
 
 /* Starts a cluster with a proxy for each of two services. */
-static cluster_t *start_cluster(void)
+static cluster_t *start_cluster(const char *proxy_settings)
 {
 	static const char *const book[] = {"--operator", "anna", "book",  "tests/control/first.ini",
 					   "--number",	 "1",	 "--due", "now",
@@ -184,7 +188,7 @@
 /* Has callers ask a proxy for long answers, read nothing, and checks the proxies. */
 static void run_crowd(const char *proxy, const char *path)
 {
-	cluster_t *cluster = start_cluster();
+	cluster_t *cluster = start_cluster(settings);
 	int fds[CALLERS];
 
 	for (int i = 0; i < CALLERS; i += GROUP)
@@ -213,7 +217,7 @@
 /* One connection asks for many answers at once: a bound on connections does not bound them. */
 START_TEST(test_pipelined_requests)
 {
-	cluster_t *cluster = start_cluster();
+	cluster_t *cluster = start_cluster(settings);
 	g_autoptr(GString) requests = g_string_new(NULL);
 	int fd;
 
@@ -227,10 +231,10 @@
 }
 END_TEST
 
-/* A single long answer, of 4,000,000 bytes where memory-mb allows 4 MiB, is served when nothing else is going on. */
-START_TEST(test_single_long_answer)
+/* Reads a long answer of each target, of 4,000,000 bytes where memory-mb allows 4 MiB. */
+static void run_single(const char *proxy_settings)
 {
-	cluster_t *cluster = start_cluster();
+	cluster_t *cluster = start_cluster(proxy_settings);
 
 	for (size_t i = 0; i < 2; i++) {
 		g_autofree char *body =
@@ -242,6 +246,19 @@
 	check_cluster(cluster);
 	cluster_free(cluster);
 }
+
+/* A single long answer is served when nothing else is going on. */
+START_TEST(test_single_long_answer)
+{
+	run_single(settings);
+}
+END_TEST
+
+/* The same where the account holds less than the answer: it is neither cut nor left waiting for room. */
+START_TEST(test_answer_longer_than_account)
+{
+	run_single(least_settings);
+}
 END_TEST
 
 /* Adds a test as a separate test case, so that CK_RUN_CASE can select it. */
@@ -263,5 +280,6 @@
 	add_test_case(suite, test_target_beside_own_proxy);
 	add_test_case(suite, test_pipelined_requests);
 	add_test_case(suite, test_single_long_answer);
+	add_test_case(suite, test_answer_longer_than_account);
 	return script_run_suite(suite);
 }
