--- a/daemon/counters.h
+++ b/daemon/counters.h
@@ -88,7 +88,7 @@
 	X(REQUEST_SLOW, "request-slow")                                                                                 \
 	X(REQUEST_NO_MEMORY, "request-no-memory")                                                                       \
 	X(CONNECTION_EVICTED, "connection-evicted")                                                                     \
-	/* connections of callers closed as they did not read their answers; answers of the target not read for now */  \
+	/* callers closed as they did not read or were too many; proxies and answers of the target not read for now */  \
 	X(CONNECTION_REFUSED, "connection-refused")                                                                     \
 	X(SLOW_READER_CLOSED, "slow-reader-closed")                                                                     \
 	X(CONNECTION_PAUSED, "connection-paused")                                                                       \
