--- a/daemon/settings.h
+++ b/daemon/settings.h
@@ -67,6 +67,10 @@
 	uint32_t allotment_overage_permille; /* by which a window may exceed the limit of an account */
 	uint32_t grace_ms;	/* from the signal of a planned stop until the process is killed */
 	uint32_t retry_percent; /* retry budget, as a percentage of calls */
+	/* Part of memory_mb for the account of waiting bytes. */
+	uint32_t waiting_memory_percent;
+	/* While that is full, a caller that has read nothing for this long may be closed. */
+	uint32_t slow_reader_ms;
 } proxy_settings_t;
 
 typedef struct {
@@ -87,5 +91,9 @@
 void settings_free(settings_t *settings);
 /* Returns the bytes that the bodies of all requests in progress may take; 0: without limit. */
 size_t settings_body_memory(const proxy_settings_t *settings);
+/* Returns the bytes that the body of one answer may take; 0: without limit. */
+size_t settings_answer_memory(const proxy_settings_t *settings);
+/* Returns the limit of the account of waiting bytes; 0: without limit. */
+size_t settings_waiting_memory(const proxy_settings_t *settings);
 
 #endif
--- a/daemon/target_connection.h
+++ b/daemon/target_connection.h
@@ -23,6 +23,7 @@
 	bool reused;		       /* it has carried an earlier job */
 	bool probed;		       /* it has carried an identity probe, whose answer has no request id */
 	bool unidentified;	       /* it carries calls without a request id, and nothing else */
+	bool paused;		       /* not read, as the account of waiting bytes is full */
 	bool reset;		       /* sending failed, and not because the target had closed regularly */
 	uint32_t mismatched_responses; /* responses to other requests, skipped during the present job */
 	int64_t idle_until_ms;	       /* when an idle connection is closed */
@@ -43,6 +44,10 @@
 	bool probing;		/* a probe is in progress */
 	bool reachable;		/* the last attempt to connect succeeded */
 	bool probe_always;	/* probe also while reachable */
+	/* Of the body of one answer. */
+	size_t max_answer_bytes;
+	/* An answer is not read, as the account of waiting bytes is full. */
+	bool pausing;
 };
 
 /* Opens a connection for a job, or a probe (NULL) that checks whether the target accepts connections. */
@@ -53,6 +58,8 @@
 void target_connection_begin(target_connection_t *connection, target_job_t *job);
 /* Ends the job of a connection without a response, for a reason, and closes the connection. */
 void target_connection_abort(target_connection_t *connection, cw_reason_t reason);
+/* Reads on from a paused connection when its answer may be read again. */
+void target_connection_resume(target_connection_t *connection);
 /* Closes a connection that has no job. */
 void target_connection_close(target_connection_t *connection);
 /* Records whether the target accepts connections. */
--- a/tests/unit/cluster.c
+++ b/tests/unit/cluster.c
@@ -46,8 +46,8 @@
 	GPtrArray *links;		       /* port_link_t *; NULL: links are not used */
 	GHashTable *processes;		       /* name -> pid, until reaped */
 	GArray *reserved_sockets;	       /* int; bound sockets that reserve ports */
+	char *proxy_settings;		       /* lines appended to the [proxy] section; NULL: none */
 	char *preload;			       /* path of the library to preload; NULL: none */
-	char *proxy_settings;		       /* further lines of the [proxy] sections; NULL: none */
 	bool starts_with_full_disk;	       /* the process that is being started */
 };
 
@@ -152,6 +152,12 @@
 	g_assert_true(g_file_set_contents(path, text, -1, NULL));
 }
 
+void cluster_set_proxy_settings(cluster_t *cluster, const char *lines)
+{
+	g_free(cluster->proxy_settings);
+	cluster->proxy_settings = g_strdup(lines);
+}
+
 /* Removes a folder and its contents. */
 static void remove_folder(const char *folder)
 {
@@ -225,6 +231,7 @@
 	if (cluster->links)
 		g_ptr_array_free(cluster->links, TRUE);
 	g_free(cluster->preload);
+	g_free(cluster->proxy_settings);
 	for (guint i = 0; i < cluster->reserved_sockets->len; i++)
 		close(g_array_index(cluster->reserved_sockets, int, i));
 	g_array_free(cluster->reserved_sockets, TRUE);
@@ -234,7 +241,6 @@
 	if (!cluster->keep_folder)
 		remove_folder(cluster->folder);
 	g_free(cluster->folder);
-	g_free(cluster->proxy_settings);
 	g_free(cluster->build);
 	g_free(cluster);
 }
@@ -495,6 +501,19 @@
 	return peak ? atol(peak + strlen("VmHWM:")) : 0;
 }
 
+int cluster_open_descriptors(const cluster_t *cluster, const char *process)
+{
+	g_autofree char *path = g_strdup_printf("/proc/%d/fd", find_pid(cluster, process));
+	GDir *dir = g_dir_open(path, 0, NULL);
+	int count = 0;
+
+	g_assert_nonnull(dir);
+	while (g_dir_read_name(dir))
+		count++;
+	g_dir_close(dir);
+	return count;
+}
+
 int cluster_wait(cluster_t *cluster, const char *process)
 {
 	int status = 0;
@@ -603,12 +622,6 @@
 		g_string_append_printf(out, " %.*s", (int)strcspn(value, "\r\n"), value);
 }
 
-void cluster_set_proxy_settings(cluster_t *cluster, const char *lines)
-{
-	g_free(cluster->proxy_settings);
-	cluster->proxy_settings = g_strdup(lines);
-}
-
 char *cluster_http_get(cluster_t *cluster, const char *proxy, const char *path)
 {
 	return cluster_http_get_with(cluster, proxy, path, "");
--- a/tests/unit/cluster.h
+++ b/tests/unit/cluster.h
@@ -75,6 +75,8 @@
 void cluster_limit_file_size(cluster_t *cluster, const char *process, long bytes);
 /* Returns the most memory that a running process has taken, in kB. */
 long cluster_peak_memory_kb(const cluster_t *cluster, const char *process);
+/* Returns the number of descriptors that a running process has open. */
+int cluster_open_descriptors(const cluster_t *cluster, const char *process);
 /*
  * Reaps a process if it has ended and returns true, without waiting.  *status is
  * its exit status or, if a signal ended it, the negative signal number.
