--- a/daemon/traffic.c
+++ b/daemon/traffic.c
@@ -388,7 +388,7 @@
 	return atomic_load(&traffic->in_flight);
 }
 
-/* Stores the version of the target for the control thread; one that is not a name for operators counts as none. */
+/* Stores the version of the target for the control thread; an invalid or too long one counts as not announced. */
 static void store_version(traffic_t *traffic, const char *version)
 {
 	bool valid = strlen(version) <= MAX_VERSION_BYTES && g_utf8_validate(version, -1, NULL);
