--- a/libcaraway/admit.c
+++ b/libcaraway/admit.c
@@ -22,6 +22,7 @@
 	MAX_ROUTES = 4096,	      /* with service time statistics */
 	COLD_SLOTS_DIVISOR = 4,	      /* a cold target starts with its slots divided by this, rounded up */
 	MAX_DEFAULT_SERVICE_MS = 250, /* limit of the service time assumed before the first measurement */
+	PERCENT = 100,
 	STALLED_FACTOR = 2 /* a full target that starts no call for this many mean service times is stalled */
 };
 
@@ -62,6 +63,21 @@
 	double limit_ms;    /* its likely maximum */
 } queued_call_t;
 
+/* A call that has started, while cost-aware. */
+typedef struct {
+	cw_call_id_t id;
+	cw_cost_call_t cost_call;
+	int64_t started_ms;
+	int64_t counted_ms; /* until when its time was counted for the speed */
+} running_call_t;
+
+/* What is expected of the running calls, while cost-aware. */
+typedef struct {
+	double work_ms;	 /* until all are done, in total */
+	double first_ms; /* until the first is done */
+	double turning;	 /* number of slots that are freed as often as their calls usually free them */
+} running_estimate_t;
+
 struct cw_admit {
 	cw_admit_options_t options;
 	cw_records_t *records;
@@ -75,6 +91,11 @@
 	int64_t warm_ms;	/* start of the ramp-up: time of the first answer since then */
 	double service_ms;	/* mean service time of all routes; 0: no sample yet */
 	double slowest_ms;	/* mean service time of the slowest route of late */
+	cw_cost_t *cost;	/* NULL unless cost-aware */
+	GArray *running_calls;	/* of running_call_t, while cost-aware */
+	running_estimate_t estimate;
+	int64_t estimated_ms; /* when it was calculated */
+	bool estimate_valid;  /* no call has started or ended since */
 };
 
 /* Creates admission control for a cold target: one that has not answered yet. */
@@ -87,6 +108,9 @@
 	admit->records = cw_records_new(MAX_ORIGINS);
 	admit->queue = g_ptr_array_new_with_free_func(g_free);
 	admit->routes = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
+	admit->running_calls = g_array_new(FALSE, FALSE, sizeof(running_call_t));
+	if (options->cost_aware)
+		admit->cost = cw_cost_new();
 	return admit;
 }
 
@@ -95,6 +119,9 @@
 {
 	g_ptr_array_unref(admit->queue);
 	g_hash_table_destroy(admit->routes);
+	g_array_unref(admit->running_calls);
+	if (admit->cost)
+		cw_cost_free(admit->cost);
 	cw_records_free(admit->records);
 	g_free(admit);
 }
@@ -129,10 +156,21 @@
 double cw_admit_service_ms(const cw_admit_t *admit, uint64_t route)
 {
 	const route_stats_t *stats = g_hash_table_lookup(admit->routes, &route);
+	const cw_cost_call_t cost_call = {.route = route};
+	double cost_ms = admit->cost ? cw_cost_expected_ms(admit->cost, &cost_call) : 0;
 
+	if (cost_ms > 0)
+		return cost_ms;
 	return stats ? stats->mean_ms : admit->service_ms;
 }
 
+/* Returns the properties of a call that its cost depends on. */
+static cw_cost_call_t cost_call_of(const cw_admit_call_t *call)
+{
+	return (cw_cost_call_t){
+		.route = call->route, .account = call->account, .body_bytes = call->body_bytes};
+}
+
 /* Returns the mean absolute deviation of the service time of a route, estimated if it has no statistics. */
 static double service_deviation_ms(const cw_admit_t *admit, uint64_t route)
 {
@@ -148,8 +186,12 @@
  */
 static double expected_service_ms(const cw_admit_t *admit, const cw_admit_call_t *call, int64_t now_ms)
 {
+	const cw_cost_call_t cost_call = cost_call_of(call);
+	double cost_ms = admit->cost ? cw_cost_expected_ms(admit->cost, &cost_call) : 0;
 	double service_ms = cw_admit_service_ms(admit, call->route);
 
+	if (cost_ms > 0)
+		return cost_ms / cw_cost_speed(admit->cost);
 	if (service_ms > 0)
 		return service_ms;
 	return CLAMP((double)(call->useful_until_ms - now_ms) * default_service_ratio, 0,
@@ -180,6 +222,53 @@
 	return position;
 }
 
+/* Calculates what is expected of the running calls, at the present speed. */
+static running_estimate_t estimate_running(const cw_admit_t *admit, int64_t now_ms)
+{
+	double speed = cw_cost_speed(admit->cost);
+	running_estimate_t result = {0};
+	double frequency = 0;
+
+	for (guint i = 0; i < admit->running_calls->len; i++) {
+		const running_call_t *running = &g_array_index(admit->running_calls, running_call_t, i);
+		double ran_ms = (double)(now_ms - running->started_ms);
+		double rest_ms = cw_cost_rest_ms(admit->cost, &running->cost_call, ran_ms) / speed;
+		double whole_ms = cw_cost_expected_ms(admit->cost, &running->cost_call) / speed;
+
+		rest_ms = MAX(rest_ms > 0 ? rest_ms : admit->service_ms, 1);
+		result.work_ms += rest_ms;
+		frequency += 1 / rest_ms;
+		result.turning += whole_ms > 0 ? MIN(whole_ms / rest_ms, 1) : 1;
+	}
+	result.first_ms = frequency > 0 ? 1 / frequency : 0;
+	return result;
+}
+
+/* Returns what is expected of the running calls; it is calculated at most once in a millisecond between events. */
+static const running_estimate_t *running_estimate(cw_admit_t *admit, int64_t now_ms)
+{
+	if (!admit->estimate_valid || admit->estimated_ms != now_ms)
+		admit->estimate = estimate_running(admit, now_ms);
+	admit->estimated_ms = now_ms;
+	admit->estimate_valid = true;
+	return &admit->estimate;
+}
+
+/*
+ * Estimates when a call at a queue position starts, from how long each running call has run: the first slot
+ * is freed when one of them is done, and the calls before it in the queue then pass through the slots that
+ * are not held by calls which go on for long.
+ */
+static double cost_wait_ms(const cw_admit_t *admit, guint position, int64_t now_ms)
+{
+	const running_estimate_t *running = running_estimate((cw_admit_t *)admit, now_ms);
+	double work_ms = 0;
+
+	for (guint i = 0; i < position; i++)
+		work_ms += ((const queued_call_t *)admit->queue->pdata[i])->expected_ms;
+	return running->first_ms + work_ms / MAX(running->turning, 1);
+}
+
 /*
  * Estimates when a call at a queue position starts, in milliseconds from now, by
  * the work ahead of it: one mean service time for the running calls, and those of
@@ -190,6 +279,8 @@
 {
 	double work_ms = admit->service_ms > 0 ? admit->service_ms : expected_ms;
 
+	if (admit->cost && admit->service_ms > 0)
+		return cost_wait_ms(admit, position, now_ms);
 	for (guint i = 0; i < position; i++)
 		work_ms += ((const queued_call_t *)admit->queue->pdata[i])->expected_ms;
 	return work_ms / cw_admit_limit(admit, now_ms);
@@ -276,12 +367,35 @@
 	return fits(admit, added, wait_ms, now_ms) ? CW_REASON_NONE : CW_REASON_CROWDED;
 }
 
+/* Counts the time that calls have run for the speed of the target. */
+static void count_running(cw_admit_t *admit, int64_t now_ms)
+{
+	for (guint i = 0; i < admit->running_calls->len; i++) {
+		running_call_t *running = &g_array_index(admit->running_calls, running_call_t, i);
+
+		cw_cost_ran(admit->cost, &running->cost_call,
+			    (double)(running->counted_ms - running->started_ms),
+			    (double)(now_ms - running->started_ms), now_ms);
+		running->counted_ms = now_ms;
+	}
+	admit->estimate_valid = false;
+}
+
 /* Marks a call as started. */
-static void start_call(cw_admit_t *admit, const cw_call_id_t *id, int64_t now_ms)
+static void start_call(cw_admit_t *admit, const cw_admit_call_t *call, int64_t now_ms)
 {
+	const running_call_t running = {.id = call->id,
+					.cost_call = cost_call_of(call),
+					.started_ms = now_ms,
+					.counted_ms = now_ms};
+
+	if (admit->cost) {
+		count_running(admit, now_ms);
+		g_array_append_val(admit->running_calls, running);
+	}
 	admit->running++;
 	admit->started_ms = now_ms;
-	cw_records_set(admit->records, id, CW_RECORD_STARTED, now_ms);
+	cw_records_set(admit->records, &call->id, CW_RECORD_STARTED, now_ms);
 }
 
 /* Queues a call, or refuses it. */
@@ -330,7 +444,7 @@
 	if (call->lacks_memory)
 		return refuse(admit, &call->id, now_ms, CW_REASON_QUEUE_FULL, reason);
 	if (admit->running < cw_admit_limit(admit, now_ms) && !admit->queue->len) {
-		start_call(admit, &call->id, now_ms);
+		start_call(admit, call, now_ms);
 		return CW_ADMIT_START;
 	}
 	return enqueue(admit, call, now_ms, reason);
@@ -391,7 +505,7 @@
 	if (*reason != CW_REASON_NONE) {
 		*verdict = refuse(admit, &queued->call.id, now_ms, *reason, reason);
 	} else if (admit->running < cw_admit_limit(admit, now_ms)) {
-		start_call(admit, &queued->call.id, now_ms);
+		start_call(admit, &queued->call, now_ms);
 		*verdict = CW_ADMIT_START;
 	} else {
 		return false;
@@ -446,6 +560,28 @@
 		record_service_time(admit, route, took_ms);
 }
 
+/* Removes a call from the running ones, and learns its cost. */
+static void end_running(cw_admit_t *admit, const cw_call_id_t *id, cw_admit_result_t result, int64_t now_ms)
+{
+	running_call_t ended;
+	guint i = 0;
+
+	while (i < admit->running_calls->len) {
+		ended = g_array_index(admit->running_calls, running_call_t, i);
+		if (ended.id.origin == id->origin && ended.id.sequence == id->sequence)
+			break;
+		i++;
+	}
+	if (i == admit->running_calls->len)
+		return;
+	count_running(admit, now_ms);
+	g_array_remove_index_fast(admit->running_calls, i);
+	if (result == CW_ADMIT_ANSWERED)
+		cw_cost_answered(admit->cost, &ended.cost_call, (double)(now_ms - ended.started_ms), now_ms);
+	else if (result == CW_ADMIT_ERROR || result == CW_ADMIT_FAILED)
+		cw_cost_failed(admit->cost, &ended.cost_call, (double)(now_ms - ended.started_ms), now_ms);
+}
+
 /* Ends a started call: frees its slot, and updates the statistics and the record of the call. */
 void cw_admit_done(cw_admit_t *admit, const cw_call_id_t *id, uint64_t route, cw_admit_result_t result,
 		   int64_t started_ms, int64_t now_ms)
@@ -453,6 +589,8 @@
 	double took_ms = (double)(now_ms - started_ms);
 
 	admit->running--;
+	if (admit->cost)
+		end_running(admit, id, result, now_ms);
 	switch (result) {
 	case CW_ADMIT_ANSWERED:
 		start_ramp_up(admit, now_ms);
@@ -597,6 +735,25 @@
 			  overtaken_ms / cw_admit_limit(admit, now_ms));
 }
 
+/* Returns the expected time until all present work is done, per slot; 0 unless cost-aware. */
+uint32_t cw_admit_work_ms(const cw_admit_t *admit, int64_t now_ms)
+{
+	double work_ms;
+
+	if (!admit->cost)
+		return 0;
+	work_ms = running_estimate((cw_admit_t *)admit, now_ms)->work_ms;
+	for (guint i = 0; i < admit->queue->len; i++)
+		work_ms += ((const queued_call_t *)admit->queue->pdata[i])->expected_ms;
+	return (uint32_t)(work_ms / cw_admit_limit(admit, now_ms));
+}
+
+/* Returns the speed of the target of late, in percent of its usual one; 0 unless cost-aware. */
+uint32_t cw_admit_speed_percent(const cw_admit_t *admit)
+{
+	return admit->cost ? (uint32_t)(PERCENT * cw_cost_speed(admit->cost)) : 0;
+}
+
 /* Returns the number of running and queued calls. */
 uint32_t cw_admit_load(const cw_admit_t *admit)
 {
--- a/libcaraway/caraway_calls.h
+++ b/libcaraway/caraway_calls.h
@@ -81,12 +81,43 @@
 cw_status_t cw_records_set(cw_records_t *records, const cw_call_id_t *id, cw_record_state_t state,
 			   int64_t now_ms);
 
+/* ---- cost of calls and speed of a target --------------------------------------------------------- */
+
+/* The properties of a call that its cost may depend on. */
+typedef struct {
+	uint64_t route;
+	uint64_t account;    /* 0: none */
+	uint32_t body_bytes; /* 0: none */
+} cw_cost_call_t;
+
+/*
+ * The cost of a call is the time that it holds a slot of the target at the usual speed of that.  It is learned
+ * from answers; the present speed of the target is learned apart from it.
+ */
+typedef struct cw_cost cw_cost_t;
+
+cw_cost_t *cw_cost_new(void);
+void cw_cost_free(cw_cost_t *cost);
+/* Returns the expected cost of a call in milliseconds; 0: not known. */
+double cw_cost_expected_ms(const cw_cost_t *cost, const cw_cost_call_t *call);
+/* Returns the expected rest of the cost of a call that has run for a time; 0: not known. */
+double cw_cost_rest_ms(const cw_cost_t *cost, const cw_cost_call_t *call, double ran_ms);
+/* Returns the speed of the target of late, relative to its usual one. */
+double cw_cost_speed(const cw_cost_t *cost);
+/* Counts that a call ran from one age to another, for the speed. */
+void cw_cost_ran(cw_cost_t *cost, const cw_cost_call_t *call, double from_ms, double to_ms, int64_t now_ms);
+/* Records a call that the target answered after took_ms. */
+void cw_cost_answered(cw_cost_t *cost, const cw_cost_call_t *call, double took_ms, int64_t now_ms);
+/* Records a call that ended without an answer, or with an error, after took_ms. */
+void cw_cost_failed(cw_cost_t *cost, const cw_cost_call_t *call, double took_ms, int64_t now_ms);
+
 /* ---- admission control in front of a target -------------------------------------------------------- */
 
 typedef struct {
 	uint32_t slots;	  /* calls the target runs at once */
 	uint32_t queue;	  /* calls that may wait for a slot */
 	uint32_t ramp_ms; /* from the first answer of a cold target until it may use all slots */
+	bool cost_aware;  /* waits are estimated from the costs of the calls */
 } cw_admit_options_t;
 
 typedef enum {
@@ -112,6 +143,8 @@
 	uint32_t priority;	 /* 0 is the highest */
 	int64_t deadline_ms;	 /* latest start; a call expected to end later is not queued */
 	int64_t useful_until_ms; /* end of the latency objective: later answers are worth less */
+	uint64_t account;	 /* hash of the client account's name; 0: none */
+	uint32_t body_bytes;
 	bool lacks_memory;	 /* there is no memory for its body: it is refused */
 } cw_admit_call_t;
 
@@ -154,6 +187,10 @@
  * overtook those of lower priority; 0 while a slot is free.
  */
 uint32_t cw_admit_wait_ms(const cw_admit_t *admit, uint32_t priority, int64_t now_ms);
+/* Returns the expected time until all present work is done, per slot; 0 unless cost-aware. */
+uint32_t cw_admit_work_ms(const cw_admit_t *admit, int64_t now_ms);
+/* Returns the speed of the target of late, in percent of its usual one; 0 unless cost-aware. */
+uint32_t cw_admit_speed_percent(const cw_admit_t *admit);
 uint32_t cw_admit_load(const cw_admit_t *admit); /* running and queued calls */
 /* Returns how many calls may run at once now: fewer than the slots while the target is cold or ramping up. */
 uint32_t cw_admit_limit(const cw_admit_t *admit, int64_t now_ms);
@@ -291,6 +328,8 @@
 	uint32_t service_ms;  /* service time of the route there; 0: not known */
 	bool short_call;      /* that is short beside the other calls of the target */
 	uint32_t wait_ms;     /* until a call of that priority that arrives now would start */
+	uint32_t work_ms;     /* until all present work there is done, per slot, plus 1; 0: not known */
+	uint32_t speed_percent; /* of the target of late, of its usual one; 0: not known */
 	uint32_t overhead_ms; /* that the way there and back took, besides the time at the receiver */
 } cw_pick_load_t;
 
@@ -299,6 +338,8 @@
 /* Creates a load balancer for a proxy in a zone; the seed is that of its random choices. */
 cw_pick_t *cw_pick_new(const char *zone, uint64_t seed);
 void cw_pick_free(cw_pick_t *pick);
+/* Makes choices by the expected time to the answer, with reports that are corrected by what was sent since. */
+void cw_pick_set_cost_aware(cw_pick_t *pick, bool cost_aware);
 /* The call that an endpoint is chosen for. */
 typedef struct {
 	uint64_t route;
--- a/libcaraway/pick.c
+++ b/libcaraway/pick.c
@@ -87,6 +87,7 @@
 
 struct cw_pick {
 	char *zone; /* of this proxy */
+	bool cost_aware;
 	GRand *random;
 	GHashTable *endpoints;	  /* VM -> endpoint_stats_t */
 	uint32_t lowest_priority; /* the highest number among those of the calls so far */
@@ -116,6 +117,12 @@
 	return pick;
 }
 
+/* Makes choices by the expected time to the answer, with reports that are corrected by what was sent since. */
+void cw_pick_set_cost_aware(cw_pick_t *pick, bool cost_aware)
+{
+	pick->cost_aware = cost_aware;
+}
+
 /* Frees a load balancer. */
 void cw_pick_free(cw_pick_t *pick)
 {
--- a/tests/unit/mesh_sim.c
+++ b/tests/unit/mesh_sim.c
@@ -50,7 +50,7 @@
 
 bool mesh_has_admission(const mesh_sim_t *sim)
 {
-	return sim->policy == MESH_PRODUCT;
+	return sim->policy == MESH_PRODUCT || sim->policy == MESH_COST;
 }
 
 const mesh_kind_t *mesh_kind(const mesh_sim_t *sim, const mesh_request_t *request)
@@ -63,7 +63,7 @@
 {
 	const mesh_service_t *definition = &sim->load->services[service];
 	const cw_admit_options_t options = {.slots = definition->slots,
-					    .queue = sim->load->queue ? sim->load->queue : MESH_QUEUE};
+					    .queue = sim->load->queue ? sim->load->queue : MESH_QUEUE, .cost_aware = sim->policy == MESH_COST};
 	int index = sim->targets_of_service[service]++;
 	mesh_proxy_t *proxy = &sim->proxies[sim->proxy_count];
 
@@ -76,6 +76,7 @@
 	cw_admit_mark_warm(proxy->admit, 0);
 	g_queue_init(&proxy->fifo);
 	proxy->pick = cw_pick_new(zones[zone], (uint64_t)sim->proxy_count);
+	cw_pick_set_cost_aware(proxy->pick, sim->policy == MESH_COST);
 	proxy->prior_wait = cw_prior_wait_new();
 	for (int i = 0; i < sim->load->service_count; i++)
 		cw_budget_init(&proxy->budgets[i], MESH_RETRY_PERCENT);
@@ -203,7 +204,7 @@
 /* Prints the outcomes if LOAD_VERBOSE is set. */
 static void print_summary(const mesh_sim_t *sim, const char *name)
 {
-	static const char *const policies[MESH_POLICY_COUNT] = {"product", "no admission", "round robin",
+	static const char *const policies[MESH_POLICY_COUNT] = {"product", "cost-aware", "no admission", "round robin",
 								"least outst.", "two choices"};
 
 	if (!g_getenv("LOAD_VERBOSE"))
--- a/tests/unit/mesh_sim.h
+++ b/tests/unit/mesh_sim.h
@@ -68,6 +68,7 @@
 
 typedef enum {
 	MESH_PRODUCT,	   /* the decisions of the library */
+	MESH_COST,	   /* the same, cost-aware */
 	MESH_NO_ADMISSION, /* queues in order of arrival that refuse nothing, random endpoints */
 	/* Targets that queue in order of arrival and reject what exceeds their queue; endpoints in rotation, ... */
 	MESH_ROUND_ROBIN,
--- a/tests/unit/mesh_target.c
+++ b/tests/unit/mesh_target.c
@@ -22,7 +22,9 @@
 				.priority = priority,
 				.service_ms = (uint32_t)cw_admit_service_ms(admit, route),
 				.short_call = cw_admit_is_short(admit, route),
-				.wait_ms = cw_admit_wait_ms(admit, priority, sim->now_ms)};
+				.wait_ms = cw_admit_wait_ms(admit, priority, sim->now_ms),
+				.work_ms = cw_admit_work_ms(admit, sim->now_ms) + 1,
+				.speed_percent = cw_admit_speed_percent(admit)};
 }
 
 /* Schedules the reply to an attempt. */
--- a/tests/unit/test_mesh_load.c
+++ b/tests/unit/test_mesh_load.c
@@ -154,6 +154,7 @@
 		best = MAX(best, mesh_sim_value_share(sim));
 		mesh_sim_free(sim);
 	}
+	mesh_sim_free(mesh_sim_run(&load, MESH_COST, _i ? "uneven, 1.1" : "uneven, 0.9"));
 	sim = mesh_sim_run(&load, MESH_PRODUCT, _i ? "uneven, 1.1" : "uneven, 0.9");
 	ck_assert_msg(mesh_sim_value_share(sim) >= best, "value %.3f, of simple load balancing %.3f",
 		      mesh_sim_value_share(sim), best);
