--- a/daemon/forward.c
+++ b/daemon/forward.c
@@ -37,6 +37,7 @@
 	forward->allotments =
 		allotments_new(settings, incarnation, published_view, clients, &allotments_callbacks);
 	forward->pick = cw_pick_new(settings->zone, incarnation);
+	cw_pick_set_cost_aware(forward->pick, settings->cost_aware);
 	forward->budgets = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	forward->calls = g_ptr_array_new();
 	forward->by_sequence = g_hash_table_new(g_int64_hash, g_int64_equal);
--- a/daemon/forward_attempt.c
+++ b/daemon/forward_attempt.c
@@ -28,6 +28,8 @@
 					.service_ms = reply->service_ms,
 					.short_call = reply->short_call,
 					.wait_ms = reply->wait_ms,
+					.work_ms = reply->work_ms,
+					.speed_percent = reply->speed_percent,
 					.overhead_ms = overhead_ms(attempt, reply)};
 	cw_pick_ended(forward->pick, attempt->endpoint->vm, attempt->endpoint->incarnation, result, &load,
 		      clock_now_ms());
--- a/daemon/receiver.c
+++ b/daemon/receiver.c
@@ -53,7 +53,10 @@
 			 receiver_send_t send, void *data)
 {
 	receiver_t *receiver = g_new0(receiver_t, 1);
-	cw_admit_options_t options = {.slots = settings->slots, .queue = settings->queue, .ramp_ms = RAMP_MS};
+	cw_admit_options_t options = {.slots = settings->slots,
+				      .queue = settings->queue,
+				      .ramp_ms = RAMP_MS,
+				      .cost_aware = settings->cost_aware};
 
 	receiver->settings = settings;
 	receiver->start_until_ms = INT64_MAX;
@@ -100,13 +103,18 @@
 /* Returns the present load of the target for a call of a route and priority. */
 cw_pick_load_t receiver_load(const receiver_t *receiver, uint64_t route, uint32_t priority)
 {
-	return (cw_pick_load_t){.in_use = cw_admit_load(receiver->admit),
-				.slots = cw_admit_slots(receiver->admit),
-				.route = route,
-				.priority = priority,
-				.service_ms = (uint32_t)cw_admit_service_ms(receiver->admit, route),
-				.short_call = cw_admit_is_short(receiver->admit, route),
-				.wait_ms = cw_admit_wait_ms(receiver->admit, priority, clock_now_ms())};
+	int64_t now_ms = clock_now_ms();
+
+	return (cw_pick_load_t){
+		.in_use = cw_admit_load(receiver->admit),
+		.slots = cw_admit_slots(receiver->admit),
+		.route = route,
+		.priority = priority,
+		.service_ms = (uint32_t)cw_admit_service_ms(receiver->admit, route),
+		.short_call = cw_admit_is_short(receiver->admit, route),
+		.wait_ms = cw_admit_wait_ms(receiver->admit, priority, now_ms),
+		.work_ms = receiver->settings->cost_aware ? cw_admit_work_ms(receiver->admit, now_ms) + 1 : 0,
+		.speed_percent = cw_admit_speed_percent(receiver->admit)};
 }
 
 /* Returns a new reply to a call, with the current load of the target. */
@@ -128,6 +136,8 @@
 	reply->wait_ms = load.wait_ms;
 	reply->service_ms = load.service_ms;
 	reply->short_call = load.short_call;
+	reply->work_ms = load.work_ms;
+	reply->speed_percent = load.speed_percent;
 	reply->held_ms = (uint32_t)(clock_now_ms() - job->received_ms) + 1;
 	return message;
 }
@@ -237,6 +247,8 @@
 				      .priority = request->priority,
 				      .deadline_ms = job->start_by_ms,
 				      .useful_until_ms = now_ms + request->useful_ms - job->transit_ms,
+				      .account = request->account,
+				      .body_bytes = (uint32_t)body_bytes(job),
 				      .lacks_memory = lacks_memory(receiver, job)};
 	cw_reason_t reason;
 
--- a/daemon/settings.h
+++ b/daemon/settings.h
@@ -66,6 +66,7 @@
 	uint32_t allotment_window_ms; /* over which the rates of client accounts hold; 0: a token bucket */
 	uint32_t allotment_overage_permille; /* by which a window may exceed the limit of an account */
 	uint32_t grace_ms;	/* from the signal of a planned stop until the process is killed */
+	bool cost_aware;	/* balancing by the cost of calls */
 	uint32_t retry_percent; /* retry budget, as a percentage of calls */
 } proxy_settings_t;
 
--- a/libcaraway/admit.c
+++ b/libcaraway/admit.c
@@ -23,6 +23,11 @@
 	COLD_SLOTS_DIVISOR = 4,	      /* a cold target starts with its slots divided by this, rounded up */
 	MAX_DEFAULT_SERVICE_MS = 250, /* limit of the service time assumed before the first measurement */
 	PERCENT = 100,
+	/* While cost-aware, these bound the processor time with many running calls. */
+	CALLS_PER_ESTIMATE_MS = 32,
+	CALLS_PER_COUNT_MS = 4,
+	MIN_COUNT_INTERVAL_MS = 5,
+	WAIT_PRIOR_MS = 200, /* added to both sums of the correction of waits, so that few calls say little */
 	STALLED_FACTOR = 2 /* a full target that starts no call for this many mean service times is stalled */
 };
 
@@ -48,6 +53,11 @@
 /* The slowest route is forgotten by this factor with each answer. */
 static const double slowest_decay = 0.999;
 
+/* Weight of the earlier waits in the correction of estimated waits, while cost-aware, and its range. */
+static const double wait_decay = 0.98;
+static const double lowest_wait_correction = 0.5;
+static const double highest_wait_correction = 2;
+
 /* Service time statistics of a route at this target. */
 typedef struct {
 	uint64_t route;
@@ -61,6 +71,8 @@
 	cw_admit_call_t call;
 	double expected_ms; /* expected service time */
 	double limit_ms;    /* its likely maximum */
+	int64_t queued_ms;  /* since when it waits */
+	double wait_ms;	    /* estimated then, without the correction */
 } queued_call_t;
 
 /* A call that has started, while cost-aware. */
@@ -68,7 +80,7 @@
 	cw_call_id_t id;
 	cw_cost_call_t cost_call;
 	int64_t started_ms;
-	int64_t counted_ms; /* until when its time was counted for the speed */
+	double counted_answers; /* expected of it, as counted for the speed */
 } running_call_t;
 
 /* What is expected of the running calls, while cost-aware. */
@@ -94,8 +106,11 @@
 	cw_cost_t *cost;	/* NULL unless cost-aware */
 	GArray *running_calls;	/* of running_call_t, while cost-aware */
 	running_estimate_t estimate;
-	int64_t estimated_ms; /* when it was calculated */
-	bool estimate_valid;  /* no call has started or ended since */
+	double waited_ms;	  /* decaying sums, of queued calls that started: time that they waited, */
+	double estimated_wait_ms; /* and that was estimated */
+	int64_t counted_ms;	  /* when the time of all running calls was last counted */
+	int64_t estimated_ms;	  /* when it was calculated */
+	bool estimate_valid;	  /* no call has started or ended since */
 };
 
 /* Creates admission control for a cold target: one that has not answered yet. */
@@ -237,23 +252,44 @@
 
 		rest_ms = MAX(rest_ms > 0 ? rest_ms : admit->service_ms, 1);
 		result.work_ms += rest_ms;
-		frequency += 1 / rest_ms;
+		frequency += 1 / MAX(rest_ms, whole_ms);
 		result.turning += whole_ms > 0 ? MIN(whole_ms / rest_ms, 1) : 1;
 	}
 	result.first_ms = frequency > 0 ? 1 / frequency : 0;
 	return result;
 }
 
-/* Returns what is expected of the running calls; it is calculated at most once in a millisecond between events. */
+/*
+ * Returns what is expected of the running calls.  It is calculated once in a millisecond between events, and
+ * with many calls, where one changes little, once in several milliseconds.
+ */
 static const running_estimate_t *running_estimate(cw_admit_t *admit, int64_t now_ms)
 {
-	if (!admit->estimate_valid || admit->estimated_ms != now_ms)
-		admit->estimate = estimate_running(admit, now_ms);
+	int64_t valid_ms = MAX(admit->running_calls->len / CALLS_PER_ESTIMATE_MS, admit->estimate_valid);
+
+	if (now_ms - admit->estimated_ms < valid_ms)
+		return &admit->estimate;
+	admit->estimate = estimate_running(admit, now_ms);
 	admit->estimated_ms = now_ms;
 	admit->estimate_valid = true;
 	return &admit->estimate;
 }
 
+/* Returns by what estimated waits are multiplied, as queued calls of late waited longer or shorter than estimated. */
+static double wait_correction(const cw_admit_t *admit)
+{
+	double ratio = (admit->waited_ms + WAIT_PRIOR_MS) / (admit->estimated_wait_ms + WAIT_PRIOR_MS);
+
+	return CLAMP(ratio, lowest_wait_correction, highest_wait_correction);
+}
+
+/* Compares the wait of a call that leaves the queue to start with the estimate. */
+static void learn_wait(cw_admit_t *admit, const queued_call_t *queued, int64_t now_ms)
+{
+	admit->waited_ms = wait_decay * admit->waited_ms + (double)(now_ms - queued->queued_ms);
+	admit->estimated_wait_ms = wait_decay * admit->estimated_wait_ms + queued->wait_ms;
+}
+
 /*
  * Estimates when a call at a queue position starts, from how long each running call has run: the first slot
  * is freed when one of them is done, and the calls before it in the queue then pass through the slots that
@@ -266,7 +302,7 @@
 
 	for (guint i = 0; i < position; i++)
 		work_ms += ((const queued_call_t *)admit->queue->pdata[i])->expected_ms;
-	return running->first_ms + work_ms / MAX(running->turning, 1);
+	return wait_correction(admit) * (running->first_ms + work_ms / MAX(running->turning, 1));
 }
 
 /*
@@ -367,25 +403,34 @@
 	return fits(admit, added, wait_ms, now_ms) ? CW_REASON_NONE : CW_REASON_CROWDED;
 }
 
-/* Counts the time that calls have run for the speed of the target. */
+/* Counts the time that a call has run for the speed of the target. */
+static void count_run(cw_admit_t *admit, running_call_t *running, int64_t now_ms)
+{
+	double answers =
+		cw_cost_answers_by(admit->cost, &running->cost_call, (double)(now_ms - running->started_ms));
+
+	cw_cost_expect_answers(admit->cost, answers - running->counted_answers, now_ms);
+	running->counted_answers = answers;
+}
+
+/* Counts the time that all calls have run, so seldom that its processor time is bounded. */
 static void count_running(cw_admit_t *admit, int64_t now_ms)
 {
-	for (guint i = 0; i < admit->running_calls->len; i++) {
-		running_call_t *running = &g_array_index(admit->running_calls, running_call_t, i);
+	int64_t interval_ms = MAX(admit->running_calls->len / CALLS_PER_COUNT_MS, MIN_COUNT_INTERVAL_MS);
 
-		cw_cost_ran(admit->cost, &running->cost_call,
-			    (double)(running->counted_ms - running->started_ms),
-			    (double)(now_ms - running->started_ms), now_ms);
-		running->counted_ms = now_ms;
-	}
 	admit->estimate_valid = false;
+	if (now_ms - admit->counted_ms < interval_ms)
+		return;
+	admit->counted_ms = now_ms;
+	for (guint i = 0; i < admit->running_calls->len; i++)
+		count_run(admit, &g_array_index(admit->running_calls, running_call_t, i), now_ms);
 }
 
 /* Marks a call as started. */
 static void start_call(cw_admit_t *admit, const cw_admit_call_t *call, int64_t now_ms)
 {
 	const running_call_t running = {
-		.id = call->id, .cost_call = cost_call_of(call), .started_ms = now_ms, .counted_ms = now_ms};
+		.id = call->id, .cost_call = cost_call_of(call), .started_ms = now_ms};
 
 	if (admit->cost) {
 		count_running(admit, now_ms);
@@ -406,6 +451,10 @@
 
 	added.limit_ms = service_limit_ms(admit, call, added.expected_ms, deviation_factor);
 	position = choose_position(admit, &added, now_ms);
+	added.queued_ms = now_ms;
+	if (admit->cost)
+		added.wait_ms =
+			queue_wait_ms(admit, position, added.expected_ms, now_ms) / wait_correction(admit);
 	cause = arrival_refusal(admit, &added, position, now_ms);
 	if (cause != CW_REASON_NONE)
 		return refuse(admit, &call->id, now_ms, cause, reason);
@@ -503,6 +552,8 @@
 	if (*reason != CW_REASON_NONE) {
 		*verdict = refuse(admit, &queued->call.id, now_ms, *reason, reason);
 	} else if (admit->running < cw_admit_limit(admit, now_ms)) {
+		if (admit->cost)
+			learn_wait(admit, queued, now_ms);
 		start_call(admit, &queued->call, now_ms);
 		*verdict = CW_ADMIT_START;
 	} else {
@@ -573,6 +624,7 @@
 	if (i == admit->running_calls->len)
 		return;
 	count_running(admit, now_ms);
+	count_run(admit, &g_array_index(admit->running_calls, running_call_t, i), now_ms);
 	g_array_remove_index_fast(admit->running_calls, i);
 	if (result == CW_ADMIT_ANSWERED)
 		cw_cost_answered(admit->cost, &ended.cost_call, (double)(now_ms - ended.started_ms), now_ms);
--- a/libcaraway/caraway_calls.h
+++ b/libcaraway/caraway_calls.h
@@ -98,14 +98,18 @@
 
 cw_cost_t *cw_cost_new(void);
 void cw_cost_free(cw_cost_t *cost);
+/* Returns the number of classes of calls that costs are known of; it is bounded. */
+size_t cw_cost_count(const cw_cost_t *cost);
 /* Returns the expected cost of a call in milliseconds; 0: not known. */
 double cw_cost_expected_ms(const cw_cost_t *cost, const cw_cost_call_t *call);
 /* Returns the expected rest of the cost of a call that has run for a time; 0: not known. */
 double cw_cost_rest_ms(const cw_cost_t *cost, const cw_cost_call_t *call, double ran_ms);
 /* Returns the speed of the target of late, relative to its usual one. */
 double cw_cost_speed(const cw_cost_t *cost);
-/* Counts that a call ran from one age to another, for the speed. */
-void cw_cost_ran(cw_cost_t *cost, const cw_cost_call_t *call, double from_ms, double to_ms, int64_t now_ms);
+/* Returns how many answers are expected of a call by an age, if each were followed by a call like it. */
+double cw_cost_answers_by(const cw_cost_t *cost, const cw_cost_call_t *call, double ran_ms);
+/* Adds to the number of answers that are expected, for the speed. */
+void cw_cost_expect_answers(cw_cost_t *cost, double answers, int64_t now_ms);
 /* Records a call that the target answered after took_ms. */
 void cw_cost_answered(cw_cost_t *cost, const cw_cost_call_t *call, double took_ms, int64_t now_ms);
 /* Records a call that ended without an answer, or with an error, after took_ms. */
--- a/libcaraway/cost.c
+++ b/libcaraway/cost.c
@@ -37,9 +37,9 @@
 /* Number of answers added to both counts, so that few answers say little. */
 static const double speed_prior = 4;
 static const double lowest_speed = 0.25;
-static const double highest_speed = 2;
-/* Part of a deviation of the speed, in logarithms, that is not taken for cost; the rest lets a lasting one become it. */
-static const double speed_share = 0.9;
+static const double highest_speed = 1;
+/* Weight of a new sample in the usual speed: a lasting change becomes the usual speed within some hundred calls. */
+static const double usual_weight = 0.02;
 
 /* The costs of a class of calls. */
 typedef struct {
@@ -56,6 +56,7 @@
 	double answers;	     /* decaying, as of counted_ms */
 	double expected_answers;
 	int64_t counted_ms;
+	double usual_ratio; /* moving average of the logarithm of answers over expected_answers */
 };
 
 /* Creates the state of a target that nothing is known about. */
@@ -74,6 +75,12 @@
 	g_free(cost);
 }
 
+/* Returns the number of classes of calls that costs are known of. */
+size_t cw_cost_count(const cw_cost_t *cost)
+{
+	return g_hash_table_size(cost->classes);
+}
+
 /* Returns the bits of a number, well distributed. */
 static uint64_t mix(uint64_t value)
 {
@@ -191,24 +198,35 @@
 }
 
 /*
- * Counts that a call ran from one age to another.  The expected number of answers in that time is the fall of
- * the logarithm of the share of calls that run longer.
+ * Returns how many answers of a call like this one are expected by an age, if each answer were followed by such a
+ * call: the negative logarithm of the share of calls that run longer.  0: not known.
  */
-void cw_cost_ran(cw_cost_t *cost, const cw_cost_call_t *call, double from_ms, double to_ms, int64_t now_ms)
+double cw_cost_answers_by(const cw_cost_t *cost, const cw_cost_call_t *call, double ran_ms)
 {
 	const class_t *class = best_class(cost, call);
 
+	if (!class)
+		return 0;
+	return log((class->samples + prior_samples) / MAX(survivors(class, ran_ms).samples, DBL_MIN));
+}
+
+/* Adds to the number of answers that are expected, for the speed. */
+void cw_cost_expect_answers(cw_cost_t *cost, double answers, int64_t now_ms)
+{
 	decay_answers(cost, now_ms);
-	if (class && to_ms > from_ms)
-		cost->expected_answers += log(MAX(survivors(class, from_ms).samples, DBL_MIN) /
-					      MAX(survivors(class, to_ms).samples, DBL_MIN));
+	cost->expected_answers += MAX(answers, 0);
+}
+
+/* Returns the number of answers of late over the expected one. */
+static double answer_ratio(const cw_cost_t *cost)
+{
+	return (cost->answers + speed_prior) / (cost->expected_answers + speed_prior);
 }
 
 /* Returns the speed of the target of late, relative to its usual one. */
 double cw_cost_speed(const cw_cost_t *cost)
 {
-	return CLAMP((cost->answers + speed_prior) / (cost->expected_answers + speed_prior), lowest_speed,
-		     highest_speed);
+	return CLAMP(answer_ratio(cost) / exp(cost->usual_ratio), lowest_speed, highest_speed);
 }
 
 /* Returns whether a class was not used since the time *data. */
@@ -276,8 +294,9 @@
 /* Adds the cost of a call to the classes that it belongs to. */
 static void learn(cw_cost_t *cost, const cw_cost_call_t *call, double took_ms, int64_t now_ms)
 {
-	double cost_ms = MAX(took_ms, 1) * pow(cw_cost_speed(cost), speed_share);
+	double cost_ms = MAX(took_ms, 1) * cw_cost_speed(cost);
 
+	cost->usual_ratio += usual_weight * (log(answer_ratio(cost)) - cost->usual_ratio);
 	update_errors(cost, call, cost_ms);
 	for (feature_t feature = FEATURE_ROUTE; feature < FEATURES; feature++)
 		if (feature == FEATURE_ROUTE || class_key(call, feature) != call->route)
--- a/libcaraway/gen/caraway.pb-c.h
+++ b/libcaraway/gen/caraway.pb-c.h
@@ -1472,7 +1472,7 @@
    */
   uint32_t work_ms;
   /*
-   * of the target, relative to the average of its service; 0: not known
+   * of the target of late, relative to its usual one; 0: not known
    */
   uint32_t speed_percent;
 };
--- a/tests/unit/test_settings.c
+++ b/tests/unit/test_settings.c
@@ -43,9 +43,10 @@
 				       settings->control_replicas->len, settings->control.listen,
 				       settings->control.leader_lease_ms, settings->control.election_ms);
 	else
-		g_string_append_printf(out, "proxy %s in %s, slots %u, connections %u, queue %u\n",
+		g_string_append_printf(out, "proxy %s in %s, slots %u, connections %u, queue %u%s\n",
 				       settings->proxy.vm, settings->proxy.zone, settings->proxy.slots,
-				       settings->proxy.connections, settings->proxy.queue);
+				       settings->proxy.connections, settings->proxy.queue,
+				       settings->proxy.cost_aware ? ", cost-aware" : "");
 	settings_free(settings);
 }
 
