The own target comes first while its wait is shorter than the mean overhead of links

Cause: cost-aware, the own target was used with a free slot only; where links are the bottleneck that cost value. Change: its wait may be as long as the way to another proxy usually takes. Tests of the choice and of all loads.

--- a/libcaraway/cost.c
+++ b/libcaraway/cost.c
@@ -36,6 +36,8 @@
 static const double speed_half_life_ms = 200;
 /* Number of answers added to both counts, so that few answers say little. */
 static const double speed_prior = 4;
+/* An age counts for at most this many expected answers: a call that goes on is an expensive one, no slow target. */
+static const double most_answers = 2;
 static const double lowest_speed = 0.25;
 static const double highest_speed = 1;
 /* Weight of a new sample in the usual speed: a lasting change becomes the usual speed within some hundred calls. */
@@ -207,7 +209,8 @@
 
 	if (!class)
 		return 0;
-	return log((class->samples + prior_samples) / MAX(survivors(class, ran_ms).samples, DBL_MIN));
+	return MIN(log((class->samples + prior_samples) / MAX(survivors(class, ran_ms).samples, DBL_MIN)),
+		   most_answers);
 }
 
 /* Adds to the number of answers that are expected, for the speed. */
--- a/libcaraway/pick.c
+++ b/libcaraway/pick.c
@@ -66,6 +66,9 @@
 /* Ratio of the first attempts that are sent all the same. */
 static const double probe_ratio = 0.05;
 
+/* Weight of a new report in the mean overhead, which is the longest wait at the own target while cost-aware. */
+static const double overhead_weight = 0.02;
+
 /* The overhead of links counts so many times: a call adds to that of all others on the links, besides its own. */
 static const double overhead_factor = 2;
 
@@ -99,6 +102,7 @@
 struct cw_pick {
 	char *zone; /* of this proxy */
 	bool cost_aware;
+	double overhead_ms; /* moving average over the reports of all endpoints */
 	GRand *random;
 	GHashTable *endpoints;	  /* VM -> endpoint_stats_t */
 	uint32_t lowest_priority; /* the highest number among those of the calls so far */
@@ -514,7 +518,8 @@
 static int free_own_endpoint(cw_pick_t *pick, const cw_candidate_t *candidates, size_t count,
 			     const cw_pick_call_t *call, int64_t now_ms)
 {
-	double max_wait_ms = pick->cost_aware ? 0 : own_wait_ratio * (double)answer_limit_ms(call);
+	double max_wait_ms = pick->cost_aware ? overhead_factor * pick->overhead_ms
+					      : own_wait_ratio * (double)answer_limit_ms(call);
 
 	for (size_t i = 0; call->own_load && i < count; i++) {
 		const endpoint_stats_t *stats;
@@ -760,8 +765,7 @@
 }
 
 /* Stores the load that an answer reported. */
-static void update_load(const cw_pick_t *pick, endpoint_stats_t *stats, const cw_pick_load_t *load,
-			int64_t now_ms)
+static void update_load(cw_pick_t *pick, endpoint_stats_t *stats, const cw_pick_load_t *load, int64_t now_ms)
 {
 	uint64_t *route;
 
@@ -773,6 +777,7 @@
 	stats->reported_slots = load->slots;
 	record_wait(stats, urgency_of(pick, load->priority), load->wait_ms);
 	stats->overhead_ms = load->overhead_ms;
+	pick->overhead_ms += overhead_weight * (load->overhead_ms - pick->overhead_ms);
 	stats->reported_at_ms = now_ms;
 	if (!load->service_ms)
 		return;
--- a/tests/unit/test_mesh_load.c
+++ b/tests/unit/test_mesh_load.c
@@ -132,6 +132,11 @@
 	ck_assert_msg(mesh_sim_in_time_share(product, COMMISSION) >= mesh_sim_in_time_share(product, BROWSE),
 		      "%s: %.3f of the higher priority in time, %.3f of the lower", test_case->name,
 		      mesh_sim_in_time_share(product, COMMISSION), mesh_sim_in_time_share(product, BROWSE));
+	mesh_sim_free(product);
+	product = mesh_sim_run(&load, MESH_COST, test_case->name);
+	ck_assert_msg(mesh_sim_value_share(product) >= mesh_sim_value_share(baseline),
+		      "%s: cost-aware value %.3f, without admission %.3f", test_case->name,
+		      mesh_sim_value_share(product), mesh_sim_value_share(baseline));
 	mesh_sim_free(baseline);
 	mesh_sim_free(product);
 }
--- a/tests/unit/test_pick.c
+++ b/tests/unit/test_pick.c
@@ -132,7 +132,7 @@
 }
 
 /*
- * Runs one script command: one of the above, "pick ZONE SEED", "error-outlier VM", "exclude VM", "at NOW_MS",
+ * Runs one script command: one of the above, "pick ZONE SEED", "cost-aware", "error-outlier VM", "exclude VM", "at NOW_MS",
  * or "want ROUTE USEFUL_MS [LEFT_MS [REFUSALS]]", which sets the call that endpoints are chosen for.
  */
 static void run_command(void *data, int argc, char **argv, GString *out)
@@ -144,7 +144,9 @@
 			cw_pick_free(run->pick);
 		run->pick = cw_pick_new(argv[1], strtoull(argv[2], NULL, 10));
 		run->count = 0;
-	} else if (g_str_equal(argv[0], "endpoint"))
+	} else if (g_str_equal(argv[0], "cost-aware"))
+		cw_pick_set_cost_aware(run->pick, true);
+	else if (g_str_equal(argv[0], "endpoint"))
 		run_endpoint(run, argv);
 	else if (g_str_equal(argv[0], "want"))
 		run->call = (cw_pick_call_t){.route = strtoull(argv[1], NULL, 10),
