--- a/daemon/forward_attempt.c
+++ b/daemon/forward_attempt.c
@@ -54,6 +54,8 @@
 					.service_ms = reply->service_ms,
 					.short_call = reply->short_call,
 					.wait_ms = reply->wait_ms,
+					.work_ms = reply->work_ms,
+					.speed_percent = reply->speed_percent,
 					.overhead_ms = overhead_ms(attempt, reply)};
 	cw_pick_ended(forward->pick, attempt->endpoint->vm, attempt->endpoint->incarnation, result, &load,
 		      clock_now_ms());
@@ -152,7 +154,7 @@
 	g_hash_table_insert(forward->by_sequence, &attempt->sequence, call);
 	if (choice.rollout && endpoint->is_new)
 		rollouts_sent_to_new(forward->rollouts, choice.rollout);
-	cw_pick_sent(forward->pick, endpoint->vm, endpoint->incarnation);
+	cw_pick_sent(forward->pick, endpoint->vm, endpoint->incarnation, pick_call.route);
 	return (cw_call_event_t){.type = CW_CALL_EV_SENT, .sequence = sequence};
 }
 
--- a/libcaraway/admit.c
+++ b/libcaraway/admit.c
@@ -27,6 +27,12 @@
 	MAX_ROUTES = 4096,	      /* with service time statistics */
 	COLD_SLOTS_DIVISOR = 4,	      /* a cold target starts with its slots divided by this, rounded up */
 	MAX_DEFAULT_SERVICE_MS = 250, /* limit of the service time assumed before the first measurement */
+	PERCENT = 100,
+	/* While cost-aware, these bound the processor time with many running calls. */
+	CALLS_PER_ESTIMATE_MS = 32,
+	CALLS_PER_COUNT_MS = 4,
+	MIN_COUNT_INTERVAL_MS = 5,
+	WAIT_PRIOR_MS = 200, /* added to both sums of the correction of waits, so that few calls say little */
 	STALLED_FACTOR = 2 /* a full target that starts no call for this many mean service times is stalled */
 };
 
@@ -52,6 +58,11 @@
 /* The slowest route is forgotten by this factor with each answer. */
 static const double slowest_decay = 0.999;
 
+/* Weight of the earlier waits in the correction of estimated waits, while cost-aware, and its range. */
+static const double wait_decay = 0.98;
+static const double lowest_wait_correction = 0.5;
+static const double highest_wait_correction = 2;
+
 /* Service time statistics of a route at this target. */
 typedef struct {
 	uint64_t route;
@@ -66,30 +77,49 @@
 	double expected_ms; /* expected service time */
 	double limit_ms;    /* its likely maximum */
 	int64_t charged_ms; /* when it was charged to its account */
+	int64_t queued_ms;  /* since when it waits */
+	double wait_ms;	    /* estimated then, without the correction */
 } queued_call_t;
 
-/* A running call of an account. */
+/* A running call: each one while cost-aware, else those of accounts. */
 typedef struct {
 	cw_call_id_t id;
 	cw_fair_call_t charged;
+	cw_cost_call_t cost_call;
+	int64_t started_ms;
+	double counted_answers; /* expected of it, as counted for the speed */
 } running_call_t;
 
+/* What is expected of the running calls, while cost-aware. */
+typedef struct {
+	double work_ms;	 /* until all are done, in total */
+	double first_ms; /* until the first is done */
+	double turning;	 /* number of slots that are freed as often as their calls usually free them */
+} running_estimate_t;
+
 struct cw_admit {
 	cw_admit_options_t options;
 	cw_records_t *records;
 	GPtrArray *queue;     /* of queued_call_t, the earliest due first */
 	GPtrArray *displaced; /* of queued_call_t, which cw_admit_next() has to refuse */
 	cw_fair_share_t *shares;
-	GArray *running_calls; /* of running_call_t: those of accounts */
-	GHashTable *routes;    /* route -> route_stats_t */
-	uint32_t running;      /* calls that have started and not ended */
-	int64_t started_ms;    /* when the last one started */
+	GHashTable *routes; /* route -> route_stats_t */
+	uint32_t running;   /* calls that have started and not ended */
+	int64_t started_ms; /* when the last one started */
 	bool draining;
 	int64_t start_until_ms; /* queued calls that have not started by then are refused; INT64_MAX: never */
 	bool warm;		/* the target has answered since it was last unreachable */
 	int64_t warm_ms;	/* start of the ramp-up: time of the first answer since then */
 	double service_ms;	/* mean service time of all routes; 0: no sample yet */
 	double slowest_ms;	/* mean service time of the slowest route of late */
+	cw_cost_t *cost;	/* NULL unless cost-aware */
+	GArray *running_calls;	/* of running_call_t */
+	running_estimate_t estimate; /* a cache, which estimates of waits fill */
+	double waited_ms;	     /* decaying sums, of queued calls that started: time that they waited, */
+	double estimated_wait_ms;    /* and that was estimated */
+	int64_t counted_ms;	     /* when the time of all running calls was last counted */
+	int64_t estimated_ms;	     /* when it was calculated */
+	bool estimate_valid;	     /* no call has started or ended since */
 };
 
 /* Creates admission control for a cold target: one that has not answered yet. */
@@ -103,8 +133,10 @@
 	admit->queue = g_ptr_array_new_with_free_func(g_free);
 	admit->displaced = g_ptr_array_new_with_free_func(g_free);
 	admit->shares = cw_fair_share_new();
-	admit->running_calls = g_array_new(FALSE, FALSE, sizeof(running_call_t));
 	admit->routes = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
+	admit->running_calls = g_array_new(FALSE, FALSE, sizeof(running_call_t));
+	if (options->cost_aware)
+		admit->cost = cw_cost_new();
 	return admit;
 }
 
@@ -114,8 +146,10 @@
 	g_ptr_array_unref(admit->queue);
 	g_ptr_array_unref(admit->displaced);
 	cw_fair_share_free(admit->shares);
-	g_array_unref(admit->running_calls);
 	g_hash_table_destroy(admit->routes);
+	g_array_unref(admit->running_calls);
+	if (admit->cost)
+		cw_cost_free(admit->cost);
 	cw_records_free(admit->records);
 	g_free(admit);
 }
@@ -150,10 +184,21 @@
 double cw_admit_service_ms(const cw_admit_t *admit, uint64_t route)
 {
 	const route_stats_t *stats = g_hash_table_lookup(admit->routes, &route);
+	const cw_cost_call_t cost_call = {.route = route};
+	double cost_ms = admit->cost ? cw_cost_expected_ms(admit->cost, &cost_call) : 0;
 
+	if (cost_ms > 0)
+		return cost_ms;
 	return stats ? stats->mean_ms : admit->service_ms;
 }
 
+/* Returns the properties of a call that its cost depends on. */
+static cw_cost_call_t cost_call_of(const cw_admit_call_t *call)
+{
+	return (cw_cost_call_t){
+		.route = call->route, .account = call->account, .body_bytes = call->body_bytes};
+}
+
 /* Returns the mean absolute deviation of the service time of a route, estimated if it has no statistics. */
 static double service_deviation_ms(const cw_admit_t *admit, uint64_t route)
 {
@@ -169,8 +214,12 @@
  */
 static double expected_service_ms(const cw_admit_t *admit, const cw_admit_call_t *call, int64_t now_ms)
 {
+	const cw_cost_call_t cost_call = cost_call_of(call);
+	double cost_ms = admit->cost ? cw_cost_expected_ms(admit->cost, &cost_call) : 0;
 	double service_ms = cw_admit_service_ms(admit, call->route);
 
+	if (cost_ms > 0)
+		return cost_ms / cw_cost_speed(admit->cost);
 	if (service_ms > 0)
 		return service_ms;
 	return CLAMP((double)(call->useful_until_ms - now_ms) * default_service_ratio, 0,
@@ -201,6 +250,74 @@
 	return position;
 }
 
+/* Calculates what is expected of the running calls, at the present speed. */
+static running_estimate_t estimate_running(const cw_admit_t *admit, int64_t now_ms)
+{
+	double speed = cw_cost_speed(admit->cost);
+	running_estimate_t result = {0};
+	double frequency = 0;
+
+	for (guint i = 0; i < admit->running_calls->len; i++) {
+		const running_call_t *running = &g_array_index(admit->running_calls, running_call_t, i);
+		double ran_ms = (double)(now_ms - running->started_ms);
+		double rest_ms = cw_cost_rest_ms(admit->cost, &running->cost_call, ran_ms) / speed;
+		double whole_ms = cw_cost_expected_ms(admit->cost, &running->cost_call) / speed;
+
+		rest_ms = MAX(rest_ms > 0 ? rest_ms : admit->service_ms, 1);
+		result.work_ms += rest_ms;
+		frequency += 1 / MAX(rest_ms, whole_ms);
+		result.turning += whole_ms > 0 ? MIN(whole_ms / rest_ms, 1) : 1;
+	}
+	result.first_ms = frequency > 0 ? 1 / frequency : 0;
+	return result;
+}
+
+/*
+ * Returns what is expected of the running calls.  It is calculated once in a millisecond between events, and
+ * with many calls, where one changes little, once in several milliseconds.
+ */
+static const running_estimate_t *running_estimate(cw_admit_t *admit, int64_t now_ms)
+{
+	int64_t valid_ms = MAX(admit->running_calls->len / CALLS_PER_ESTIMATE_MS, admit->estimate_valid);
+
+	if (now_ms - admit->estimated_ms < valid_ms)
+		return &admit->estimate;
+	admit->estimate = estimate_running(admit, now_ms);
+	admit->estimated_ms = now_ms;
+	admit->estimate_valid = true;
+	return &admit->estimate;
+}
+
+/* Returns by what estimated waits are multiplied, as queued calls of late waited longer or shorter than estimated. */
+static double wait_correction(const cw_admit_t *admit)
+{
+	double ratio = (admit->waited_ms + WAIT_PRIOR_MS) / (admit->estimated_wait_ms + WAIT_PRIOR_MS);
+
+	return CLAMP(ratio, lowest_wait_correction, highest_wait_correction);
+}
+
+/* Compares the wait of a call that leaves the queue to start with the estimate. */
+static void learn_wait(cw_admit_t *admit, const queued_call_t *queued, int64_t now_ms)
+{
+	admit->waited_ms = wait_decay * admit->waited_ms + (double)(now_ms - queued->queued_ms);
+	admit->estimated_wait_ms = wait_decay * admit->estimated_wait_ms + queued->wait_ms;
+}
+
+/*
+ * Estimates when a call at a queue position starts, from how long each running call has run: the first slot
+ * is freed when one of them is done, and the calls before it in the queue then pass through the slots that
+ * are not held by calls which go on for long.
+ */
+static double cost_wait_ms(const cw_admit_t *admit, guint position, int64_t now_ms)
+{
+	const running_estimate_t *running = running_estimate((cw_admit_t *)admit, now_ms);
+	double work_ms = 0;
+
+	for (guint i = 0; i < position; i++)
+		work_ms += ((const queued_call_t *)admit->queue->pdata[i])->expected_ms;
+	return wait_correction(admit) * (running->first_ms + work_ms / MAX(running->turning, 1));
+}
+
 /*
  * Estimates when a call at a queue position starts, in milliseconds from now, by
  * the work ahead of it: one mean service time for the running calls, and those of
@@ -211,6 +328,8 @@
 {
 	double work_ms = admit->service_ms > 0 ? admit->service_ms : expected_ms;
 
+	if (admit->cost && admit->service_ms > 0)
+		return cost_wait_ms(admit, position, now_ms);
 	for (guint i = 0; i < position; i++)
 		work_ms += ((const queued_call_t *)admit->queue->pdata[i])->expected_ms;
 	return work_ms / cw_admit_limit(admit, now_ms);
@@ -365,33 +484,44 @@
 		cw_fair_share_refund(admit->shares, &charged, now_ms);
 }
 
-/* Marks a call, which has been charged, as started. */
-static void start_call(cw_admit_t *admit, const queued_call_t *queued, int64_t now_ms)
+/* Counts the time that a call has run for the speed of the target. */
+static void count_run(cw_admit_t *admit, running_call_t *running, int64_t now_ms)
 {
-	const running_call_t running = {.id = queued->call.id, .charged = fair_call(queued)};
+	double answers =
+		cw_cost_answers_by(admit->cost, &running->cost_call, (double)(now_ms - running->started_ms));
 
-	admit->running++;
-	admit->started_ms = now_ms;
-	cw_records_set(admit->records, &queued->call.id, CW_RECORD_STARTED, now_ms);
-	if (running.charged.account)
-		g_array_append_val(admit->running_calls, running);
+	cw_cost_expect_answers(admit->cost, answers - running->counted_answers, now_ms);
+	running->counted_answers = answers;
 }
 
-/* Replaces the charge of a started call by the time that it took; 0: it did not run. */
-static void settle_charge(cw_admit_t *admit, const cw_call_id_t *id, double took_ms, int64_t now_ms)
+/* Counts the time that all calls have run, so seldom that its processor time is bounded. */
+static void count_running(cw_admit_t *admit, int64_t now_ms)
 {
-	for (guint i = 0; i < admit->running_calls->len; i++) {
-		running_call_t *running = &g_array_index(admit->running_calls, running_call_t, i);
+	int64_t interval_ms = MAX(admit->running_calls->len / CALLS_PER_COUNT_MS, MIN_COUNT_INTERVAL_MS);
 
-		if (running->id.origin != id->origin || running->id.sequence != id->sequence)
-			continue;
-		cw_fair_share_refund(admit->shares, &running->charged, now_ms);
-		running->charged.cost_ms = took_ms;
-		running->charged.charged_ms = now_ms;
-		cw_fair_share_charge(admit->shares, &running->charged, now_ms);
-		g_array_remove_index_fast(admit->running_calls, i);
+	admit->estimate_valid = false;
+	if (now_ms - admit->counted_ms < interval_ms)
 		return;
-	}
+	admit->counted_ms = now_ms;
+	for (guint i = 0; i < admit->running_calls->len; i++)
+		count_run(admit, &g_array_index(admit->running_calls, running_call_t, i), now_ms);
+}
+
+/* Marks a call, which has been charged, as started. */
+static void start_call(cw_admit_t *admit, const queued_call_t *queued, int64_t now_ms)
+{
+	const running_call_t running = {.id = queued->call.id,
+					.charged = fair_call(queued),
+					.cost_call = cost_call_of(&queued->call),
+					.started_ms = now_ms};
+
+	if (admit->cost)
+		count_running(admit, now_ms);
+	if (admit->cost || running.charged.account)
+		g_array_append_val(admit->running_calls, running);
+	admit->running++;
+	admit->started_ms = now_ms;
+	cw_records_set(admit->records, &queued->call.id, CW_RECORD_STARTED, now_ms);
 }
 
 /* Returns whether two calls of one account differ only in when they are due, and the queued one is due later. */
@@ -498,6 +628,10 @@
 
 	added.limit_ms = service_limit_ms(admit, call, added.expected_ms, deviation_factor);
 	position = choose_position(admit, &added, now_ms);
+	added.queued_ms = now_ms;
+	if (admit->cost)
+		added.wait_ms =
+			queue_wait_ms(admit, position, added.expected_ms, now_ms) / wait_correction(admit);
 	cause = arrival_refusal(admit, &added, position, now_ms);
 	if (cause != CW_REASON_NONE && call->account)
 		cause = make_room(admit, &added, &position, cause, now_ms);
@@ -611,6 +745,8 @@
 		*verdict = refuse(admit, &queued->call.id, now_ms, *reason, reason);
 		refund_queued(admit, queued, now_ms);
 	} else if (admit->running < cw_admit_limit(admit, now_ms)) {
+		if (admit->cost)
+			learn_wait(admit, queued, now_ms);
 		start_call(admit, queued, now_ms);
 		*verdict = CW_ADMIT_START;
 	} else {
@@ -666,6 +802,48 @@
 		record_service_time(admit, route, took_ms);
 }
 
+/* Replaces the charge of a call that has ended by the time that it took. */
+static void settle_charge(cw_admit_t *admit, const cw_fair_call_t *charged, double took_ms, int64_t now_ms)
+{
+	cw_fair_call_t settled = *charged;
+
+	cw_fair_share_refund(admit->shares, charged, now_ms);
+	settled.cost_ms = took_ms;
+	settled.charged_ms = now_ms;
+	cw_fair_share_charge(admit->shares, &settled, now_ms);
+}
+
+/* Learns the cost of a call that has ended. */
+static void learn_cost(cw_admit_t *admit, running_call_t *ended, cw_admit_result_t result, int64_t now_ms)
+{
+	double ran_ms = (double)(now_ms - ended->started_ms);
+
+	count_running(admit, now_ms);
+	count_run(admit, ended, now_ms);
+	if (result == CW_ADMIT_ANSWERED)
+		cw_cost_answered(admit->cost, &ended->cost_call, ran_ms, now_ms);
+	else if (result == CW_ADMIT_ERROR || result == CW_ADMIT_FAILED)
+		cw_cost_failed(admit->cost, &ended->cost_call, ran_ms, now_ms);
+}
+
+/* Removes a call from the running ones, settles its charge, and learns its cost; took_ms 0: it did not run. */
+static void end_running(cw_admit_t *admit, const cw_call_id_t *id, cw_admit_result_t result, double took_ms,
+			int64_t now_ms)
+{
+	for (guint i = 0; i < admit->running_calls->len; i++) {
+		running_call_t *ended = &g_array_index(admit->running_calls, running_call_t, i);
+
+		if (ended->id.origin != id->origin || ended->id.sequence != id->sequence)
+			continue;
+		if (ended->charged.account)
+			settle_charge(admit, &ended->charged, took_ms, now_ms);
+		if (admit->cost)
+			learn_cost(admit, ended, result, now_ms);
+		g_array_remove_index_fast(admit->running_calls, i);
+		return;
+	}
+}
+
 /* Ends a started call: frees its slot, and updates the statistics and the record of the call. */
 void cw_admit_done(cw_admit_t *admit, const cw_call_id_t *id, uint64_t route, cw_admit_result_t result,
 		   int64_t started_ms, int64_t now_ms)
@@ -674,7 +852,7 @@
 	bool has_run = result != CW_ADMIT_DECLINED && result != CW_ADMIT_NOT_STARTED;
 
 	admit->running--;
-	settle_charge(admit, id, has_run ? took_ms : 0, now_ms);
+	end_running(admit, id, result, has_run ? took_ms : 0, now_ms);
 	switch (result) {
 	case CW_ADMIT_ANSWERED:
 		start_ramp_up(admit, now_ms);
@@ -831,6 +1009,25 @@
 			  overtaken_ms / cw_admit_limit(admit, now_ms));
 }
 
+/* Returns the expected time until all present work is done, per slot; 0 unless cost-aware. */
+uint32_t cw_admit_work_ms(const cw_admit_t *admit, int64_t now_ms)
+{
+	double work_ms;
+
+	if (!admit->cost)
+		return 0;
+	work_ms = running_estimate((cw_admit_t *)admit, now_ms)->work_ms;
+	for (guint i = 0; i < admit->queue->len; i++)
+		work_ms += ((const queued_call_t *)admit->queue->pdata[i])->expected_ms;
+	return (uint32_t)(work_ms / cw_admit_limit(admit, now_ms));
+}
+
+/* Returns the speed of the target of late, in percent of its usual one; 0 unless cost-aware. */
+uint32_t cw_admit_speed_percent(const cw_admit_t *admit)
+{
+	return admit->cost ? (uint32_t)(PERCENT * cw_cost_speed(admit->cost)) : 0;
+}
+
 /* Returns the number of running and queued calls, and of those that cw_admit_next() has to refuse. */
 uint32_t cw_admit_load(const cw_admit_t *admit)
 {
