--- a/daemon/settings_rules.c
+++ b/daemon/settings_rules.c
@@ -76,8 +76,8 @@
 	{"proxy", "key-lease-s", VALUE_SECONDS, OFFSET(proxy.key_lease_ms), "0", 0, 600000},
 	{"proxy", "allotment-window-s", VALUE_SECONDS, OFFSET(proxy.allotment_window_ms), "0", 0,
 	 CW_ALLOTMENT_MAX_WINDOW_MS},
-	/* A fraction, kept in thousandths. */
-	{"proxy", "allotment-overage", VALUE_SECONDS, OFFSET(proxy.allotment_overage_permille), "0", 0, 1000},
+	{"proxy", "allotment-overage", VALUE_FRACTION, OFFSET(proxy.allotment_overage_permille), "0", 0,
+	 1000},
 	{"proxy", "grace-s", VALUE_SECONDS, OFFSET(proxy.grace_ms), "12", 0, 600000},
 	{"proxy", "cost-aware", VALUE_BOOLEAN, OFFSET(proxy.cost_aware), "no", 0, 0},
 	{"proxy", "retry-percent", VALUE_NUMBER, OFFSET(proxy.retry_percent), "10", 0, 100},
@@ -151,7 +151,7 @@
 	return true;
 }
 
-/* Parses a number of seconds, fraction allowed, as milliseconds from min_ms to max_ms. */
+/* Parses a number of seconds, or another decimal number, as thousandths from min_ms to max_ms. */
 static bool parse_seconds(const char *text, uint32_t min_ms, uint32_t max_ms, uint32_t *ms)
 {
 	char *end;
@@ -194,6 +194,8 @@
 		return parse_seconds(value, rule->min, rule->max, field)
 			       ? NULL
 			       : "give a number of seconds within the allowed range";
+	case VALUE_FRACTION:
+		return parse_seconds(value, rule->min, rule->max, field) ? NULL : "give a number from 0 to 1";
 	case VALUE_BOOLEAN:
 		return parse_boolean(value, field) ? NULL : "use yes or no";
 	case VALUE_HEADER:
--- a/daemon/settings_rules.h
+++ b/daemon/settings_rules.h
@@ -19,6 +19,7 @@
 	VALUE_ADDRESS,	      /* IPv4:PORT to bind or connect to, with a definite host and port */
 	VALUE_LISTEN_ADDRESS, /* IPv4:PORT to bind, with a definite host; port 0 picks a free port */
 	VALUE_NUMBER,
+	VALUE_FRACTION, /* from 0 to 1; stored in thousandths */
 	VALUE_SECONDS, /* decimal fraction allowed; stored in milliseconds, and min and max are milliseconds */
 	VALUE_BOOLEAN, /* yes or no, true or false */
 	VALUE_HEADER,  /* name of an HTTP header; empty: none */
