--- a/daemon/receiver.c
+++ b/daemon/receiver.c
@@ -56,7 +56,8 @@
 	cw_admit_options_t options = {.slots = settings->slots,
 				      .queue = settings->queue,
 				      .ramp_ms = RAMP_MS,
-				      .cost_aware = settings->cost_aware};
+				      .cost_aware = settings->cost_aware,
+				      .fair_shares = settings->fair_shares};
 
 	receiver->settings = settings;
 	receiver->start_until_ms = INT64_MAX;
--- a/daemon/settings.h
+++ b/daemon/settings.h
@@ -67,6 +67,7 @@
 	uint32_t allotment_overage_permille; /* by which a window may exceed the limit of an account */
 	uint32_t grace_ms;	/* from the signal of a planned stop until the process is killed */
 	bool cost_aware;	/* balancing by the cost of calls */
+	bool fair_shares;	/* of client accounts, at the receiver */
 	uint32_t retry_percent; /* retry budget, as a percentage of calls */
 	/* Part of memory_mb for the account of waiting bytes. */
 	uint32_t waiting_memory_percent;
--- a/daemon/settings_rules.c
+++ b/daemon/settings_rules.c
@@ -79,6 +79,7 @@
 	{"proxy", "allotment-overage", VALUE_FRACTION, OFFSET(proxy.allotment_overage_permille), "0", 0,
 	 1000},
 	{"proxy", "grace-s", VALUE_SECONDS, OFFSET(proxy.grace_ms), "12", 0, 600000},
+	{"proxy", "fair-shares", VALUE_BOOLEAN, OFFSET(proxy.fair_shares), "no", 0, 0},
 	{"proxy", "cost-aware", VALUE_BOOLEAN, OFFSET(proxy.cost_aware), "no", 0, 0},
 	{"proxy", "retry-percent", VALUE_NUMBER, OFFSET(proxy.retry_percent), "10", 0, 100},
 };
--- a/libcaraway/admit.c
+++ b/libcaraway/admit.c
@@ -15,7 +15,7 @@
  *
  * An account that sends many times its usual rate must not take the room of others: when not all calls of a
  * priority can be answered in time, those of accounts above their share (fair_share.c) are refused, also ones that
- * are queued already.  Calls without an account are never refused for others.
+ * are queued already.  Calls without an account are never refused for others.  This is off unless the options say so.
  */
 #include "fair_share.h"
 #include "internal.h"
@@ -356,6 +356,12 @@
 	return is_short_call(admit, cw_admit_service_ms(admit, route));
 }
 
+/* Returns the account that a call is charged to; 0 without fair shares or an account. */
+static uint64_t share_account(const cw_admit_t *admit, const queued_call_t *queued)
+{
+	return admit->options.fair_shares ? queued->call.account : 0;
+}
+
 /*
  * Returns whether a call is short and therefore never refused as crowded.  Calls of accounts are not exempt: one of
  * another account can be refused instead, and routes whose mean is near the limit made most calls late when they
@@ -363,7 +369,7 @@
  */
 static bool is_exempt(const cw_admit_t *admit, const queued_call_t *queued)
 {
-	return !queued->call.account && is_short_call(admit, queued->expected_ms);
+	return !share_account(admit, queued) && is_short_call(admit, queued->expected_ms);
 }
 
 /* Returns whether a call that waits for so long is likely answered by its useful_until_ms. */
@@ -394,9 +400,9 @@
 }
 
 /* Returns a call as its account is charged for it. */
-static cw_fair_call_t fair_call(const queued_call_t *queued)
+static cw_fair_call_t fair_call(const cw_admit_t *admit, const queued_call_t *queued)
 {
-	return (cw_fair_call_t){.account = queued->call.account,
+	return (cw_fair_call_t){.account = share_account(admit, queued),
 				.priority = queued->call.priority,
 				.weight = queued->call.account_weight,
 				.cost_ms = queued->expected_ms,
@@ -414,8 +420,8 @@
 static double excess(const cw_admit_t *admit, const queued_call_t *queued, const queued_call_t *added,
 		     int64_t now_ms)
 {
-	const cw_fair_call_t charged = fair_call(queued);
-	const cw_fair_call_t uncharged = fair_call(added);
+	const cw_fair_call_t charged = fair_call(admit, queued);
+	const cw_fair_call_t uncharged = fair_call(admit, added);
 
 	return cw_fair_share_excess(admit->shares, &charged, &uncharged, now_ms);
 }
@@ -439,7 +445,7 @@
 {
 	guint position = insert_position(admit, &added->call);
 	double added_ms = added->expected_ms / cw_admit_limit(admit, now_ms);
-	bool above_share = added->call.account && is_above_share(admit, added, now_ms);
+	bool above_share = share_account(admit, added) && is_above_share(admit, added, now_ms);
 
 	while (position > 0 && is_less_urgent(admit->queue->pdata[position - 1], added) &&
 	       !fits(admit, added, queue_wait_ms(admit, position, added->expected_ms, now_ms), now_ms))
@@ -469,7 +475,7 @@
 /* Charges a call that has been accepted to its account, if it has one. */
 static void charge_call(cw_admit_t *admit, const queued_call_t *queued, int64_t now_ms)
 {
-	const cw_fair_call_t charged = fair_call(queued);
+	const cw_fair_call_t charged = fair_call(admit, queued);
 
 	if (charged.account)
 		cw_fair_share_charge(admit->shares, &charged, now_ms);
@@ -478,7 +484,7 @@
 /* Refunds the charge of a call that leaves the queue without having started. */
 static void refund_queued(cw_admit_t *admit, const queued_call_t *queued, int64_t now_ms)
 {
-	const cw_fair_call_t charged = fair_call(queued);
+	const cw_fair_call_t charged = fair_call(admit, queued);
 
 	if (charged.account)
 		cw_fair_share_refund(admit->shares, &charged, now_ms);
@@ -511,7 +517,7 @@
 static void start_call(cw_admit_t *admit, const queued_call_t *queued, int64_t now_ms)
 {
 	const running_call_t running = {.id = queued->call.id,
-					.charged = fair_call(queued),
+					.charged = fair_call(admit, queued),
 					.cost_call = cost_call_of(&queued->call),
 					.started_ms = now_ms};
 
@@ -633,7 +639,7 @@
 		added.wait_ms =
 			queue_wait_ms(admit, position, added.expected_ms, now_ms) / wait_correction(admit);
 	cause = arrival_refusal(admit, &added, position, now_ms);
-	if (cause != CW_REASON_NONE && call->account)
+	if (cause != CW_REASON_NONE && share_account(admit, &added))
 		cause = make_room(admit, &added, &position, cause, now_ms);
 	if (cause != CW_REASON_NONE)
 		return refuse(admit, &call->id, now_ms, cause, reason);
--- a/libcaraway/caraway_calls.h
+++ b/libcaraway/caraway_calls.h
@@ -122,6 +122,7 @@
 	uint32_t queue;	  /* calls that may wait for a slot */
 	uint32_t ramp_ms; /* from the first answer of a cold target until it may use all slots */
 	bool cost_aware;  /* waits are estimated from the costs of the calls */
+	bool fair_shares; /* accounts get room by their shares when there is not enough */
 } cw_admit_options_t;
 
 typedef enum {
--- a/tests/unit/test_admission.c
+++ b/tests/unit/test_admission.c
@@ -138,7 +138,8 @@
 	if (g_str_equal(command, "new") && argc == 4) {
 		cw_admit_options_t options = {.slots = (uint32_t)atoi(argv[1]),
 					      .queue = (uint32_t)atoi(argv[2]),
-					      .ramp_ms = (uint32_t)atoi(argv[3])};
+					      .ramp_ms = (uint32_t)atoi(argv[3]),
+					      .fair_shares = true};
 		if (run->admit)
 			cw_admit_free(run->admit);
 		*run = (run_t){.admit = cw_admit_new(&options)};
--- a/tests/unit/test_fair_load.c
+++ b/tests/unit/test_fair_load.c
@@ -199,7 +199,7 @@
 /* Plays the load at a ratio of the capacity. */
 static void play(run_t *run, double ratio)
 {
-	const cw_admit_options_t options = {.slots = SLOTS, .queue = QUEUE};
+	const cw_admit_options_t options = {.slots = SLOTS, .queue = QUEUE, .fair_shares = true};
 	double sizes[ACCOUNTS];
 	double total = 0;
 	double mean_ms = 0;
