At most three times as many connections as the setting allows, when none is idle

Four times 1024 connections of callers and those of other proxies exceed the 3,900 descriptors that a process may have on the platform, so that a crowd of busy callers would have kept other proxies from connecting.

--- a/daemon/http_server.c
+++ b/daemon/http_server.c
@@ -13,8 +13,9 @@
 
 enum {
 	BACKLOG = 512,
-	ACCEPT_BATCH = 64,	  /* connections accepted before other descriptors are served */
-	MAX_EXCESS = 4,		  /* connections that are not idle, in multiples of the limit */
+	ACCEPT_BATCH = 64, /* connections accepted before other descriptors are served */
+	/* Connections that are not idle, in multiples of the limit: 3 times 1024 leave 800 of 3,900 descriptors to others. */
+	MAX_EXCESS = 3,
 	MIN_UNREAD_BYTES = 16384, /* a caller with fewer unread bytes is never closed as a slow reader */
 	TICK_INTERVAL_MS = 200	  /* between checks of the connections' timeouts */
 };
--- a/tests/unit/test_unread.c
+++ b/tests/unit/test_unread.c
@@ -16,7 +16,7 @@
 
 enum {
 	CALLERS = 3,	/* and the limit of connections */
-	MAX_EXCESS = 4, /* connections that are not idle, in multiples of the limit */
+	MAX_EXCESS = 3, /* connections that are not idle, in multiples of the limit */
 	MANY = 40,
 	ANSWER_BYTES = 400000,
 	MAX_UNREAD_BYTES = 600000, /* of one answer, but not of two */
