One name for the rate of an account: calls_per_s, in change files calls-per-s

The field had the name that the operators' platform uses on its wire, outside platform/, while the tool prints calls a second. The number of the field is the same, so that logs and messages keep their meaning. No behaviour changes; the key of change files had not been released.

--- a/cli/render.c
+++ b/cli/render.c
@@ -119,8 +119,8 @@
 			g_string_append_printf(out, "account %s, removed\n", account->name);
 		else
 			g_string_append_printf(out, "account %s: %zu keys, %g calls a second, burst %g\n",
-					       account->name, account->n_key_digests / 2, account->rate_per_s,
-					       account->burst);
+					       account->name, account->n_key_digests / 2,
+					       account->calls_per_s, account->burst);
 	}
 	for (size_t i = 0; i < content->n_limits; i++) {
 		const Caraway__CallerLimits *limits = content->limits[i];
--- a/daemon/allotments.c
+++ b/daemon/allotments.c
@@ -168,7 +168,7 @@
 	for (uint32_t i = 0; i < MIN(allotments->view->account_count, MAX_PREOPENED_OWNERS); i++) {
 		const view_account_t *account = &allotments->view->accounts[i];
 		const candidate_t *owner =
-			account->rate_per_s > 0 ? ranked_candidate(allotments, account->id, 0) : NULL;
+			account->calls_per_s > 0 ? ranked_candidate(allotments, account->id, 0) : NULL;
 
 		if (owner && !is_self(allotments, owner))
 			link_clients_connect(allotments->clients, owner->address);
@@ -183,7 +183,7 @@
 
 	g_hash_table_remove_all(allotments->accounts);
 	for (uint32_t i = 0; i < view->account_count; i++) {
-		is_limited = is_limited || view->accounts[i].rate_per_s > 0;
+		is_limited = is_limited || view->accounts[i].calls_per_s > 0;
 		g_hash_table_insert(allotments->accounts, &view->accounts[i].id, &view->accounts[i]);
 	}
 	candidates = is_limited ? list_candidates(allotments, view)
@@ -279,12 +279,12 @@
 		counter_add(COUNTER_ALLOTMENT_DECLINED, 1);
 		return false;
 	}
-	limit = (cw_allotment_limit_t){.rate_per_s = account->rate_per_s,
+	limit = (cw_allotment_limit_t){.calls_per_s = account->calls_per_s,
 				       .burst = account->burst,
 				       .window_ms = allotments->settings->allotment_window_ms,
 				       .overage_permille = allotments->settings->allotment_overage_permille};
 	*granted = (cw_allotment_grant_t){.tokens = need->tokens};
-	if (limit.rate_per_s > 0)
+	if (limit.calls_per_s > 0)
 		*granted = cw_allotment_owner_grant(allotments->owner, account_id, &limit, title,
 						    allotments->candidates_since_ms, need, now_ms);
 	counter_add(COUNTER_ALLOTMENT_GRANTED, granted->tokens + granted->spare_tokens);
--- a/daemon/forward.c
+++ b/daemon/forward.c
@@ -259,7 +259,7 @@
 {
 	uint32_t retry_after_ms = 0;
 
-	if (!call->account || call->account->rate_per_s <= 0) {
+	if (!call->account || call->account->calls_per_s <= 0) {
 		start_granted_call(forward, call);
 		return;
 	}
--- a/daemon/view.c
+++ b/daemon/view.c
@@ -213,7 +213,7 @@
 	copy->id = cw_hash(account->name, strlen(account->name), 0) | 1;
 	copy->has_priority = account->has_priority;
 	copy->priority = account->priority;
-	copy->rate_per_s = account->rate_per_s;
+	copy->calls_per_s = account->calls_per_s;
 	copy->burst = account->burst;
 	if (account->n_key_salt == G_N_ELEMENTS(view->key_salt))
 		memcpy(view->key_salt, account->key_salt, sizeof(view->key_salt));
--- a/daemon/view.h
+++ b/daemon/view.h
@@ -57,9 +57,9 @@
 	char *name;
 	uint64_t id; /* hash of the name, not 0 */
 	bool has_priority;
-	uint32_t priority; /* takes precedence over that of a route */
-	double rate_per_s; /* calls a second, by all proxies together; 0: without limit */
-	double burst;	   /* calls beyond the rate */
+	uint32_t priority;  /* takes precedence over that of a route */
+	double calls_per_s; /* calls a second, by all proxies together; 0: without limit */
+	double burst;	    /* calls beyond the rate */
 } view_account_t;
 
 /* The view; not changed after it was published, except for the reference count. */
--- a/libcaraway/account.c
+++ b/libcaraway/account.c
@@ -12,7 +12,7 @@
 	DIGEST_WORDS = 2 /* of a key, and of the salt */
 };
 
-static const double max_rate_per_s = 1e9;
+static const double max_calls_per_s = 1e9;
 
 /* Returns whether a text can be the value of a header: printable ASCII without spaces, and not too long. */
 static bool key_is_valid(const char *key)
@@ -44,12 +44,12 @@
 /* Checks the fields of an account that is not a removal. */
 cw_status_t account_check(const Caraway__ClientAccount *account)
 {
-	if (!(account->rate_per_s >= 0 && account->rate_per_s <= max_rate_per_s))
+	if (!(account->calls_per_s >= 0 && account->calls_per_s <= max_calls_per_s))
 		return cw_fail(CW_ERR_CHANGE_FILE, "account %s: the rate is not between 0 and %g",
-			       account->name, max_rate_per_s);
-	if (!(account->burst >= 0 && account->burst <= max_rate_per_s))
+			       account->name, max_calls_per_s);
+	if (!(account->burst >= 0 && account->burst <= max_calls_per_s))
 		return cw_fail(CW_ERR_CHANGE_FILE, "account %s: the burst is not between 0 and %g",
-			       account->name, max_rate_per_s);
+			       account->name, max_calls_per_s);
 	return check_keys(account);
 }
 
--- a/libcaraway/allotment.c
+++ b/libcaraway/allotment.c
@@ -126,9 +126,9 @@
 }
 
 /* Returns the tokens that a rate gives in a time, or a minimum of one. */
-static double tokens_of(double rate_per_s, int64_t time_ms)
+static double tokens_of(double calls_per_s, int64_t time_ms)
 {
-	return MAX(rate_per_s * (double)time_ms / MS_PER_S, 1);
+	return MAX(calls_per_s * (double)time_ms / MS_PER_S, 1);
 }
 
 /* Returns the bucket of an account, created if needed; NULL when there are too many. */
@@ -141,7 +141,7 @@
 		return bucket;
 	bucket = g_new(bucket_t, 1);
 	*bucket = (bucket_t){.account = account,
-			     .tokens = tokens_of(limit->rate_per_s, START_MS),
+			     .tokens = tokens_of(limit->calls_per_s, START_MS),
 			     .since_ms = since_ms,
 			     .updated_ms = since_ms,
 			     .last_slot = since_ms / SLOT_MS};
@@ -168,7 +168,7 @@
 {
 	double overage = overage_use * limit->overage_permille / PERMILLE;
 
-	return (limit->rate_per_s * limit->window_ms / MS_PER_S + limit->burst) * (1 + overage);
+	return (limit->calls_per_s * limit->window_ms / MS_PER_S + limit->burst) * (1 + overage);
 }
 
 /*
@@ -178,7 +178,7 @@
 static double refill_per_s(const bucket_t *bucket, const cw_allotment_limit_t *limit, int64_t now_ms)
 {
 	if (!limit->window_ms || now_ms < bucket->since_ms + limit->window_ms)
-		return limit->rate_per_s;
+		return limit->calls_per_s;
 	return window_limit(limit) * MS_PER_S / limit->window_ms;
 }
 
@@ -223,7 +223,7 @@
 		memset(bucket->granted, 0, sizeof(bucket->granted));
 		memset(bucket->spare, 0, sizeof(bucket->spare));
 		memset(bucket->scarce, 0, sizeof(bucket->scarce));
-		bucket->tokens = MIN(bucket->tokens, tokens_of(limit->rate_per_s, START_MS));
+		bucket->tokens = MIN(bucket->tokens, tokens_of(limit->calls_per_s, START_MS));
 	}
 	bucket->window_limit = window_limit(limit);
 }
@@ -233,7 +233,7 @@
 			  uint32_t asked, int64_t now_ms)
 {
 	double elapsed_ms = (double)MAX(now_ms - bucket->updated_ms, 0);
-	double capacity = MAX(limit->burst, tokens_of(limit->rate_per_s, MIN_CAPACITY_MS));
+	double capacity = MAX(limit->burst, tokens_of(limit->calls_per_s, MIN_CAPACITY_MS));
 
 	advance_slots(bucket, now_ms);
 	apply_limit(bucket, limit);
@@ -247,9 +247,9 @@
 /* Returns when callers that are refused should return: when those refused within a second can have been served. */
 static uint32_t retry_after_ms(const bucket_t *bucket, const cw_allotment_limit_t *limit)
 {
-	double excess = MAX(bucket->demand_per_s / limit->rate_per_s - 1, 0);
+	double excess = MAX(bucket->demand_per_s / limit->calls_per_s - 1, 0);
 
-	return (uint32_t)CLAMP(MS_PER_S * excess, MS_PER_S / limit->rate_per_s, MAX_RETRY_AFTER_MS);
+	return (uint32_t)CLAMP(MS_PER_S * excess, MS_PER_S / limit->calls_per_s, MAX_RETRY_AFTER_MS);
 }
 
 /* Notes that an origin is active; returns how many are, at least MAX_ACTIVE + 1 when they are too many to count. */
@@ -326,7 +326,7 @@
 	return_unspent(bucket, need->unspent);
 	left = MIN(bucket->tokens, left_in_window(bucket, limit));
 	grant.tokens = (uint32_t)MIN(floor(left), (double)need->tokens);
-	grant.scarce = left < tokens_of(limit->rate_per_s, SLOT_MS);
+	grant.scarce = left < tokens_of(limit->calls_per_s, SLOT_MS);
 	bucket->tokens -= grant.tokens;
 	(grant.scarce ? bucket->scarce : bucket->granted)[bucket->last_slot % MAX_SLOTS] += grant.tokens;
 	grant.retry_after_ms = grant.tokens < need->tokens ? retry_after_ms(bucket, limit) : 0;
--- a/libcaraway/caraway_calls.h
+++ b/libcaraway/caraway_calls.h
@@ -419,7 +419,7 @@
  * length; without, a token bucket, which allows the burst only after a time below the rate.
  */
 typedef struct {
-	double rate_per_s;
+	double calls_per_s;
 	double burst;
 	uint32_t window_ms;	   /* 0: none; at most CW_ALLOTMENT_MAX_WINDOW_MS */
 	uint32_t overage_permille; /* by which a window may exceed the limit */
--- a/libcaraway/change.c
+++ b/libcaraway/change.c
@@ -19,7 +19,7 @@
 	"priority", "max-attempts", "split",  "access",	    "remove", NULL};
 static const char *const limits_keys[] = {"max-header-bytes", "max-body-bytes", "header-timeout-ms",
 					  "idle-timeout-ms",  "remove",		NULL};
-static const char *const account_keys[] = {"key-salt", "key-digests", "priority", "rate-per-s",
+static const char *const account_keys[] = {"key-salt", "key-digests", "priority", "calls-per-s",
 					   "burst",    "remove",      NULL};
 static const char *const target_keys[] = {"service", "selector", "remove", NULL};
 
@@ -261,7 +261,7 @@
 	if (!status)
 		status = read_digests(reader, "key-digests", &account->n_key_digests, &account->key_digests);
 	if (!status)
-		status = read_amount(reader, "rate-per-s", &account->has_rate, &account->rate_per_s);
+		status = read_amount(reader, "calls-per-s", &account->has_rate, &account->calls_per_s);
 	if (!status)
 		status = read_amount(reader, "burst", &account->has_burst, &account->burst);
 	account->has_priority = g_key_file_has_key(reader->keys, reader->group, "priority", NULL);
--- a/libcaraway/gen/caraway.pb-c.c
+++ b/libcaraway/gen/caraway.pb-c.c
@@ -4311,12 +4311,12 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "rate_per_s",
+    "calls_per_s",
     9,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_DOUBLE,
     0,   /* quantifier_offset */
-    offsetof(Caraway__ClientAccount, rate_per_s),
+    offsetof(Caraway__ClientAccount, calls_per_s),
     NULL,
     NULL,
     0,             /* flags */
@@ -4349,6 +4349,7 @@
 };
 static const unsigned caraway__client_account__field_indices_by_name[] = {
   10,   /* field[10] = burst */
+  8,   /* field[8] = calls_per_s */
   9,   /* field[9] = has_burst */
   5,   /* field[5] = has_priority */
   7,   /* field[7] = has_rate */
@@ -4357,7 +4358,6 @@
   4,   /* field[4] = keys */
   0,   /* field[0] = name */
   6,   /* field[6] = priority */
-  8,   /* field[8] = rate_per_s */
   1,   /* field[1] = removed */
 };
 static const ProtobufCIntRange caraway__client_account__number_ranges[1 + 1] =
--- a/libcaraway/gen/caraway.pb-c.h
+++ b/libcaraway/gen/caraway.pb-c.h
@@ -331,7 +331,7 @@
   /*
    * calls a second, by all proxies together; 0: without limit
    */
-  double rate_per_s;
+  double calls_per_s;
   protobuf_c_boolean has_burst;
   /*
    * calls beyond the rate
--- a/tests/unit/test_allotment.c
+++ b/tests/unit/test_allotment.c
@@ -267,10 +267,10 @@
 {
 	double seconds = (double)run->now_ms / MS_PER_S;
 	double allowed = run->limit.window_ms
-				 ? (run->limit.rate_per_s * WINDOW_MS / MS_PER_S + run->limit.burst) *
+				 ? (run->limit.calls_per_s * WINDOW_MS / MS_PER_S + run->limit.burst) *
 					   seconds * MS_PER_S / WINDOW_MS
-				 : run->limit.rate_per_s * seconds + run->limit.burst;
-	double tolerated = (run->limit.rate_per_s * WINDOW_MS / MS_PER_S + run->limit.burst) * 1.1 + 20;
+				 : run->limit.calls_per_s * seconds + run->limit.burst;
+	double tolerated = (run->limit.calls_per_s * WINDOW_MS / MS_PER_S + run->limit.burst) * 1.1 + 20;
 
 	g_string_append_printf(out, "served %d%% of demand, used %d%% of the limit, worst window %s (%d%%)\n",
 			       percent((double)run->served, (double)run->asked),
@@ -336,7 +336,7 @@
 	run->demand_per_s = argument(argc, argv, "demand", 100);
 	run->skew = argument(argc, argv, "skew", 0);
 	run->move_s = argument(argc, argv, "move", 0);
-	run->limit.rate_per_s = argument(argc, argv, "rate", 100);
+	run->limit.calls_per_s = argument(argc, argv, "rate", 100);
 	run->limit.burst = argument(argc, argv, "burst", 100);
 	run->limit.overage_permille = (uint32_t)argument(argc, argv, "overage", 0);
 	run->limit.window_ms = (uint32_t)argument(argc, argv, "window", 0) * MS_PER_S;
--- a/tests/unit/test_change.c
+++ b/tests/unit/test_change.c
@@ -30,7 +30,7 @@
 
 		g_string_append_printf(out, "account %s keys %zu priority %s rate %g burst %g%s\n",
 				       account->name, account->n_key_digests / 2, priority,
-				       account->rate_per_s, account->burst,
+				       account->calls_per_s, account->burst,
 				       account->removed ? " removed" : "");
 	}
 	for (size_t i = 0; i < content->n_targets; i++) {
--- a/tests/unit/test_client_accounts.c
+++ b/tests/unit/test_client_accounts.c
@@ -93,7 +93,7 @@
 	g_autofree char *sections =
 		g_strdup_printf("[service tabla]\n[route board]\npath=/board\nservice=tabla\n"
 				"[route open]\npath=/open\nservice=tabla\naccess=public\n"
-				"[account posta]\nkey-salt=%s\nkey-digests=%s\nrate-per-s=%d\nburst=%d\n"
+				"[account posta]\nkey-salt=%s\nkey-digests=%s\ncalls-per-s=%d\nburst=%d\n"
 				"[account vasut]\nkey-salt=%s\nkey-digests=%s\n",
 				salt, posta, RATE, RATE, salt, vasut);
 
--- a/tests/unit/test_rollout.c
+++ b/tests/unit/test_rollout.c
@@ -42,7 +42,7 @@
 typedef struct {
 	GRand *random;
 	int origin_count;
-	double rate_per_s;
+	double calls_per_s;
 	int64_t duration_ms;
 	fault_t fault;
 	cw_rollout_account_t accounts[MAX_ORIGINS];
@@ -182,7 +182,7 @@
 	run->rollout = cw_rollout_new(0, run->duration_ms, CW_ROLLOUT_PROBE, 0);
 	run->last = (cw_rollout_decision_t){.step = CW_ROLLOUT_PROBE, .reason = ""};
 	for (int64_t now_ms = 0; now_ms < 2 * run->duration_ms; now_ms++) {
-		double arrivals = run->rate_per_s / MS_PER_S;
+		double arrivals = run->calls_per_s / MS_PER_S;
 
 		if (run->verdict_ms && now_ms >= run->verdict_ms + ROLLBACK_MS)
 			break;
@@ -218,7 +218,7 @@
 
 	run->random = g_rand_new_with_seed(seed);
 	run->origin_count = (int)argument(argc, argv, "origins", 80);
-	run->rate_per_s = argument(argc, argv, "rate", 400);
+	run->calls_per_s = argument(argc, argv, "rate", 400);
 	run->duration_ms = (int64_t)(argument(argc, argv, "duration", 30) * MS_PER_S);
 	run->fault = (fault_t){.errors = argument(argc, argv, "errors", 0),
 			       .speed = argument(argc, argv, "speed", 0),
