Keys of accounts with different salts are accepted

A view kept the salt of the account that it copied last, so that with accounts of change files under several salts valid keys got 401. It keeps all salts. test_accounts (test_keys_of_requests) fails on the code before: bad-key in place of an accepted call.

--- a/daemon/view.c
+++ b/daemon/view.c
@@ -7,6 +7,13 @@
 #include <string.h>
 #include <urcu/urcu-memb.h>
 
+enum { KEY_SALT_WORDS = 2 };
+
+/* The salt of digests of keys. */
+typedef struct {
+	uint64_t words[KEY_SALT_WORDS];
+} key_salt_t;
+
 /* State of a view under construction. */
 typedef struct {
 	const cw_catalog_t *catalog; /* holds the labels of the VMs */
@@ -204,6 +211,21 @@
 	return !sodium_memcmp(left, right, sizeof(cw_key_digest_t));
 }
 
+/*
+ * Adds a salt to those of a view, unless it is there.  Accounts of change files may have salts of their own; with that
+ * of one account only, the keys of the others were refused as unknown.
+ */
+static void add_key_salt(view_t *view, const uint64_t *words)
+{
+	key_salt_t salt;
+
+	memcpy(salt.words, words, sizeof(salt.words));
+	for (guint i = 0; i < view->key_salts->len; i++)
+		if (!memcmp(&g_array_index(view->key_salts, key_salt_t, i), &salt, sizeof(salt)))
+			return;
+	g_array_append_val(view->key_salts, salt);
+}
+
 /* Copies a client account into a view and indexes it by its keys. */
 static void copy_account(view_t *view, const Caraway__ClientAccount *account)
 {
@@ -215,8 +237,8 @@
 	copy->priority = account->priority;
 	copy->calls_per_s = account->calls_per_s;
 	copy->burst = account->burst;
-	if (account->n_key_salt == G_N_ELEMENTS(view->key_salt))
-		memcpy(view->key_salt, account->key_salt, sizeof(view->key_salt));
+	if (account->n_key_salt == KEY_SALT_WORDS)
+		add_key_salt(view, account->key_salt);
 	for (size_t i = 0; i + 1 < account->n_key_digests; i += 2)
 		g_hash_table_insert(view->accounts_by_key,
 				    g_memdup2(&account->key_digests[i], sizeof(cw_key_digest_t)), copy);
@@ -228,6 +250,7 @@
 	if (!config->accounts->len)
 		return;
 	view->accounts = g_new0(view_account_t, config->accounts->len);
+	view->key_salts = g_array_new(FALSE, FALSE, sizeof(key_salt_t));
 	view->accounts_by_key = g_hash_table_new_full(hash_key_digest, key_digests_equal, g_free, NULL);
 	for (guint i = 0; i < config->accounts->len; i++)
 		copy_account(view, g_ptr_array_index(config->accounts, i));
@@ -236,9 +259,15 @@
 /* Returns the client account that has a key. */
 const view_account_t *view_find_account(const view_t *view, const char *key)
 {
-	cw_key_digest_t digest = cw_account_key_digest(view->key_salt, key);
+	const view_account_t *account = NULL;
 
-	return g_hash_table_lookup(view->accounts_by_key, &digest);
+	for (guint i = 0; i < view->key_salts->len && !account; i++) {
+		const key_salt_t *salt = &g_array_index(view->key_salts, key_salt_t, i);
+		cw_key_digest_t digest = cw_account_key_digest(salt->words, key);
+
+		account = g_hash_table_lookup(view->accounts_by_key, &digest);
+	}
+	return account;
 }
 
 /* Orders routes by length of the path, longest first, then by path and name. */
@@ -334,8 +363,10 @@
 	for (uint32_t i = 0; i < view->account_count; i++)
 		g_free(view->accounts[i].name);
 	g_free(view->accounts);
-	if (view->accounts_by_key)
+	if (view->accounts_by_key) {
 		g_hash_table_destroy(view->accounts_by_key);
+		g_array_unref(view->key_salts);
+	}
 	cw_message_free(view->limits);
 	g_free(view->health_path);
 	g_free(view->endpoints);
--- a/daemon/view.h
+++ b/daemon/view.h
@@ -75,7 +75,7 @@
 	GHashTable *routes_by_path; /* path -> the first route of that path */
 	view_account_t *accounts;
 	uint32_t account_count;
-	uint64_t key_salt[2];	       /* of the digests of the accounts' keys */
+	GArray *key_salts; /* key_salt_t: all that digests of the accounts' keys have; usually one */
 	GHashTable *accounts_by_key;   /* cw_key_digest_t -> view_account_t; NULL: there are no accounts */
 	Caraway__CallerLimits *limits; /* NULL: not configured */
 	char *health_path;	       /* of the service of this VM's target; "": not configured */
--- a/tests/unit/test_accounts.c
+++ b/tests/unit/test_accounts.c
@@ -110,12 +110,15 @@
 }
 END_TEST
 
-/* Publishes a view with an account and two routes, one of them public. */
+/* Publishes a view with two accounts, whose digests have different salts, and two routes, one of them public. */
 static published_view_t *publish(const char *key)
 {
 	published_view_t *published = published_view_new();
 	Caraway__ClientAccount *account = new_account("posta", key);
-	Caraway__ClientAccount *sealed = cw_account_seal(account, salt);
+	static const uint64_t other_salt[] = {5, 6};
+	Caraway__ClientAccount *other = new_account("vasut", "other key");
+	Caraway__ClientAccount *sealed[] = {cw_account_seal(account, salt),
+					    cw_account_seal(other, other_salt)};
 	Caraway__Content content = CARAWAY__CONTENT__INIT;
 	Caraway__Route private_route = CARAWAY__ROUTE__INIT;
 	Caraway__Route public_route = CARAWAY__ROUTE__INIT;
@@ -132,13 +135,15 @@
 	private_route.service = public_route.service = "tabla";
 	content.n_routes = G_N_ELEMENTS(routes);
 	content.routes = routes;
-	content.n_accounts = 1;
-	content.accounts = &sealed;
+	content.n_accounts = G_N_ELEMENTS(sealed);
+	content.accounts = sealed;
 	cw_catalog_apply(catalog, &content, 1, 1);
 	published_view_replace(published, view_new(catalog, &vm, endpoints));
 	cw_catalog_free(catalog);
 	cw_message_free(account);
-	cw_message_free(sealed);
+	cw_message_free(other);
+	cw_message_free(sealed[0]);
+	cw_message_free(sealed[1]);
 	return published;
 }
 
@@ -197,6 +202,8 @@
 	urcu_memb_register_thread();
 	published_view_set_current_until(published, clock_now_ms() + LEASE_MS);
 	expect(published, "/private", "k1", CW_REASON_NONE, "Accept=x;X-Account=posta;");
+	/* The digest of this key has another salt than those of the account before. */
+	expect(published, "/private", "other key", CW_REASON_NONE, "Accept=x;X-Account=vasut;");
 	expect(published, "/private", "k2", CW_REASON_BAD_KEY, NULL);
 	expect(published, "/private", NULL, CW_REASON_BAD_KEY, NULL);
 	expect(published, "/public", "k2", CW_REASON_NONE, "Accept=x;");
