Waits by cost sum the calls ahead, in place of a difference that could be negative

Cause: cw_admit_wait_ms() subtracted the uncorrected work of overtaken calls from a corrected estimate. A negative difference was converted to uint32_t: a wait of 49 days, for which an origin avoids the endpoint for about 25 s. Change: while cost-aware, only the calls that are not overtaken are summed and estimated. Without cost-aware the calculation is as before.

--- a/libcaraway/admit.c
+++ b/libcaraway/admit.c
@@ -304,18 +304,21 @@
 }
 
 /*
- * Estimates when a call at a queue position starts, from how long each running call has run: the first slot
- * is freed when one of them is done, and the calls before it in the queue then pass through the slots that
- * are not held by calls which go on for long.
+ * Estimates when a call starts that waits for queued calls with the expected service times queued_ms, from how
+ * long each running call has run: the first slot is freed when one of them is done, and the calls before it in
+ * the queue then pass through the slots that are not held by calls which go on for long.
  */
-static double cost_wait_ms(const cw_admit_t *admit, guint position, int64_t now_ms)
+static double cost_wait_ms(const cw_admit_t *admit, double queued_ms, int64_t now_ms)
 {
 	const running_estimate_t *running = running_estimate((cw_admit_t *)admit, now_ms);
-	double work_ms = 0;
 
-	for (guint i = 0; i < position; i++)
-		work_ms += ((const queued_call_t *)admit->queue->pdata[i])->expected_ms;
-	return wait_correction(admit) * (running->first_ms + work_ms / MAX(running->turning, 1));
+	return wait_correction(admit) * (running->first_ms + queued_ms / MAX(running->turning, 1));
+}
+
+/* Returns whether waits are estimated by cost_wait_ms(). */
+static bool estimates_by_cost(const cw_admit_t *admit)
+{
+	return admit->cost && admit->service_ms > 0;
 }
 
 /*
@@ -328,10 +331,12 @@
 {
 	double work_ms = admit->service_ms > 0 ? admit->service_ms : expected_ms;
 
-	if (admit->cost && admit->service_ms > 0)
-		return cost_wait_ms(admit, position, now_ms);
+	if (estimates_by_cost(admit))
+		work_ms = 0;
 	for (guint i = 0; i < position; i++)
 		work_ms += ((const queued_call_t *)admit->queue->pdata[i])->expected_ms;
+	if (estimates_by_cost(admit))
+		return cost_wait_ms(admit, work_ms, now_ms);
 	return work_ms / cw_admit_limit(admit, now_ms);
 }
 
@@ -997,11 +1002,15 @@
 	return admit->options.slots;
 }
 
-/* Estimates the wait of a call of a priority that overtakes those of lower priority; 0 while a slot is free. */
+/*
+ * Estimates the wait of a call of a priority that overtakes those of lower priority; 0 while a slot is free.
+ * By cost, only the calls ahead are summed: their estimate is corrected, so work of others cannot be subtracted.
+ */
 uint32_t cw_admit_wait_ms(const cw_admit_t *admit, uint32_t priority, int64_t now_ms)
 {
 	guint queued = admit->queue->len;
 	double overtaken_ms = 0;
+	double ahead_ms = 0;
 
 	if (admit->running < cw_admit_limit(admit, now_ms))
 		return 0;
@@ -1010,7 +1019,11 @@
 
 		if (call->call.priority > priority)
 			overtaken_ms += call->expected_ms;
+		else
+			ahead_ms += call->expected_ms;
 	}
+	if (estimates_by_cost(admit))
+		return (uint32_t)cost_wait_ms(admit, ahead_ms, now_ms);
 	return (uint32_t)(queue_wait_ms(admit, queued, 0, now_ms) -
 			  overtaken_ms / cw_admit_limit(admit, now_ms));
 }
--- a/tests/unit/test_admission.c
+++ b/tests/unit/test_admission.c
@@ -127,19 +127,21 @@
 }
 
 /*
- * Runs one script command: one of the above, "new SLOTS QUEUE RAMP_MS", "at NOW_MS",
- * "mark-warm", "drain on|off", "start-until MS" or "load", which prints the calls in use and their limit.
+ * Runs one script command: one of the above, "new SLOTS QUEUE RAMP_MS [cost-aware]", "at NOW_MS",
+ * "mark-warm", "drain on|off", "start-until MS", "wait PRIORITY", which prints the estimated wait of such a call, or
+ * "load", which prints the calls in use and their limit.
  */
 static void run_command(void *data, int argc, char **argv, GString *out)
 {
 	run_t *run = data;
 	const char *command = argv[0];
 
-	if (g_str_equal(command, "new") && argc == 4) {
+	if (g_str_equal(command, "new") && argc >= 4) {
 		cw_admit_options_t options = {.slots = (uint32_t)atoi(argv[1]),
 					      .queue = (uint32_t)atoi(argv[2]),
 					      .ramp_ms = (uint32_t)atoi(argv[3]),
-					      .fair_shares = true};
+					      .fair_shares = true,
+					      .cost_aware = argc > 4};
 		if (run->admit)
 			cw_admit_free(run->admit);
 		*run = (run_t){.admit = cw_admit_new(&options)};
@@ -165,6 +167,9 @@
 		cw_admit_set_draining(run->admit, g_str_equal(argv[1], "on"));
 	} else if (g_str_equal(command, "start-until")) {
 		cw_admit_set_start_until(run->admit, atoll(argv[1]));
+	} else if (g_str_equal(command, "wait")) {
+		g_string_append_printf(out, "%u ms\n",
+				       cw_admit_wait_ms(run->admit, (uint32_t)atoi(argv[1]), run->now_ms));
 	} else if (g_str_equal(command, "load")) {
 		g_string_append_printf(out, "load %u limit %u\n", cw_admit_load(run->admit),
 				       cw_admit_limit(run->admit, run->now_ms));
