A call that hangs for long does not count as nearly done

Cause: exp(-ran/mean) underflows beyond about 745 times the mean, so no samples were left and the expected rest was 0: a hung target of cheap calls reported a short wait. Change: without samples the rest is the greater of the mean and the time run. Test: tests/cost/misled.script, which on the code before showed "rest 0 3000 4" -> 0 ms, and 3000 ms now.

--- a/libcaraway/cost.c
+++ b/libcaraway/cost.c
@@ -169,7 +169,8 @@
 		result.samples += samples;
 		result.rest_ms += samples * ((from_ms + end_ms) / 2 - ran_ms);
 	}
-	result.rest_ms /= MAX(result.samples, DBL_MIN);
+	/* Beyond about 700 means the assumed samples vanish too, but a call that hangs is not about to end. */
+	result.rest_ms = result.samples > DBL_MIN ? result.rest_ms / result.samples : MAX(mean, ran_ms);
 	return result;
 }
 
