Estimate the wait of an accepted call after others have made room for it

Cause: enqueue() stored the estimate that learn_wait() compares with the real wait before make_room() displaced queued calls and moved the new one, so waits appeared shorter than estimated with fair-shares and cost-aware. Change: the estimate is made once the position is final. Test: tests/admission/cost.script, which on the code before showed "wait 1" -> 230 ms (correction 0.86), and 268 ms now (correction 1).

--- a/libcaraway/admit.c
+++ b/libcaraway/admit.c
@@ -640,14 +640,15 @@
 	added.limit_ms = service_limit_ms(admit, call, added.expected_ms, deviation_factor);
 	position = choose_position(admit, &added, now_ms);
 	added.queued_ms = now_ms;
-	if (admit->cost)
-		added.wait_ms =
-			queue_wait_ms(admit, position, added.expected_ms, now_ms) / wait_correction(admit);
 	cause = arrival_refusal(admit, &added, position, now_ms);
 	if (cause != CW_REASON_NONE && share_account(admit, &added))
 		cause = make_room(admit, &added, &position, cause, now_ms);
 	if (cause != CW_REASON_NONE)
 		return refuse(admit, &call->id, now_ms, cause, reason);
+	/* Not before make_room(), which may change the position and the calls ahead. */
+	if (admit->cost)
+		added.wait_ms =
+			queue_wait_ms(admit, position, added.expected_ms, now_ms) / wait_correction(admit);
 	charge_call(admit, &added, now_ms);
 	g_ptr_array_insert(admit->queue, (gint)position, g_memdup2(&added, sizeof(added)));
 	cw_records_set(admit->records, &call->id, CW_RECORD_WAITING, now_ms);
