--- a/tests/unit/test_mesh_load.c
+++ b/tests/unit/test_mesh_load.c
@@ -7,8 +7,8 @@
 #include "mesh_sim.h"
 #include "script.h"
 
-/* Runs that differ in random choices only, as with other rounding of floating point, differ by this in value. */
-#define MAX_NOISE 0.005
+/* Loss of value that passes: half of the noise, as other seeds move values by up to 0.01 (docs/design/cost.md). */
+#define MAX_LOSS 0.005
 
 enum { TIMEOUT_S = 300, BROWSE = 0, COMMISSION, PROOF, DEPOSIT, SLOT_CHECK, LETTERING };
 
@@ -147,7 +147,8 @@
 
 /*
  * Under uneven costs, speeds and demand the value is no lower than that of simple load balancing in front of
- * targets that reject what exceeds their queue, and cost-aware decisions lose none of it.
+ * targets that reject what exceeds their queue, and cost-aware decisions lose at most MAX_LOSS of it.  One seed: it
+ * guards against decisions that cost callers clearly more than noise, and shows no gain.
  */
 START_TEST(test_uneven_load)
 {
@@ -168,7 +169,7 @@
 	best = MAX(best, mesh_sim_value_share(sim));
 	mesh_sim_free(sim);
 	sim = mesh_sim_run(&load, MESH_COST, _i ? "uneven, 1.1" : "uneven, 0.9");
-	ck_assert_msg(mesh_sim_value_share(sim) >= best - MAX_NOISE, "cost-aware: value %.3f, otherwise %.3f",
+	ck_assert_msg(mesh_sim_value_share(sim) >= best - MAX_LOSS, "cost-aware: value %.3f, otherwise %.3f",
 		      mesh_sim_value_share(sim), best);
 	mesh_sim_free(sim);
 }
