Costs of accounts make room before those of routes

Cause: remove_unused() removed the classes that were not used for long, whatever their kind, so the accounts of one route evicted what was known of other routes. Change: classes of accounts and lengths of the body go first, those of routes only when no others are left. The bound on all classes is as before.

--- a/libcaraway/cost.c
+++ b/libcaraway/cost.c
@@ -46,6 +46,7 @@
 /* The costs of a class of calls. */
 typedef struct {
 	uint64_t key;
+	feature_t feature;
 	float counts[BUCKETS]; /* decaying */
 	double samples;	       /* their sum */
 	double sum_ms;
@@ -233,29 +234,54 @@
 	return CLAMP(answer_ratio(cost) / exp(cost->usual_ratio), lowest_speed, highest_speed);
 }
 
-/* Returns whether a class was not used since the time *data. */
-static gboolean is_unused(gpointer key, gpointer value, gpointer data)
+/* Classes that may be removed. */
+typedef struct {
+	bool routes;	   /* also those of routes */
+	int64_t before_ms; /* not used since */
+} removable_t;
+
+/* Returns whether a class, the value, is one of *data. */
+static gboolean is_removable(gpointer key, gpointer value, gpointer data)
 {
 	const class_t *class = value;
-	const int64_t *before_ms = data;
+	const removable_t *removable = data;
 
 	(void)key;
-	return class->used_ms < *before_ms;
+	return (removable->routes || class->feature != FEATURE_ROUTE) &&
+	       class->used_ms < removable->before_ms;
 }
 
-/* Makes room for a class: removes those that were not used in the second half of the time that samples are from. */
-static void remove_unused(cw_cost_t *cost, int64_t now_ms)
+/*
+ * Removes classes that were not used in the second half of the time that samples are from: those of accounts and
+ * lengths of the body, or all kinds.
+ */
+static void remove_unused(cw_cost_t *cost, bool routes, int64_t now_ms)
 {
+	removable_t removable = {.routes = routes};
 	int64_t oldest_ms = now_ms;
-	int64_t before_ms;
 	GHashTableIter iter;
 	gpointer value;
 
 	g_hash_table_iter_init(&iter, cost->classes);
-	while (g_hash_table_iter_next(&iter, NULL, &value))
-		oldest_ms = MIN(oldest_ms, ((const class_t *)value)->used_ms);
-	before_ms = oldest_ms + (now_ms - oldest_ms) / 2 + 1;
-	g_hash_table_foreach_remove(cost->classes, is_unused, &before_ms);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const class_t *class = value;
+
+		if (routes || class->feature != FEATURE_ROUTE)
+			oldest_ms = MIN(oldest_ms, class->used_ms);
+	}
+	removable.before_ms = oldest_ms + (now_ms - oldest_ms) / 2 + 1;
+	g_hash_table_foreach_remove(cost->classes, is_removable, &removable);
+}
+
+/*
+ * Makes room for a class.  Those of routes are removed last: each of them stands in for calls whose account or
+ * length has no class, and without it nothing is known of these.
+ */
+static void make_room(cw_cost_t *cost, int64_t now_ms)
+{
+	remove_unused(cost, false, now_ms);
+	if (g_hash_table_size(cost->classes) >= MAX_CLASSES)
+		remove_unused(cost, true, now_ms);
 	if (g_hash_table_size(cost->classes) >= MAX_CLASSES)
 		g_hash_table_remove_all(cost->classes);
 }
@@ -268,9 +294,10 @@
 
 	if (!class) {
 		if (g_hash_table_size(cost->classes) >= MAX_CLASSES)
-			remove_unused(cost, now_ms);
+			make_room(cost, now_ms);
 		class = g_new0(class_t, 1);
 		class->key = class_key(call, feature);
+		class->feature = feature;
 		g_hash_table_insert(cost->classes, &class->key, class);
 	}
 	for (int i = 0; i < BUCKETS; i++)
--- a/tests/unit/test_cost.c
+++ b/tests/unit/test_cost.c
@@ -43,8 +43,8 @@
 }
 
 /*
- * The commands above, "accounts COUNT MS ROUTE": one answer for each account, "cost 0 0 ROUTE [ACCOUNT [BODY]]",
- * "rest 0 MS ROUTE", "speed", and "classes".
+ * The commands above, "accounts COUNT MS ROUTE": one answer for each account, "routes COUNT MS": one answer for each
+ * route from 10 on, "cost 0 0 ROUTE [ACCOUNT [BODY]]", "rest 0 MS ROUTE", "speed", and "classes".
  */
 static void run_command(void *data, int argc, char **argv, GString *out)
 {
@@ -58,6 +58,9 @@
 	} else if (g_str_equal(argv[0], "accounts")) {
 		for (call.account = 1; call.account <= strtoull(argv[1], NULL, 10); call.account++)
 			cw_cost_answered(run->cost, &call, atof(argv[2]), ++run->now_ms);
+	} else if (g_str_equal(argv[0], "routes")) {
+		for (call.route = 10; call.route < 10 + strtoull(argv[1], NULL, 10); call.route++)
+			cw_cost_answered(run->cost, &call, atof(argv[2]), ++run->now_ms);
 	} else if (g_str_equal(argv[0], "answered") || g_str_equal(argv[0], "failed")) {
 		run_ended(run, argv, &call);
 	} else if (g_str_equal(argv[0], "cost")) {
