--- a/review/mesh-2.sh
+++ b/review/mesh-2.sh
@@ -9,12 +9,14 @@
 rig_folder=$(mktemp -d)
 rig_network=127.$((10 + $$ / 240 % 230)).$((5 + $$ % 240))
 rig_memory_mb=${rig_memory_mb:-110}
+rig_bounds=() # NAME=VALUE of bounds that only some deployments have
 declare -A rig_pids=()
 : >"$rig_record"
 
 # Ends every process that was started here.
 rig_cleanup() {
 	local name
+	exec 2>/dev/null
 	for name in "${!rig_pids[@]}"; do
 		kill -KILL "${rig_pids[$name]}" 2>/dev/null || true
 	done
@@ -64,12 +66,17 @@
 
 # Fills a template of the deploy file: template, output, NAME=VALUE...
 rig_fill() {
-	local template=$1 output=$2 pair script=''
+	local template=$1 output=$2 pair script='' sections=''
 	shift 2
 	for pair in "$@"; do
 		script+="s|{{${pair%%=*}}}|${pair#*=}|g;"
 	done
-	sed -z 's/{{#bounds[^}]*}}[^\n]*\n{{\/bounds[^}]*}}//g' "$rig_root/$template" | sed "$script" >"$output"
+	for pair in "${rig_bounds[@]}"; do
+		sections+="s|{{#${pair%%=*}}}||g;s|{{/${pair%%=*}}}||g;"
+		script+="s|{{${pair%%=*}}}|${pair#*=}|g;"
+	done
+	sed "$sections" "$rig_root/$template" | sed -z 's/{{#bounds[^}]*}}[^\n]*\n{{\/bounds[^}]*}}//g' |
+		sed "$script" >"$output"
 	if grep -q '{{' "$output"; then
 		rig_abort "a field of $template has no value"
 	fi
@@ -139,6 +146,11 @@
 	printf '{"resource_kind":"services","metadata":{"name":"%s"},"spec":{"health_path":"/health","max_connections":110,"protocol":"h1","tls":false}},' "$1"
 }
 
+# Prints a tenant of a configuration: name, key, requests a second, burst.
+rig_tenant() {
+	printf '{"resource_kind":"tenants","metadata":{"name":"%s"},"spec":{"api_keys":["%s"],"rate_per_s":%s,"burst":%s}},' "$@"
+}
+
 # Prints the limits, the last resource of a configuration.
 rig_limits() {
 	printf '{"resource_kind":"limits","metadata":{},"spec":{"max_header_bytes":16384,"max_body_bytes":67108864,"header_timeout_s":3,"idle_timeout_s":15}}'
--- a/review/standin-2.c
+++ b/review/standin-2.c
@@ -501,6 +501,7 @@
 static void exchange(stream_t *stream, const char *id)
 {
 	const char *to = text_option("to", "");
+	const char *key = text_option("key", "");
 	message_t answer = {0};
 	char head[1024], stamp[128], wanted_stamp[64], wanted_body[64];
 	int status = 0;
@@ -510,9 +511,9 @@
 		stream->length = 0;
 	}
 	snprintf(head, sizeof(head),
-		 "%s %s%s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Deadline-Ms: %ld\r\n%s\r\n",
+		 "%s %s%s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Deadline-Ms: %ld\r\n%s%s%s%s\r\n",
 		 text_option("method", "GET"), text_option("path", "/"), id, text_option("host", ""), id,
-		 number_option("budget_ms", 2000),
+		 number_option("budget_ms", 2000), *key ? "X-Credential: " : "", key, *key ? "\r\n" : "",
 		 strcmp(text_option("method", "GET"), "POST") ? "" : "Content-Length: 0\r\n");
 	note("sent %s", id);
 	__atomic_add_fetch(&sent_count, 1, __ATOMIC_RELAXED);
