--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -44,8 +44,8 @@
 for machine in "${callers[@]}"; do
 	# The process beside the other upstream is killed and is back 3 s later.
 	[ -z "$trouble" ] || rig_kill proxy-12
-	"$rig_standin" client "to=$rig_network.$machine:8304" host=shop.example path=/order/ method=POST \
-		"prefix=order-$machine" count=10 gap_ms=30 budget_ms=1500 "record=$rig_record" >>"$rig_folder/order.txt"
+	rig_run order "$rig_folder/order.txt" client "to=$rig_network.$machine:8304" host=shop.example path=/order/ \
+		method=POST "prefix=order-$machine" count=10 gap_ms=30 budget_ms=1500 "record=$rig_record"
 	sleep 2
 	[ -z "$trouble" ] || rig_proxy 12 orders
 	sleep 6
--- a/review/mesh-2.sh
+++ b/review/mesh-2.sh
@@ -51,6 +51,16 @@
 	rig_pids[$name]=$!
 }
 
+# Runs a stand-in to its end, so that it is ended too if the script is: name, file for its output, arguments.
+rig_run() {
+	local name=$1 output=$2
+	shift 2
+	"$rig_standin" "$@" >>"$output" 2>&1 &
+	rig_pids[$name]=$!
+	wait "${rig_pids[$name]}" || true
+	unset "rig_pids[$name]"
+}
+
 # Sends a signal to a process: name, signal.
 rig_signal() {
 	rig_note "signal $2 to $1"
