Log which connection an answer of the target came on

With log-level debug, target-answer names the request that waits, the request id that the answer carries, the connection and how many requests it has carried, and how long after the request was submitted the answer came.

--- a/daemon/receiver.c
+++ b/daemon/receiver.c
@@ -491,7 +491,8 @@
 	message->call_request = call;
 	job = target_job_new(message, NULL);
 	job->is_identity_probe = true;
-	job->deadline_ms = clock_now_ms() + IDENTITY_PROBE_TIMEOUT_MS;
+	job->started_ms = clock_now_ms();
+	job->deadline_ms = job->started_ms + IDENTITY_PROBE_TIMEOUT_MS;
 	return job;
 }
 
--- a/daemon/target_connection.c
+++ b/daemon/target_connection.c
@@ -231,6 +231,7 @@
 void target_connection_begin(target_connection_t *connection, target_job_t *job)
 {
 	connection->job = job;
+	connection->jobs++;
 	connection->probed |= job->is_identity_probe;
 	connection->unidentified = target_connection_is_unidentified(connection->pool, job);
 	connection->mismatched_responses = 0;
@@ -352,11 +353,25 @@
 	log_warning("answer-invalid", LOG_UINT("status", status), LOG_END);
 }
 
+/* Logs a response with the request that it may belong to and the place of that request on the connection. */
+static void log_response(const target_connection_t *connection, const http_message_t *response)
+{
+	const target_job_t *job = connection->job;
+
+	log_debug("target-answer",
+		  LOG_STR("request", call_request_id(connection->pool, job->message->call_request)),
+		  LOG_STR("told", response_request_id(connection, response)),
+		  LOG_UINT("status", response->status), LOG_UINT("refusal", is_refusal(connection, response)),
+		  LOG_UINT("connection", connection->number), LOG_UINT("job", connection->jobs),
+		  LOG_INT("after_ms", clock_now_ms() - job->started_ms), LOG_END);
+}
+
 /* Handles a complete message of the target; returns false when no further one is expected. */
 static bool handle_message(target_connection_t *connection, bool extra_bytes)
 {
 	http_message_t *response = http_reader_take_message(&connection->reader);
 
+	log_response(connection, response);
 	if (response->status < STATUS_INFORMATIONAL_END) {
 		http_message_free(response);
 		return true;
@@ -520,6 +535,7 @@
 	int one = 1;
 
 	connection->pool = pool;
+	connection->number = ++pool->opened;
 	connection->job = job;
 	connection->watch = (poller_watch_t){on_connection_ready, connection};
 	send_buffer_init(&connection->output, MEMORY_TO_TARGET);
--- a/daemon/target_connection.h
+++ b/daemon/target_connection.h
@@ -14,7 +14,8 @@
 typedef struct {
 	target_pool_t *pool;
 	poller_watch_t watch;
-	int fd; /* -1 once closed */
+	int fd;		 /* -1 once closed */
+	uint64_t number; /* counts the connections of the pool */
 	target_connection_state_t state;
 	GList link; /* in the pool: idle or active */
 	http_reader_t reader;
@@ -26,6 +27,7 @@
 	bool paused;		       /* not read, as the account of waiting bytes is full */
 	bool reset;		       /* sending failed, and not because the target had closed regularly */
 	uint32_t mismatched_responses; /* responses to other requests, skipped during the present job */
+	uint32_t jobs;		       /* begun on it */
 	int64_t idle_until_ms;	       /* when an idle connection is closed */
 	int64_t idle_since_ms;	       /* when the last job ended */
 } target_connection_t;
@@ -38,6 +40,7 @@
 	GQueue active;		/* links of target_connection_t that have a job or are connecting */
 	GQueue idle;		/* links of target_connection_t, the most recently used first */
 	GQueue finished;	/* target_job_t *, not collected yet */
+	uint64_t opened;	/* connections opened so far */
 	char *target_id;	/* identifier of the incarnation that calls are for; NULL: any */
 	int64_t start_until_ms; /* later no request is sent; INT64_MAX: without limit */
 	int64_t next_probe_ms;	/* when the next probe is due */
