A connection to a target carries a request id once

Cause: a target's answer is told from others by the request's id, which is that of the client attempt. A further try of the call at the same target has the same id and used the same kept connection, so that a second copy of the first try's answer was taken for the answer to the further one.

The links between proxies are ruled out: each try has a sequence of its own there.

Change: a connection remembers hashes of the ids that it has carried, and is passed over for a request with one of them. Another kept connection or a new one is used, where each answer with the id belongs to the try. After 1,000 requests a connection is closed, which bounds the memory.

test_target_pool: test_repeated_answer_is_not_that_of_a_further_try failed 6 of 6 before (three told as refused, three as the earlier answer), and test_kept_connections_are_used for the bound.

--- a/daemon/counters.h
+++ b/daemon/counters.h
@@ -100,8 +100,10 @@
 	X(ALLOTMENT_DECLINED, "allotment-declined")                                                                     \
 	/* calls that went on without a grant while the owner was silent */                                             \
 	X(ALLOTMENT_CREDIT, "allotment-credit")                                                                         \
-	/* connections opened to targets; answers to another request, to no request, and invalid ones */                \
+	/* connections opened to targets; kept ones not used, as they have carried a request with the same id */        \
 	X(TARGET_CONNECTION, "target-connection")                                                                       \
+	X(CONNECTION_PASSED_OVER, "connection-passed-over")                                                             \
+	/* answers of targets to another request, to no request, and invalid ones */                                    \
 	X(ANSWER_CROSSED, "answer-crossed")                                                                             \
 	X(ANSWER_UNASKED, "answer-unasked")                                                                             \
 	X(ANSWER_UNREADABLE, "answer-unreadable")                                                                       \
--- a/daemon/target_connection.c
+++ b/daemon/target_connection.c
@@ -32,6 +32,7 @@
 	MAX_IDLE_MS = 4000, /* an idle connection is reused within this time, or less if the target says so */
 	KEEP_ALIVE_DIVISOR = 2, /* a connection is reused within half of the target's keep-alive timeout */
 	MAX_MISMATCHED_RESPONSES = 2, /* skipped on a connection before it is closed */
+	MAX_CARRIED_REQUESTS = 1000,  /* on one connection, which bounds the memory for their ids */
 	MS_PER_S = 1000,
 	STATUS_INFORMATIONAL_END = 200, /* lower ones are interim responses, before the one to the request */
 	STATUS_MISDIRECTED = 421,
@@ -45,6 +46,7 @@
 
 	http_reader_clear(&connection->reader);
 	send_buffer_free(&connection->output);
+	g_array_unref(connection->carried);
 	g_free(connection);
 }
 
@@ -227,11 +229,40 @@
 	return !job->is_identity_probe && !call_request_id(pool, job->message->call_request);
 }
 
+/*
+ * Returns a hash of the request id of a job, by which its answer is told from others.  All identity probes, which
+ * have none, count as one request.
+ */
+static uint32_t request_hash(const target_pool_t *pool, const target_job_t *job)
+{
+	const char *id = call_request_id(pool, job->message->call_request);
+
+	return id ? (uint32_t)cw_hash(id, strlen(id), 0) : 0;
+}
+
+/*
+ * Returns whether a connection has carried a request with the id of a job.  A second copy of the answer to that
+ * request could not be told from the answer to the job there.
+ */
+bool target_connection_has_carried(const target_connection_t *connection, const target_job_t *job)
+{
+	uint32_t hash = request_hash(connection->pool, job);
+
+	if (connection->unidentified)
+		return false;
+	for (guint i = 0; i < connection->carried->len; i++)
+		if (g_array_index(connection->carried, uint32_t, i) == hash)
+			return true;
+	return false;
+}
+
 /* Starts a job on an established connection. */
 void target_connection_begin(target_connection_t *connection, target_job_t *job)
 {
+	uint32_t hash = request_hash(connection->pool, job);
+
 	connection->job = job;
-	connection->jobs++;
+	g_array_append_val(connection->carried, hash);
 	connection->probed |= job->is_identity_probe;
 	connection->unidentified = target_connection_is_unidentified(connection->pool, job);
 	connection->mismatched_responses = 0;
@@ -301,7 +332,7 @@
 
 /*
  * Returns whether a response is certainly no second copy of an earlier one: it is the first on its connection
- * or carries the id of the present request.
+ * or carries the id of the present request, which the connection has carried once.
  */
 static bool is_certain(const target_connection_t *connection, const http_message_t *response)
 {
@@ -330,7 +361,8 @@
 	bool request_sent = !send_buffer_pending(&connection->output);
 	bool distrusted = is_refusal(connection, response) && !is_certain(connection, response);
 	bool reusable = response->keep_alive && request_sent && !extra_bytes && !distrusted &&
-			!response->states_body && !connection->mismatched_responses;
+			!response->states_body && !connection->mismatched_responses &&
+			connection->carried->len < MAX_CARRIED_REQUESTS;
 	int64_t max_idle_ms = idle_limit_ms(response);
 
 	job->target_draining = http_message_header(response, HEADER_DRAINING) != NULL;
@@ -362,7 +394,7 @@
 		  LOG_STR("request", call_request_id(connection->pool, job->message->call_request)),
 		  LOG_STR("told", response_request_id(connection, response)),
 		  LOG_UINT("status", response->status), LOG_UINT("refusal", is_refusal(connection, response)),
-		  LOG_UINT("connection", connection->number), LOG_UINT("job", connection->jobs),
+		  LOG_UINT("connection", connection->number), LOG_UINT("job", connection->carried->len),
 		  LOG_INT("after_ms", clock_now_ms() - job->started_ms), LOG_END);
 }
 
@@ -536,6 +568,7 @@
 
 	connection->pool = pool;
 	connection->number = ++pool->opened;
+	connection->carried = g_array_new(FALSE, FALSE, sizeof(uint32_t));
 	connection->job = job;
 	connection->watch = (poller_watch_t){on_connection_ready, connection};
 	send_buffer_init(&connection->output, MEMORY_TO_TARGET);
--- a/daemon/target_connection.h
+++ b/daemon/target_connection.h
@@ -24,10 +24,10 @@
 	bool reused;		       /* it has carried an earlier job */
 	bool probed;		       /* it has carried an identity probe, whose answer has no request id */
 	bool unidentified;	       /* it carries calls without a request id, and nothing else */
+	GArray *carried;	       /* uint32_t hashes of the request ids that it has carried */
 	bool paused;		       /* not read, as the account of waiting bytes is full */
 	bool reset;		       /* sending failed, and not because the target had closed regularly */
 	uint32_t mismatched_responses; /* responses to other requests, skipped during the present job */
-	uint32_t jobs;		       /* begun on it */
 	int64_t idle_until_ms;	       /* when an idle connection is closed */
 	int64_t idle_since_ms;	       /* when the last job ended */
 } target_connection_t;
@@ -57,6 +57,8 @@
 void target_connection_open(target_pool_t *pool, target_job_t *job);
 /* Returns whether a job is a call without a request id; such calls share connections with each other only. */
 bool target_connection_is_unidentified(const target_pool_t *pool, const target_job_t *job);
+/* Returns whether a connection has carried a request with the id of a job; rarely true for another id. */
+bool target_connection_has_carried(const target_connection_t *connection, const target_job_t *job);
 /* Starts a job on an established connection. */
 void target_connection_begin(target_connection_t *connection, target_job_t *job);
 /* Ends the job of a connection without a response, for a reason, and closes the connection. */
--- a/daemon/target_pool.c
+++ b/daemon/target_pool.c
@@ -2,6 +2,7 @@
 #include "target_connection.h"
 
 #include "clock.h"
+#include "counters.h"
 #include "log.h"
 #include "socket_address.h"
 
@@ -93,7 +94,11 @@
 	g_free(pool);
 }
 
-/* Returns the most recently used idle connection for jobs like this one; NULL when there is none. */
+/*
+ * Returns the most recently used idle connection for a job; NULL when there is none.  A connection that has carried
+ * a request with the same id is passed over: by the id, a second copy of the answer to that request would be taken
+ * for the answer to this one.
+ */
 static target_connection_t *most_recent_idle(const target_pool_t *pool, const target_job_t *job)
 {
 	bool unidentified = target_connection_is_unidentified(pool, job);
@@ -101,8 +106,11 @@
 	for (const GList *link = pool->idle.head; link; link = link->next) {
 		target_connection_t *connection = link->data;
 
-		if (connection->unidentified == unidentified)
+		if (connection->unidentified != unidentified)
+			continue;
+		if (!target_connection_has_carried(connection, job))
 			return connection;
+		counter_add(COUNTER_CONNECTION_PASSED_OVER, 1);
 	}
 	return NULL;
 }
--- a/tests/unit/test_target_pool.c
+++ b/tests/unit/test_target_pool.c
@@ -23,6 +23,9 @@
 	ENDLESS_JOBS = 4,
 	BACKLOG_CONNECTIONS = 4,
 	START_UNTIL_MS = 100,
+	REPEATED_REQUESTS = 3,
+	MANY_REQUESTS = 2500,
+	MAX_CONNECTIONS = 3,	      /* for that many requests, one after the other */
 	MAX_BUFFERED_BYTES = 33 << 20 /* the limit of the pool and what one read adds */
 };
 
@@ -39,8 +42,10 @@
 	int port;
 	const char *endless; /* sent again and again after endless_head, in place of an answer; NULL: none */
 	const char *endless_head;
+	const char *first_head;		  /* of its first answer: status line and headers */
 	void *(*serve)(void *connection); /* serves a connection; NULL: serve_connection() */
 	atomic_int requests;		  /* received on all connections */
+	atomic_int connections;		  /* accepted */
 	pthread_t thread;
 } closing_server_t;
 
@@ -109,6 +114,7 @@
 		pthread_t thread;
 
 		*connection = (server_connection_t){server, fd};
+		atomic_fetch_add(&server->connections, 1);
 		pthread_create(&thread, NULL, server->serve ? server->serve : serve_connection, connection);
 		pthread_detach(thread);
 	}
@@ -123,6 +129,7 @@
 
 	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
 	atomic_init(&server->requests, 0);
+	atomic_init(&server->connections, 0);
 	server->listener = socket(AF_INET, SOCK_STREAM, 0);
 	ck_assert_int_eq(bind(server->listener, (struct sockaddr *)&address, sizeof(address)), 0);
 	ck_assert_int_eq(listen(server->listener, 8), 0);
@@ -478,6 +485,101 @@
 }
 END_TEST
 
+/* Requests whose first answer the target writes once more when its request id comes again on that connection. */
+typedef struct {
+	const char *name;
+	const char *ids[REPEATED_REQUESTS]; /* of the calls, in turn; all NULL: health checks */
+	int requests;
+	const char *first_head; /* status line and headers of the first answer */
+} repeated_answer_t;
+
+static const repeated_answer_t repeated_answers[] = {
+	{"refusal, a further try", {"q1", "q1"}, 2, "HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\n"},
+	{"other incarnation, a further try", {"q1", "q1"}, 2, "HTTP/1.1 421 Other\r\nX-Not-Executed: 1\r\n"},
+	{"refusal, another call, a further try",
+	 {"q1", "q2", "q1"},
+	 3,
+	 "HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\n"},
+	{"answer, the caller uses the id again", {"q1", "q1"}, 2, "HTTP/1.1 200 OK\r\n"},
+	{"answer, a third request with the id", {"q1", "q1", "q1"}, 3, "HTTP/1.1 200 OK\r\n"},
+	{"health check, the next one", {NULL}, 2, "HTTP/1.1 200 OK\r\n"},
+};
+
+/* Serves one connection: the first answer there is written again before that to a request with the same id. */
+static void *serve_repeated_answers(void *data)
+{
+	server_connection_t *connection = data;
+	g_autoptr(GString) first = g_string_new(NULL), first_id = g_string_new(NULL);
+	char text[4096];
+	ssize_t count;
+
+	while ((count = recv(connection->fd, text, sizeof(text) - 1, 0)) > 0) {
+		int number = atomic_fetch_add(&connection->server->requests, 1);
+		g_autoptr(GString) answer =
+			g_string_new(number ? "HTTP/1.1 200 OK\r\n" : connection->server->first_head);
+		g_autoptr(GString) id = g_string_new(NULL);
+
+		text[count] = '\0';
+		append_request_id(id, text);
+		g_string_append_printf(answer, "%sContent-Length: 1\r\n\r\n%d", id->str, number % 10);
+		if (first->len && g_string_equal(id, first_id))
+			send(connection->fd, first->str, first->len, MSG_NOSIGNAL);
+		send(connection->fd, answer->str, answer->len, MSG_NOSIGNAL);
+		if (!first->len) {
+			g_string_assign(first, answer->str);
+			g_string_assign(first_id, id->str);
+		}
+	}
+	close(connection->fd);
+	g_free(connection);
+	return NULL;
+}
+
+/* REFUSED, MIXED: a second copy of the answer to an earlier request with the same id is told as that to a later one. */
+START_TEST(test_repeated_answer_is_not_that_of_a_further_try)
+{
+	const repeated_answer_t *test_case = &repeated_answers[_i];
+	fixture_t fixture = {
+		.server = {.serve = serve_repeated_answers, .first_head = test_case->first_head}};
+	target_job_t *job = NULL;
+
+	set_up(&fixture);
+	for (int i = 0; i < test_case->requests; i++) {
+		g_clear_pointer(&job, target_job_free);
+		job = run_job(fixture.poller, fixture.pool,
+			      test_case->ids[0] ? new_identified_job(test_case->ids[i]) : new_probe());
+	}
+	ck_assert_msg(job->result == CW_ADMIT_ANSWERED, "%s: result %d", test_case->name, job->result);
+	ck_assert_msg(job->response->body->len == 1 &&
+			      job->response->body->data[0] == '0' + test_case->requests - 1,
+		      "%s: the answer to an earlier request", test_case->name);
+	target_job_free(job);
+	tear_down(&fixture);
+}
+END_TEST
+
+/* Requests with ids of their own get a new connection each, or a connection remembers ids without bound. */
+START_TEST(test_kept_connections_are_used)
+{
+	fixture_t fixture = {
+		.server = {.serve = serve_repeated_answers, .first_head = "HTTP/1.1 200 OK\r\n"}};
+	int connections;
+
+	set_up(&fixture);
+	for (int i = 0; i < MANY_REQUESTS; i++) {
+		g_autofree char *id = g_strdup_printf("q%d", i);
+		target_job_t *job = run_job(fixture.poller, fixture.pool, new_identified_job(id));
+
+		ck_assert_int_eq(job->result, CW_ADMIT_ANSWERED);
+		target_job_free(job);
+	}
+	connections = atomic_load(&fixture.server.connections);
+	ck_assert_int_le(connections, MAX_CONNECTIONS);
+	ck_assert_int_gt(connections, 1);
+	tear_down(&fixture);
+}
+END_TEST
+
 /* When connections are refused, the call was certainly not started, and the target is unreachable. */
 START_TEST(test_unreachable)
 {
@@ -517,6 +619,17 @@
 	suite_add_tcase(suite, tcase);
 }
 
+/* Adds the cases of a repeated answer. */
+static void add_repeated_answer_cases(Suite *suite)
+{
+	TCase *tcase = tcase_create("test_repeated_answer");
+
+	tcase_set_timeout(tcase, TIMEOUT_S);
+	tcase_add_loop_test(tcase, test_repeated_answer_is_not_that_of_a_further_try, 0,
+			    G_N_ELEMENTS(repeated_answers));
+	suite_add_tcase(suite, tcase);
+}
+
 /* Runs the tests; returns the exit status of the program. */
 int main(void)
 {
@@ -528,7 +641,9 @@
 	add_test_case(suite, test_endless_head);
 	add_test_case(suite, test_connection_after_leaving);
 	add_test_case(suite, test_second_answer_to_probe);
+	add_test_case(suite, test_kept_connections_are_used);
 	add_test_case(suite, test_unreachable);
 	add_refusal_cases(suite);
+	add_repeated_answer_cases(suite);
 	return script_run_suite(suite);
 }
