A status without a request id is no proof that a call did not run

What callers would see: a faulty target sends bytes that are an answer of status 408, 421, 429 or 503 without a request id on a kept connection, the next call, not idempotent, is answered with that status while the target runs it (REFUSED).

Cause: a refusal by header is believed only if it is the first answer of its connection or has the id of the call. A status alone makes the same promise to the caller, and an answer without an id was taken for any call.

Change: to a call that is not idempotent such an answer is not passed on where earlier answers on the connection had their ids; the outcome is unknown, 502. Weighed: the same for targets that return no ids; their callers would lose each 429 or 503 with its Retry-After on kept connections. Also weighed: skipping such an answer and waiting for one with the id, which serves the call if the bytes were stray, and holds it to its deadline if they were the answer. Idempotent calls may run again, so that their answers stay as they are.

test_stray_promise_is_not_believed failed 4 of 9 cases before: 408, 421 and 429 told as an answer, 503 as an error; it passes. test_answers: 644 cases.

--- a/daemon/target_connection.c
+++ b/daemon/target_connection.c
@@ -35,8 +35,11 @@
 	MAX_CARRIED_REQUESTS = 1000,  /* on one connection, which bounds the memory for their ids */
 	MS_PER_S = 1000,
 	STATUS_INFORMATIONAL_END = 200, /* lower ones are interim responses, before the one to the request */
+	STATUS_REQUEST_TIMEOUT = 408,
 	STATUS_MISDIRECTED = 421,
-	STATUS_SERVER_ERROR = 500
+	STATUS_TOO_MANY_REQUESTS = 429,
+	STATUS_SERVER_ERROR = 500,
+	STATUS_UNAVAILABLE = 503
 };
 
 /* Frees a closed connection. */
@@ -322,7 +325,7 @@
 	return g_strcmp0(call_id, response_id) != 0;
 }
 
-/* Returns whether a response says that the call did not run. */
+/* Returns whether a response says in a header that the call did not run. */
 static bool is_refusal(const target_connection_t *connection, const http_message_t *response)
 {
 	const char *name = connection->pool->header_names->not_executed;
@@ -340,6 +343,27 @@
 	       (!connection->unidentified && response_request_id(connection, response));
 }
 
+/* Returns whether a caller takes a status for a promise that its request did not run. */
+static bool is_promising_status(unsigned status)
+{
+	return status == STATUS_REQUEST_TIMEOUT || status == STATUS_MISDIRECTED ||
+	       status == STATUS_TOO_MANY_REQUESTS || status == STATUS_UNAVAILABLE;
+}
+
+/*
+ * Returns whether a response would be taken for a promise that the call did not run, and may not be the response to
+ * it.  A status alone matters to calls that must not run twice, and is believed of a target that returns no ids.
+ */
+static bool is_doubtful(const target_connection_t *connection, const http_message_t *response)
+{
+	bool idempotent = connection->job->message->call_request->idempotent;
+
+	if (is_certain(connection, response))
+		return false;
+	return is_refusal(connection, response) ||
+	       (!idempotent && connection->echoes_ids && is_promising_status(response->status));
+}
+
 /* Returns the reason of a response that says that the call did not run. */
 static cw_reason_t not_run_reason(const http_message_t *response)
 {
@@ -359,12 +383,13 @@
 {
 	target_job_t *job = connection->job;
 	bool request_sent = !send_buffer_pending(&connection->output);
-	bool distrusted = is_refusal(connection, response) && !is_certain(connection, response);
+	bool distrusted = is_doubtful(connection, response);
 	bool reusable = response->keep_alive && request_sent && !extra_bytes && !distrusted &&
 			!response->states_body && !connection->mismatched_responses &&
 			connection->carried->len < MAX_CARRIED_REQUESTS;
 	int64_t max_idle_ms = idle_limit_ms(response);
 
+	connection->echoes_ids |= !connection->unidentified && response_request_id(connection, response);
 	job->target_draining = http_message_header(response, HEADER_DRAINING) != NULL;
 	job->response = response;
 	if (distrusted)
--- a/daemon/target_connection.h
+++ b/daemon/target_connection.h
@@ -25,6 +25,7 @@
 	bool probed;		       /* it has carried an identity probe, whose answer has no request id */
 	bool unidentified;	       /* it carries calls without a request id, and nothing else */
 	GArray *carried;	       /* uint32_t hashes of the request ids that it has carried */
+	bool echoes_ids;	       /* an answer on it had the id of its request */
 	bool paused;		       /* not read, as the account of waiting bytes is full */
 	bool reset;		       /* sending failed, and not because the target had closed regularly */
 	uint32_t mismatched_responses; /* responses to other requests, skipped during the present job */
--- a/tests/unit/test_target_pool.c
+++ b/tests/unit/test_target_pool.c
@@ -42,7 +42,8 @@
 	int port;
 	const char *endless; /* sent again and again after endless_head, in place of an answer; NULL: none */
 	const char *endless_head;
-	const char *first_head;		  /* of its first answer: status line and headers */
+	const char *first_head; /* status line and headers of an answer that the serving function tells */
+	bool echoes_ids;	/* it returns request ids, for serve_stray_promise() */
 	void *(*serve)(void *connection); /* serves a connection; NULL: serve_connection() */
 	atomic_int requests;		  /* received on all connections */
 	atomic_int connections;		  /* accepted */
@@ -558,6 +559,70 @@
 }
 END_TEST
 
+/* An answer without a request id in place of that to the second call on a connection. */
+typedef struct {
+	const char *head; /* status line and headers */
+	bool echoes_ids;  /* the target returns the request id in its other answers */
+	bool idempotent;  /* the call */
+	cw_admit_result_t result;
+} stray_promise_t;
+
+static const stray_promise_t stray_promises[] = {
+	{"HTTP/1.1 408 Request Timeout\r\n", true, false, CW_ADMIT_FAILED},
+	{"HTTP/1.1 421 Misdirected Request\r\n", true, false, CW_ADMIT_FAILED},
+	{"HTTP/1.1 429 Too Many Requests\r\n", true, false, CW_ADMIT_FAILED},
+	{"HTTP/1.1 503 Service Unavailable\r\n", true, false, CW_ADMIT_FAILED},
+	{"HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\n", true, false, CW_ADMIT_FAILED},
+	{"HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\n", true, true, CW_ADMIT_FAILED},
+	{"HTTP/1.1 503 Service Unavailable\r\n", true, true, CW_ADMIT_ERROR},
+	{"HTTP/1.1 503 Service Unavailable\r\n", false, false, CW_ADMIT_ERROR},
+	{"HTTP/1.1 429 Too Many Requests\r\n", false, false, CW_ADMIT_ANSWERED},
+};
+
+/* Serves one connection: the second answer there begins with the head of the case and has no request id. */
+static void *serve_stray_promise(void *data)
+{
+	server_connection_t *connection = data;
+	char text[4096];
+	ssize_t count;
+
+	while ((count = recv(connection->fd, text, sizeof(text) - 1, 0)) > 0) {
+		bool stray = atomic_fetch_add(&connection->server->requests, 1) == 1;
+		g_autoptr(GString) answer =
+			g_string_new(stray ? connection->server->first_head : "HTTP/1.1 200 OK\r\n");
+
+		text[count] = '\0';
+		if (!stray && connection->server->echoes_ids)
+			append_request_id(answer, text);
+		g_string_append(answer, "Content-Length: 0\r\n\r\n");
+		send(connection->fd, answer->str, answer->len, MSG_NOSIGNAL);
+	}
+	close(connection->fd);
+	g_free(connection);
+	return NULL;
+}
+
+/* REFUSED: bytes that may be no answer to a call are passed on with a status that promises that it did not run. */
+START_TEST(test_stray_promise_is_not_believed)
+{
+	const stray_promise_t *test_case = &stray_promises[_i];
+	fixture_t fixture = {.server = {.serve = serve_stray_promise,
+					.first_head = test_case->head,
+					.echoes_ids = test_case->echoes_ids}};
+	target_job_t *job;
+
+	set_up(&fixture);
+	target_job_free(run_job(fixture.poller, fixture.pool, new_identified_job("q1")));
+	job = new_identified_job("q2");
+	job->message->call_request->idempotent = test_case->idempotent;
+	job = run_job(fixture.poller, fixture.pool, job);
+	ck_assert_msg(job->result == test_case->result, "%s: result %d, expected %d", test_case->head,
+		      job->result, test_case->result);
+	target_job_free(job);
+	tear_down(&fixture);
+}
+END_TEST
+
 /* Requests with ids of their own get a new connection each, or a connection remembers ids without bound. */
 START_TEST(test_kept_connections_are_used)
 {
@@ -630,6 +695,16 @@
 	suite_add_tcase(suite, tcase);
 }
 
+/* Adds the cases of a status without a request id. */
+static void add_stray_promise_cases(Suite *suite)
+{
+	TCase *tcase = tcase_create("test_stray_promise");
+
+	tcase_set_timeout(tcase, TIMEOUT_S);
+	tcase_add_loop_test(tcase, test_stray_promise_is_not_believed, 0, G_N_ELEMENTS(stray_promises));
+	suite_add_tcase(suite, tcase);
+}
+
 /* Runs the tests; returns the exit status of the program. */
 int main(void)
 {
@@ -645,5 +720,6 @@
 	add_test_case(suite, test_unreachable);
 	add_refusal_cases(suite);
 	add_repeated_answer_cases(suite);
+	add_stray_promise_cases(suite);
 	return script_run_suite(suite);
 }
