test_answers: the interim answer has the request id and says that nothing ran

So the cases also show that an interim answer, which carries the id of the call, is never taken for the answer to it.

--- a/tests/unit/test_answers.c
+++ b/tests/unit/test_answers.c
@@ -146,7 +146,8 @@
 {
 	switch (answer_case->before) {
 	case INTERIM_ANSWER:
-		g_string_append(out, "HTTP/1.1 103 Early Hints\r\nLink: <a>\r\n\r\n");
+		g_string_append(out, "HTTP/1.1 103 Early Hints\r\nX-Not-Executed: 1\r\n");
+		g_string_append(out, answer_case->has_id ? "X-Request-Id: q-1\r\n\r\n" : "\r\n");
 		break;
 	case EARLIER_ANSWER:
 		append_answer(out, BY_LENGTH, 0, answer_case->has_id, false);
