--- a/tests/unit/test_target_pool.c
+++ b/tests/unit/test_target_pool.c
@@ -506,7 +506,10 @@
 	{"health check, the next one", {NULL}, 2, "HTTP/1.1 200 OK\r\n"},
 };
 
-/* Serves one connection: the first answer there is written again before that to a request with the same id. */
+/*
+ * Serves one connection: the body of an answer is the number of its request.  The first answer there is written again
+ * before that to a request with the same id.
+ */
 static void *serve_repeated_answers(void *data)
 {
 	server_connection_t *connection = data;
@@ -673,35 +676,13 @@
 	suite_add_tcase(suite, tcase);
 }
 
-/* Adds the cases of a repeated refusal. */
-static void add_refusal_cases(Suite *suite)
+/* Adds a test with a number of cases. */
+static void add_cases(Suite *suite, const char *name, const TTest *test, int cases)
 {
-	TCase *tcase = tcase_create("test_repeated_refusal");
+	TCase *tcase = tcase_create(name);
 
 	tcase_set_timeout(tcase, TIMEOUT_S);
-	tcase_add_loop_test(tcase, test_repeated_refusal_is_not_that_of_the_next_call, 0,
-			    G_N_ELEMENTS(repeated_refusals));
-	suite_add_tcase(suite, tcase);
-}
-
-/* Adds the cases of a repeated answer. */
-static void add_repeated_answer_cases(Suite *suite)
-{
-	TCase *tcase = tcase_create("test_repeated_answer");
-
-	tcase_set_timeout(tcase, TIMEOUT_S);
-	tcase_add_loop_test(tcase, test_repeated_answer_is_not_that_of_a_further_try, 0,
-			    G_N_ELEMENTS(repeated_answers));
-	suite_add_tcase(suite, tcase);
-}
-
-/* Adds the cases of a status without a request id. */
-static void add_stray_promise_cases(Suite *suite)
-{
-	TCase *tcase = tcase_create("test_stray_promise");
-
-	tcase_set_timeout(tcase, TIMEOUT_S);
-	tcase_add_loop_test(tcase, test_stray_promise_is_not_believed, 0, G_N_ELEMENTS(stray_promises));
+	tcase_add_loop_test(tcase, test, 0, cases);
 	suite_add_tcase(suite, tcase);
 }
 
@@ -718,8 +699,11 @@
 	add_test_case(suite, test_second_answer_to_probe);
 	add_test_case(suite, test_kept_connections_are_used);
 	add_test_case(suite, test_unreachable);
-	add_refusal_cases(suite);
-	add_repeated_answer_cases(suite);
-	add_stray_promise_cases(suite);
+	add_cases(suite, "test_repeated_refusal", test_repeated_refusal_is_not_that_of_the_next_call,
+		  G_N_ELEMENTS(repeated_refusals));
+	add_cases(suite, "test_repeated_answer", test_repeated_answer_is_not_that_of_a_further_try,
+		  G_N_ELEMENTS(repeated_answers));
+	add_cases(suite, "test_stray_promise", test_stray_promise_is_not_believed,
+		  G_N_ELEMENTS(stray_promises));
 	return script_run_suite(suite);
 }
