--- a/tests/unit/test_target_pool.c
+++ b/tests/unit/test_target_pool.c
@@ -539,19 +539,26 @@
 	return NULL;
 }
 
+/* Runs the request of a number of a case. */
+static target_job_t *run_repeated(fixture_t *fixture, const repeated_answer_t *test_case, int number)
+{
+	return run_job(fixture->poller, fixture->pool,
+		       test_case->ids[0] ? new_identified_job(test_case->ids[number]) : new_probe());
+}
+
 /* REFUSED, MIXED: a second copy of the answer to an earlier request with the same id is told as that to a later one. */
 START_TEST(test_repeated_answer_is_not_that_of_a_further_try)
 {
 	const repeated_answer_t *test_case = &repeated_answers[_i];
 	fixture_t fixture = {
 		.server = {.serve = serve_repeated_answers, .first_head = test_case->first_head}};
-	target_job_t *job = NULL;
+	target_job_t *job;
 
 	set_up(&fixture);
-	for (int i = 0; i < test_case->requests; i++) {
-		g_clear_pointer(&job, target_job_free);
-		job = run_job(fixture.poller, fixture.pool,
-			      test_case->ids[0] ? new_identified_job(test_case->ids[i]) : new_probe());
+	job = run_repeated(&fixture, test_case, 0);
+	for (int i = 1; i < test_case->requests; i++) {
+		target_job_free(job);
+		job = run_repeated(&fixture, test_case, i);
 	}
 	ck_assert_msg(job->result == CW_ADMIT_ANSWERED, "%s: result %d", test_case->name, job->result);
 	ck_assert_msg(job->response->body->len == 1 &&
