--- a/daemon/target_connection.c
+++ b/daemon/target_connection.c
@@ -351,8 +351,8 @@
 }
 
 /*
- * Returns whether a response would be taken for a promise that the call did not run, and may not be the response to
- * it.  A status alone matters to calls that must not run twice, and is believed of a target that returns no ids.
+ * Returns whether a response promises that the call did not run, but possibly belongs to no request or to an earlier
+ * one.  A status alone matters to calls that must not run twice, and is believed of a target that returns no ids.
  */
 static bool is_doubtful(const target_connection_t *connection, const http_message_t *response)
 {
